[build] layout, style and the core's interfaces

Settles the interfaces that every other part builds on: events, effects, peer messages, platform calls and configuration objects of the core, and the HTTP loop, server and client. CMake takes one library a folder; the Makefile gives the two commands of the README.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Two commands do all on a fresh Debian machine: `make demo` and `make check`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+CMAKE_FLAGS ?=
+
+.PHONY: packages build sanitize demo check format format-check lint generate
+
+packages:
+	scripts/install-packages
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) > /dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+sanitize: packages
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DRAGWORTCOVE_SANITIZE=ON > /dev/null
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+
+# Runs the whole path on this machine: stand-ins, three daemons, a mixed load, two kills.
+demo: build
+	scripts/demo $(BUILD)
+
+check: format-check build lint sanitize
+	cd $(BUILD)-sanitize && ctest --output-on-failure -j $(JOBS) --timeout 300
+	cd $(BUILD) && ctest --output-on-failure -j $(JOBS) --timeout 600
+
+format:
+	scripts/list-sources | xargs clang-format-14 -i
+
+format-check: packages
+	scripts/list-sources | xargs clang-format-14 --dry-run --Werror
+
+lint: build
+	scripts/list-sources | grep '\.cpp$$' | xargs -P $(JOBS) -n 2 clang-tidy-14 -p $(BUILD) --quiet
+
+# Generated code is committed; only a change of a .proto file needs this.
+generate:
+	scripts/generate
--- /dev/null
+++ b/include/ragwortcove/core/object_fields.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// The one text form of an object: ordered key-value pairs, as in an INI section. The platform's
+/// values, the peers' feed and the operators' files all carry it.
+#pragma once
+
+#include "ragwortcove/core/object.hpp"
+
+#include <boost/leaf.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortcove::core {
+
+struct field {
+    std::string key;
+    std::string value;
+    bool operator==(const field&) const = default;
+};
+
+/// A field that cannot be taken: which key, what stands there and what was expected.
+struct field_error {
+    std::string key;
+    std::string value;
+    std::string expected;
+};
+
+/// Reads an object from its fields; fails with one `field_error`, the first in the fields' order.
+[[nodiscard]] boost::leaf::result<object> parse_object(const object_key& key,
+                                                       std::span<const field> fields);
+/// Reads an object from its fields and gives every `field_error`, in the fields' order.
+[[nodiscard]] std::vector<field_error> check_object(const object_key& key,
+                                                    std::span<const field> fields);
+[[nodiscard]] std::vector<field> to_fields(const object& value);
+[[nodiscard]] std::optional<object_kind> parse_object_kind(std::string_view text);
+
+/// Reads a duration with its unit: `250ms`, `3s`, `5m`, `2h`, `40us`.
+[[nodiscard]] std::optional<duration> parse_duration(std::string_view text);
+[[nodiscard]] std::string format_duration(duration value);
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/include/ragwortcove/core/types.hpp
@@ -0,0 +1,90 @@
+/// \file
+/// Identifiers, names and the virtual clock that every core module shares.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace ragwortcove::core {
+
+/// Clock whose time points are given to the core as arguments; it has no `now()`.
+struct monotonic_clock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = monotonic_clock::duration;
+using time_point = monotonic_clock::time_point;
+
+/// Wall-clock time in milliseconds since the Unix epoch, for times that operators state.
+struct unix_millis {
+    std::int64_t value = 0;
+    auto operator<=>(const unix_millis&) const = default;
+};
+
+/// A name of one kind of thing; names of different kinds do not mix.
+template <class Tag> struct basic_name {
+    std::string value;
+    auto operator<=>(const basic_name&) const = default;
+    bool operator==(const basic_name&) const = default;
+    [[nodiscard]] bool empty() const { return this->value.empty(); }
+};
+
+using node_name = basic_name<struct node_tag>;
+using upstream_name = basic_name<struct upstream_tag>;
+using route_name = basic_name<struct route_tag>;
+using team_name = basic_name<struct team_tag>;
+using tier_name = basic_name<struct tier_tag>;
+using version_name = basic_name<struct version_tag>;
+using move_name = basic_name<struct move_tag>;
+/// A model or a plain service: what a route asks an upstream for.
+using target_name = basic_name<struct target_tag>;
+using region_name = basic_name<struct region_tag>;
+using failure_domain_name = basic_name<struct failure_domain_tag>;
+using store_id = basic_name<struct store_tag>;
+
+/// A number of one kind of thing; numbers of different kinds do not mix.
+template <class Tag> struct basic_number {
+    std::uint64_t value = 0;
+    auto operator<=>(const basic_number&) const = default;
+};
+
+/// One run of one process; a restarted process has a greater one.
+using incarnation = basic_number<struct incarnation_tag>;
+/// A caller's open request as the shell round the core numbers it, within one incarnation.
+using exchange_id = basic_number<struct exchange_tag>;
+/// One dispatch of a request to an upstream, within one incarnation.
+using attempt_id = basic_number<struct attempt_tag>;
+/// A permit that a placement owner granted, within the owner's incarnation.
+using grant_id = basic_number<struct grant_tag>;
+/// A configuration revision of the platform's store.
+using revision = basic_number<struct revision_tag>;
+/// A call to the platform, within one incarnation.
+using call_id = basic_number<struct call_tag>;
+/// Hash of one block of a prompt's prefix, chained over all blocks before it.
+using prefix_hash = basic_number<struct prefix_tag>;
+/// Fencing number of a lease.
+using fencing_number = basic_number<struct fencing_tag>;
+
+/// A request's identity in the whole system.
+struct request_id {
+    incarnation entry;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const request_id&) const = default;
+};
+
+/// IP address and port; never a host name.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+    auto operator<=>(const endpoint&) const = default;
+    bool operator==(const endpoint&) const = default;
+};
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/include/ragwortcove/core/verdict.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// What a caller may conclude from an answer: whether its request may have run.
+#pragma once
+
+#include "ragwortcove/core/types.hpp"
+
+#include <string_view>
+
+namespace ragwortcove::core {
+
+/// Whether a request may have run on an upstream.
+enum class verdict {
+    /// No upstream received the request; the caller may send it again.
+    not_run,
+    /// An upstream received or may have received the request, and the answer is not whole.
+    may_have_run,
+    /// The caller has the whole answer.
+    answered,
+};
+
+/// Why a request was refused or cut; a fixed list that callers may rely on.
+enum class refusal_reason {
+    bad_request,
+    unknown_route,
+    unknown_team,
+    overloaded,
+    displaced,
+    deadline_unreachable,
+    deadline_passed,
+    no_upstream,
+    upstream_failed,
+    upstream_silent,
+    answer_cut,
+    key_in_progress,
+    key_already_used,
+    key_owner_gone,
+    platform_unavailable,
+    shutting_down,
+    caller_gone,
+};
+
+/// Final answer to a request that did not get its whole answer.
+struct refusal {
+    verdict outcome = verdict::not_run;
+    refusal_reason reason = refusal_reason::overloaded;
+    /// When to ask again; zero when asking again does not help.
+    duration retry_after{0};
+};
+
+[[nodiscard]] std::string_view to_string(verdict value);
+[[nodiscard]] std::string_view to_string(refusal_reason value);
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/include/ragwortcove/http/loop.hpp
@@ -0,0 +1,45 @@
+/// \file
+/// The one loop on the one thread: sockets, timers, and messages from other threads.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+struct lws_context;
+
+namespace ragwortcove::http {
+
+/// Number of a timer; zero is none.
+using timer_id = std::uint64_t;
+
+/// libwebsockets event loop with timers and a thread-safe way to hand it work.
+class loop {
+public:
+    loop();
+    ~loop();
+    loop(const loop&) = delete;
+    loop& operator=(const loop&) = delete;
+
+    /// Runs until `stop()`.
+    void run();
+    void stop();
+    /// Runs `work` on the loop's thread, soon; may be called from any thread.
+    void post(std::function<void()> work);
+    /// Runs `work` once after `delay`; loop's thread only.
+    timer_id after(std::chrono::microseconds delay, std::function<void()> work);
+    void cancel(timer_id timer);
+    /// Monotonic time.
+    [[nodiscard]] std::chrono::microseconds now() const;
+    /// Calls `readable` whenever a datagram socket has something to read.
+    void watch_datagrams(int descriptor, std::function<void()> readable);
+    [[nodiscard]] lws_context* context() const;
+
+    struct state;
+
+private:
+    std::unique_ptr<state> self;
+};
+
+} // namespace ragwortcove::http
