--- a/include/ragwortcove/core/event.hpp
+++ b/include/ragwortcove/core/event.hpp
@@ -145,11 +145,10 @@
     route_name route;
 };
 
-using event =
-    std::variant<tick, wall_clock_read, request_arrived, caller_gone, upstream_accepted,
-                 upstream_progress, upstream_finished, upstream_failed, load_reported,
-                 cache_reported, probe_answered, order_answered, peer_received, peer_disconnected,
-                 platform_answered, watch_changed, watch_ended, vm_list_read, drain_requested,
-                 addresses_asked>;
+using event = std::variant<tick, wall_clock_read, request_arrived, caller_gone, upstream_accepted,
+                           upstream_progress, upstream_finished, upstream_failed, load_reported,
+                           cache_reported, probe_answered, order_answered, peer_received,
+                           peer_disconnected, platform_answered, watch_changed, watch_ended,
+                           vm_list_read, drain_requested, addresses_asked>;
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/peer_message.hpp
+++ b/include/ragwortcove/core/peer_message.hpp
@@ -181,8 +181,8 @@
     std::vector<object> objects;
 };
 
-using peer_message =
-    std::variant<permit_ask, permit_grant, permit_denial, permit_withdrawal, permit_release,
-                 permit_report, key_ask, key_answer, heartbeat, feed_ask, feed_delta, feed_snapshot>;
+using peer_message = std::variant<permit_ask, permit_grant, permit_denial, permit_withdrawal,
+                                  permit_release, permit_report, key_ask, key_answer, heartbeat,
+                                  feed_ask, feed_delta, feed_snapshot>;
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/request.hpp
+++ b/include/ragwortcove/core/request.hpp
@@ -36,7 +36,8 @@
     std::uint32_t max_output_tokens = 0;
     /// Chained hashes of the prompt's blocks, first block first.
     std::vector<prefix_hash> prefix;
-    /// Whether the method itself is safe to repeat (GET); such a request is idempotent on any route.
+    /// Whether the method itself is safe to repeat (GET); such a request is idempotent on any
+    /// route.
     bool safe_method = false;
 };
 
--- a/lib/core/verdict.cpp
+++ b/lib/core/verdict.cpp
@@ -2,7 +2,8 @@
 
 namespace ragwortcove::core {
 
-std::string_view to_string(verdict value) {
+std::string_view to_string(verdict value)
+{
     switch (value) {
     case verdict::not_run:
         return "not_run";
@@ -14,7 +15,8 @@
     return "unknown";
 }
 
-std::string_view to_string(refusal_reason value) {
+std::string_view to_string(refusal_reason value)
+{
     switch (value) {
     case refusal_reason::bad_request:
         return "bad_request";
