--- a/include/ragwortcove/http/loop.hpp
+++ b/include/ragwortcove/http/loop.hpp
@@ -39,6 +39,8 @@
     struct state;
 
 private:
+    friend void retain_until_context_ends(loop& on, std::shared_ptr<void> object);
+
     std::unique_ptr<state> self;
 };
 
--- /dev/null
+++ b/lib/http/loop.cpp
@@ -0,0 +1,167 @@
+#include "ragwortcove/http/loop.hpp"
+
+#include "loop_state.hpp"
+
+#include <libwebsockets.h>
+
+#include <cassert>
+#include <utility>
+
+namespace ragwortcove::http {
+
+/// Header bytes of one request or response; more is refused by libwebsockets.
+static constexpr unsigned int most_header_bytes = 16U << 10U;
+/// Size of one read or of one outgoing head.
+static constexpr unsigned int service_buffer_bytes = 64U << 10U;
+/// Descriptors of one process; libwebsockets sizes its tables by it.
+static constexpr int most_descriptors = 16384;
+/// Upper bound for steps of a handshake; exchanges have limits of their own.
+static constexpr unsigned int handshake_timeout_seconds = 3600;
+
+static int handle_datagram_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
+{
+    if (reason != LWS_CALLBACK_RAW_RX_FILE)
+        return 0;
+    const auto* readable = static_cast<const std::function<void()>*>(lws_get_opaque_user_data(wsi));
+    if (readable != nullptr)
+        (*readable)();
+    return 0;
+}
+
+static const lws_protocols datagram_protocols[] = {
+    {"datagram", handle_datagram_event, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+};
+
+static lws_context* create_context()
+{
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info{};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT |
+                   LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.max_http_header_data2 = most_header_bytes;
+    info.pt_serv_buf_size = service_buffer_bytes;
+    info.rlimit_nofile = most_descriptors;
+    info.timeout_secs = handshake_timeout_seconds;
+    return lws_create_context(&info);
+}
+
+static lws_vhost* create_datagram_vhost(lws_context* context)
+{
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.vhost_name = "datagram";
+    info.protocols = datagram_protocols;
+    return lws_create_vhost(context, &info);
+}
+
+loop::loop() : self(std::make_unique<state>())
+{
+    this->self->context = create_context();
+    assert(this->self->context != nullptr && "libwebsockets context not created");
+    this->self->datagram_vhost = create_datagram_vhost(this->self->context);
+}
+
+loop::~loop()
+{
+    for (auto& [id, timer] : this->self->timers)
+        lws_sul_cancel(&timer->entry);
+    lws_context_destroy(this->self->context);
+}
+
+static void run_posted(loop::state& self)
+{
+    std::vector<std::function<void()>> ready;
+    {
+        const std::lock_guard<std::mutex> guard(self.posted_mutex);
+        ready.swap(self.posted);
+    }
+    for (const std::function<void()>& work : ready)
+        work();
+}
+
+void loop::run()
+{
+    this->self->stopped = false;
+    run_posted(*this->self);
+    while (!this->self->stopped) {
+        if (lws_service(this->self->context, 0) < 0)
+            return;
+        run_posted(*this->self);
+    }
+}
+
+void loop::stop()
+{
+    this->self->stopped = true;
+    lws_cancel_service(this->self->context);
+}
+
+void loop::post(std::function<void()> work)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->self->posted_mutex);
+        this->self->posted.push_back(std::move(work));
+    }
+    lws_cancel_service(this->self->context);
+}
+
+static void fire_timer(lws_sorted_usec_list_t* entry)
+{
+    auto* timer = reinterpret_cast<loop_timer*>(entry);
+    const std::unique_ptr<loop_timer> kept = std::move(timer->owner->timers.at(timer->id));
+    timer->owner->timers.erase(kept->id);
+    kept->work();
+}
+
+timer_id loop::after(std::chrono::microseconds delay, std::function<void()> work)
+{
+    auto timer = std::make_unique<loop_timer>();
+    timer->owner = this->self.get();
+    timer->id = ++this->self->last_timer;
+    timer->work = std::move(work);
+    const timer_id id = timer->id;
+    const lws_usec_t wait = std::max<lws_usec_t>(delay.count(), 1);
+    lws_sul_schedule(this->self->context, 0, &timer->entry, fire_timer, wait);
+    this->self->timers.emplace(id, std::move(timer));
+    return id;
+}
+
+void loop::cancel(timer_id timer)
+{
+    const auto found = this->self->timers.find(timer);
+    if (found == this->self->timers.end())
+        return;
+    lws_sul_cancel(&found->second->entry);
+    this->self->timers.erase(found);
+}
+
+std::chrono::microseconds loop::now() const
+{
+    return std::chrono::microseconds(lws_now_usecs());
+}
+
+void loop::watch_datagrams(int descriptor, std::function<void()> readable)
+{
+    this->self->datagram_watches.push_back(
+        std::make_unique<std::function<void()>>(std::move(readable)));
+    lws_sock_file_fd_type file{};
+    file.filefd = descriptor;
+    lws* wsi = lws_adopt_descriptor_vhost(this->self->datagram_vhost, LWS_ADOPT_RAW_FILE_DESC, file,
+                                          "datagram", nullptr);
+    assert(wsi != nullptr && "datagram descriptor not adopted");
+    lws_set_opaque_user_data(wsi, this->self->datagram_watches.back().get());
+}
+
+lws_context* loop::context() const
+{
+    return this->self->context;
+}
+
+void retain_until_context_ends(loop& on, std::shared_ptr<void> object)
+{
+    on.self->retained.push_back(std::move(object));
+}
+
+} // namespace ragwortcove::http
