--- a/include/ragwortcove/core/peer_message.hpp
+++ b/include/ragwortcove/core/peer_message.hpp
@@ -39,6 +39,7 @@
     duration time_left{0};
     /// Upstreams not to use: they have failed this request before.
     std::vector<upstream_name> avoid;
+    bool operator==(const permit_ask&) const = default;
 };
 
 /// Right to dispatch one request to one upstream; unused, it lapses.
@@ -50,6 +51,7 @@
     duration valid_for{0};
     /// Prompt tokens that the owner believes the upstream has cached.
     std::uint32_t cached_tokens = 0;
+    bool operator==(const permit_grant&) const = default;
 };
 
 /// The owner will not serve the request; it was not dispatched.
@@ -58,12 +60,14 @@
     cell_id cell;
     refusal_reason reason = refusal_reason::overloaded;
     duration retry_after{0};
+    bool operator==(const permit_denial&) const = default;
 };
 
 /// The entry no longer wants a permit that it asked for and has not used.
 struct permit_withdrawal {
     request_id request;
     cell_id cell;
+    bool operator==(const permit_withdrawal&) const = default;
 };
 
 enum class attempt_outcome { completed, failed, silent, cancelled, unused };
@@ -79,6 +83,7 @@
     std::uint32_t output_tokens = 0;
     duration first_token_after{0};
     duration between_tokens{0};
+    bool operator==(const permit_release&) const = default;
 };
 
 /// A permit held by an entry, told to a cell's new owner.
@@ -90,12 +95,14 @@
     std::uint32_t output_tokens = 0;
     team_name team;
     tier_name tier;
+    bool operator==(const permit_report&) const = default;
 };
 
 /// Asks the incarnation that minted a key's ticket for the one right to dispatch it.
 struct key_ask {
     request_id request;
     std::string key;
+    bool operator==(const key_ask&) const = default;
 };
 
 enum class key_state { handed_over, in_progress, used };
@@ -103,6 +110,7 @@
 struct key_answer {
     request_id request;
     key_state state = key_state::used;
+    bool operator==(const key_answer&) const = default;
 };
 
 /// Free and queued work of one cell, as its owner last saw it.
@@ -114,6 +122,7 @@
     std::uint32_t lowest_rank_queued = 0;
     /// Tokens of work queued, per engine of the cell.
     std::uint32_t queued_tokens = 0;
+    bool operator==(const cell_digest&) const = default;
 };
 
 /// What has been seen of a move's new version against its old one, as counts since the move began.
@@ -126,6 +135,7 @@
     std::uint32_t old_completed = 0;
     std::uint32_t old_failed = 0;
     std::uint32_t old_slow = 0;
+    bool operator==(const version_evidence&) const = default;
 };
 
 enum class member_state { joining, live, leaving, suspect, dead };
@@ -141,6 +151,7 @@
     endpoint peers;
     region_name region;
     failure_domain_name failure_domain;
+    bool operator==(const member_claim&) const = default;
 };
 
 /// One datagram of membership: the sender's own state, some of what it knows, and its digests.
@@ -153,12 +164,14 @@
     revision configuration;
     /// Whether the receiver should answer with a heartbeat of its own.
     bool wants_answer = false;
+    bool operator==(const heartbeat&) const = default;
 };
 
 /// Asks a peer for the configuration after a revision.
 struct feed_ask {
     store_id store;
     revision after;
+    bool operator==(const feed_ask&) const = default;
 };
 
 /// Changes in order, each of a greater revision than the one before.
@@ -170,8 +183,10 @@
     struct removal {
         object_key key;
         revision at;
+        bool operator==(const removal&) const = default;
     };
     std::vector<removal> removed;
+    bool operator==(const feed_delta&) const = default;
 };
 
 /// The whole configuration at one revision.
@@ -179,6 +194,7 @@
     store_id store;
     revision at;
     std::vector<object> objects;
+    bool operator==(const feed_snapshot&) const = default;
 };
 
 using peer_message = std::variant<permit_ask, permit_grant, permit_denial, permit_withdrawal,
