--- a/lib/http/known_headers.cpp
+++ b/lib/http/known_headers.cpp
@@ -35,7 +35,7 @@
 };
 
 /// libwebsockets 4.1 can't list the headers that it has no token for, only look one up by name.
-static constexpr std::array<std::string_view, 24> custom_headers{
+static constexpr std::array<std::string_view, 27> custom_headers{
     "idempotency-key:",
     "x-request-id:",
     "x-team:",
@@ -60,6 +60,9 @@
     "x-ragwortcove-offset:",
     "x-ragwortcove-tokens:",
     "traceparent:",
+    "x-not-run:",
+    "x-output-tokens:",
+    "x-route:",
 };
 
 std::vector<header> read_headers(lws* wsi)
