[daemon] log lines with numbered events and their catalogue

Operators need to find out what an event means and asks of them. The catalogue stands once, in code; docs/EVENTS.md is its printed form, and a test compares them.

--- /dev/null
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -0,0 +1,82 @@
+/// \file
+/// Catalogue of numbered log events; docs/EVENTS.md is its printed form.
+#pragma once
+
+#include "ragwortcove/core/effect.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ragwortcove::daemon {
+
+enum class log_level { debug, info, warning, error };
+
+/// Everything that the daemon writes to its log; the value is the event's number.
+enum class log_event : std::uint16_t {
+    process_started = 100,
+    listening = 101,
+    listen_failed = 102,
+    drain_started = 103,
+    drain_finished = 104,
+    drain_repeated = 105,
+    settings_reloaded = 106,
+    settings_not_applied = 107,
+    settings_rejected = 108,
+    plain_mode = 109,
+    platform_embedded = 110,
+    operator_rejected = 111,
+
+    request_placed = 200,
+    request_queued = 201,
+    permit_granted = 202,
+    permit_denied = 203,
+    request_displaced = 204,
+    request_refused = 205,
+    request_retried = 206,
+    stream_resumed = 207,
+    request_answered = 208,
+    answer_cut = 209,
+    call_rejected = 210,
+    caller_vanished = 211,
+    caller_too_slow = 212,
+
+    attempt_failed = 300,
+    upstream_ejected = 301,
+    upstream_restored = 302,
+    report_unreadable = 303,
+    order_failed = 304,
+
+    member_changed = 400,
+    peer_disconnected = 401,
+
+    configuration_applied = 500,
+    platform_lost = 501,
+    platform_regained = 502,
+
+    move_stepped = 600,
+    move_ended = 601,
+    brake_set = 602,
+};
+
+/// One row of the catalogue.
+struct log_event_entry {
+    log_event event = log_event::process_started;
+    std::string_view name;
+    log_level level = log_level::info;
+    std::string_view meaning;
+    /// What an operator should do when the event is seen.
+    std::string_view action;
+};
+
+/// The whole catalogue, in order of the numbers.
+[[nodiscard]] std::span<const log_event_entry> log_event_catalogue();
+[[nodiscard]] const log_event_entry& describe(log_event event);
+/// Event that a decision of the core is logged as.
+[[nodiscard]] log_event event_of(core::decision_kind kind);
+[[nodiscard]] std::string_view to_string(log_level level);
+/// Text of docs/EVENTS.md.
+[[nodiscard]] std::string render_event_page();
+
+} // namespace ragwortcove::daemon
--- /dev/null
+++ b/lib/daemon/log_event.cpp
@@ -0,0 +1,211 @@
+#include "ragwortcove/daemon/log_event.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace ragwortcove::daemon {
+
+static constexpr std::array catalogue{
+    log_event_entry{log_event::process_started, "process_started", log_level::info,
+                    "the daemon has read its settings and begins to run",
+                    "none; `incarnation` is the number that request ids of this run start with"},
+    log_event_entry{log_event::listening, "listening", log_level::info,
+                    "an address takes connections", "none"},
+    log_event_entry{log_event::listen_failed, "listen_failed", log_level::error,
+                    "an address of the settings cannot be listened on; the daemon ends",
+                    "free the port or correct `[node] callers` or `[node] peers`"},
+    log_event_entry{log_event::drain_started, "drain_started", log_level::info,
+                    "a graceful shutdown was asked for; no new caller is sent here", "none"},
+    log_event_entry{log_event::drain_finished, "drain_finished", log_level::info,
+                    "every request is answered and the daemon ends", "none"},
+    log_event_entry{log_event::drain_repeated, "drain_repeated", log_level::warning,
+                    "a stop was asked for again during a graceful shutdown; it changes nothing",
+                    "wait for `drain_finished`; its open requests are in `ragwortcove status`"},
+    log_event_entry{log_event::settings_reloaded, "settings_reloaded", log_level::info,
+                    "the settings file was read again and its safe keys are in force", "none"},
+    log_event_entry{log_event::settings_not_applied, "settings_not_applied", log_level::warning,
+                    "a key of the settings file differs from the running daemon's",
+                    "restart the daemon to bring `key` into force"},
+    log_event_entry{log_event::settings_rejected, "settings_rejected", log_level::error,
+                    "the settings file has an error; the running settings stay in force",
+                    "correct the file as `detail` says, then send SIGHUP again"},
+    log_event_entry{log_event::plain_mode, "plain_mode", log_level::warning,
+                    "callers and operators are served without TLS",
+                    "set `[tls]` unless the address is on loopback"},
+    log_event_entry{log_event::platform_embedded, "platform_embedded", log_level::warning,
+                    "the object store is in this process's memory and nothing in it lasts",
+                    "use `[platform] mode = http` for anything but a first try"},
+    log_event_entry{log_event::operator_rejected, "operator_rejected", log_level::warning,
+                    "an operator's call had neither the token nor a client certificate",
+                    "check who calls; give operators the token or a certificate"},
+
+    log_event_entry{log_event::request_placed, "request_placed", log_level::info,
+                    "a request goes to an upstream", "none"},
+    log_event_entry{log_event::request_queued, "request_queued", log_level::info,
+                    "a request waits for a permit", "none; many of them mean too little capacity"},
+    log_event_entry{log_event::permit_granted, "permit_granted", log_level::debug,
+                    "this node granted a permit as a placement owner", "none"},
+    log_event_entry{log_event::permit_denied, "permit_denied", log_level::info,
+                    "this node denied a permit as a placement owner",
+                    "none; many of them mean too little capacity"},
+    log_event_entry{log_event::request_displaced, "request_displaced", log_level::info,
+                    "a queued request gave way to one of a higher tier",
+                    "add capacity if lower tiers must not wait"},
+    log_event_entry{log_event::request_refused, "request_refused", log_level::info,
+                    "a request ended without an answer; `detail` names verdict and reason",
+                    "look up the reason in docs/CALLERS.md"},
+    log_event_entry{log_event::request_retried, "request_retried", log_level::info,
+                    "a request that provably did not run, or may be repeated, is sent again",
+                    "look for `attempt_failed` lines of the same request"},
+    log_event_entry{log_event::stream_resumed, "stream_resumed", log_level::info,
+                    "a broken stream goes on where it broke", "none"},
+    log_event_entry{log_event::request_answered, "request_answered", log_level::info,
+                    "a caller has its whole answer", "none"},
+    log_event_entry{log_event::answer_cut, "answer_cut", log_level::warning,
+                    "an answer that had begun could not be completed; the caller was told",
+                    "look for `attempt_failed` lines of the same request"},
+    log_event_entry{log_event::call_rejected, "call_rejected", log_level::info,
+                    "a call was malformed or named something unknown",
+                    "tell the caller's developers; `detail` says what was expected"},
+    log_event_entry{log_event::caller_vanished, "caller_vanished", log_level::info,
+                    "a caller closed its connection before its answer was whole", "none"},
+    log_event_entry{log_event::caller_too_slow, "caller_too_slow", log_level::warning,
+                    "a caller read its answer too slowly and was cut off",
+                    "check the caller's network; it may ask again under its verdict's rule"},
+
+    log_event_entry{log_event::attempt_failed, "attempt_failed", log_level::warning,
+                    "an upstream did not complete a request; `detail` says how",
+                    "look at the upstream when it is named often"},
+    log_event_entry{log_event::upstream_ejected, "upstream_ejected", log_level::warning,
+                    "an upstream gets no requests until it answers probes", "look at the upstream"},
+    log_event_entry{log_event::upstream_restored, "upstream_restored", log_level::info,
+                    "an upstream gets requests again", "none"},
+    log_event_entry{log_event::report_unreadable, "report_unreadable", log_level::warning,
+                    "an upstream's load or cache report could not be read",
+                    "check the upstream's version and address"},
+    log_event_entry{log_event::order_failed, "order_failed", log_level::warning,
+                    "an upstream gave no usable answer to an order; it is asked again",
+                    "look at the upstream when it is named often"},
+
+    log_event_entry{log_event::member_changed, "member_changed", log_level::info,
+                    "another instance joined, left, is suspected or is dead",
+                    "look at the VM when it stays `suspect` or `dead` without a planned stop"},
+    log_event_entry{log_event::peer_disconnected, "peer_disconnected", log_level::info,
+                    "a stream to another instance broke; it is opened again when needed",
+                    "look at the network when it repeats"},
+
+    log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
+                    "a configuration revision is in force on this node", "none"},
+    log_event_entry{log_event::platform_lost, "platform_lost", log_level::warning,
+                    "the platform does not answer; this node goes on with what it has",
+                    "restore the platform; writes of configuration wait until then"},
+    log_event_entry{log_event::platform_regained, "platform_regained", log_level::info,
+                    "the platform answers again", "none"},
+
+    log_event_entry{log_event::move_stepped, "move_stepped", log_level::info,
+                    "a move changed its phase or its share", "none"},
+    log_event_entry{log_event::move_ended, "move_ended", log_level::info,
+                    "a move is done or reverted; `detail` gives the reason",
+                    "on `reverted`, look at the new version before moving again"},
+    log_event_entry{log_event::brake_set, "brake_set", log_level::warning,
+                    "a new version was seen to be bad and gets no more requests",
+                    "look at the new version"},
+};
+
+std::span<const log_event_entry> log_event_catalogue()
+{
+    return catalogue;
+}
+
+const log_event_entry& describe(log_event event)
+{
+    const auto* found = std::ranges::find(catalogue, event, &log_event_entry::event);
+    assert(found != catalogue.end() && "every log event has a row in the catalogue");
+    return *found;
+}
+
+log_event event_of(core::decision_kind kind)
+{
+    using core::decision_kind;
+    switch (kind) {
+    case decision_kind::placed:
+        return log_event::request_placed;
+    case decision_kind::queued:
+        return log_event::request_queued;
+    case decision_kind::granted:
+        return log_event::permit_granted;
+    case decision_kind::denied:
+        return log_event::permit_denied;
+    case decision_kind::displaced:
+        return log_event::request_displaced;
+    case decision_kind::refused:
+        return log_event::request_refused;
+    case decision_kind::retried:
+        return log_event::request_retried;
+    case decision_kind::resumed:
+        return log_event::stream_resumed;
+    case decision_kind::attempt_failed:
+        return log_event::attempt_failed;
+    case decision_kind::answered:
+        return log_event::request_answered;
+    case decision_kind::cut:
+        return log_event::answer_cut;
+    case decision_kind::upstream_ejected:
+        return log_event::upstream_ejected;
+    case decision_kind::upstream_restored:
+        return log_event::upstream_restored;
+    case decision_kind::member_changed:
+        return log_event::member_changed;
+    case decision_kind::configuration_applied:
+        return log_event::configuration_applied;
+    case decision_kind::move_stepped:
+        return log_event::move_stepped;
+    case decision_kind::move_ended:
+        return log_event::move_ended;
+    case decision_kind::brake_set:
+        return log_event::brake_set;
+    case decision_kind::platform_lost:
+        return log_event::platform_lost;
+    case decision_kind::platform_regained:
+        return log_event::platform_regained;
+    case decision_kind::drained:
+        return log_event::drain_finished;
+    }
+    return log_event::request_refused;
+}
+
+std::string_view to_string(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+std::string render_event_page()
+{
+    std::string page = "# Log events\n\n"
+                       "Each line of the daemon's log carries an event number and its name. "
+                       "This page is printed by\n`ragwortcoved --events`; a unit test compares "
+                       "it with the catalogue in `lib/daemon/log_event.cpp`.\n\n"
+                       "| event | name | level | meaning | what to do |\n"
+                       "|---|---|---|---|---|\n";
+    for (const log_event_entry& entry : catalogue) {
+        page += "| " + std::to_string(static_cast<unsigned>(entry.event));
+        page += " | `" + std::string{entry.name};
+        page += "` | " + std::string{to_string(entry.level)};
+        page += " | " + std::string{entry.meaning};
+        page += " | " + std::string{entry.action} + " |\n";
+    }
+    return page;
+}
+
+} // namespace ragwortcove::daemon
