--- /dev/null
+++ b/lib/daemon/process.cpp
@@ -0,0 +1,96 @@
+#include "ragwortcove/daemon/process.hpp"
+
+#include "ragwortcove/daemon/event_log.hpp"
+#include "ragwortcove/daemon/operator_access.hpp"
+#include "ragwortcove/daemon/runtime.hpp"
+#include "ragwortcove/http/loop.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <random>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace ragwortcove::daemon {
+
+/// A restarted process has a greater incarnation, and no two nodes share one: milliseconds since
+/// the epoch, then random low bits.
+static core::incarnation make_incarnation()
+{
+    static constexpr unsigned random_bits = 20;
+    using std::chrono::milliseconds;
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto millis = std::chrono::duration_cast<milliseconds>(since_epoch).count();
+    const std::uint64_t low = std::random_device{}() & ((1U << random_bits) - 1U);
+    return {(static_cast<std::uint64_t>(millis) << random_bits) | low};
+}
+
+/// Blocks the signals that the daemon handles and gives a descriptor to read them from.
+static int open_signals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, SIGTERM);
+    sigaddset(&handled, SIGINT);
+    sigaddset(&handled, SIGHUP);
+    // Before any other thread starts, so that all of them leave the signals to the loop.
+    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static void read_settings_again(const std::string& path, runtime& running)
+{
+    const settings_outcome read = load_daemon_settings(path);
+    for (const settings::located_error& error : read.errors)
+        write_log(log_event::settings_rejected, {{"detail", settings::format_error(error)}});
+    if (read.settings)
+        running.reload(*read.settings);
+}
+
+static void take_signals(int signals, const std::string& path, runtime& running)
+{
+    signalfd_siginfo taken{};
+    while (read(signals, &taken, sizeof taken) == static_cast<ssize_t>(sizeof taken)) {
+        if (taken.ssi_signo == SIGHUP) {
+            read_settings_again(path, running);
+            continue;
+        }
+        running.drain();
+    }
+}
+
+static void log_start(const daemon_settings& settings)
+{
+    write_log(log_event::process_started, {{"name", settings.node.name.value},
+                                           {"incarnation", std::to_string(settings.node.run.value)},
+                                           {"failure_domain", settings.node.failure_domain.value}});
+    if (!settings.tls.enabled())
+        write_log(log_event::plain_mode, {{"callers", format_endpoint(settings.node.callers)}});
+    if (settings.platform.mode == platform_mode::embedded)
+        write_log(log_event::platform_embedded, {{"detail", "NOTHING THAT IS DECLARED LASTS"}});
+}
+
+int run_process(const std::string& settings_path, const daemon_settings& read)
+{
+    daemon_settings settings = read;
+    settings.node.run = make_incarnation();
+    configure_log(settings.log);
+    const int signals = open_signals();
+    http::loop loop;
+    runtime running{loop, settings, [&loop] { loop.stop(); }};
+    if (!running.listening()) {
+        write_log(log_event::listen_failed, {{"callers", format_endpoint(settings.node.callers)},
+                                             {"peers", format_endpoint(settings.node.peers)}});
+        return EXIT_FAILURE;
+    }
+    log_start(settings);
+    write_log(log_event::listening, {{"callers", format_endpoint(settings.node.callers)},
+                                     {"peers", format_endpoint(settings.node.peers)}});
+    loop.watch_datagrams(signals, [&] { take_signals(signals, settings_path, running); });
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace ragwortcove::daemon
