--- a/lib/daemon/problem.cpp
+++ b/lib/daemon/problem.cpp
@@ -19,6 +19,7 @@
     case refusal_reason::key_in_progress:
     case refusal_reason::key_already_used:
     case refusal_reason::key_owner_gone:
+    case refusal_reason::key_expired:
         return 409;
     case refusal_reason::overloaded:
     case refusal_reason::displaced:
@@ -70,6 +71,8 @@
         return "a request with this idempotency key has been dispatched before";
     case refusal_reason::key_owner_gone:
         return "the entry that knows what became of this idempotency key is gone";
+    case refusal_reason::key_expired:
+        return "the ticket that this idempotency key is built on is too old";
     case refusal_reason::platform_unavailable:
         return "the key could not be claimed because the platform does not answer";
     case refusal_reason::shutting_down:
