--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -12,6 +12,7 @@
 #include "ragwortcove/core/membership.hpp"
 #include "ragwortcove/core/open_request.hpp"
 #include "ragwortcove/core/output_estimate.hpp"
+#include "ragwortcove/core/placement_policy.hpp"
 #include "ragwortcove/core/platform_caller.hpp"
 #include "ragwortcove/core/retry_budget.hpp"
 
@@ -35,7 +36,10 @@
 /// Entry: at most once, true refusals and the whole answer are kept here.
 class entry {
 public:
-    explicit entry(const entry_surroundings& around) : env{around} {}
+    entry(const entry_surroundings& around, const placement_policy& policy)
+        : env{around}, direct{policy}
+    {
+    }
 
     void arrive(const request_arrived& message, step_context& context);
     void caller_left(const caller_gone& message, step_context& context);
@@ -58,6 +62,8 @@
     /// Tells every owner of every permit held, since an owner may have taken them back.
     void report_all(step_context& context);
     void begin_drain(time_point refuse_from);
+    /// A load report, for placement without owners.
+    void load(const load_reported& message) { this->direct.load(message); }
 
     void tick(step_context& context);
     [[nodiscard]] time_point next_wakeup() const;
@@ -87,6 +93,8 @@
 
     // entry_placement.cpp: cells, permits and retries.
     void place(open_request& request, step_context& context);
+    void place_direct(open_request& request, step_context& context);
+    void poll_all(step_context& context);
     void ask_owner(open_request& request, step_context& context);
     void withdraw(open_request& request, step_context& context);
     void report_held(open_request& request, step_context& context);
@@ -112,6 +120,8 @@
     key_registry keys;
     retry_budget retries;
     output_estimate outputs;
+    direct_placement direct;
+    time_point next_poll;
     std::uint64_t next_request = 1;
     std::uint64_t next_attempt = 1;
     time_point refuse_from = time_point::max();
--- a/include/ragwortcove/core/placement_owner.hpp
+++ b/include/ragwortcove/core/placement_owner.hpp
@@ -31,8 +31,9 @@
 /// once is kept by the entries.
 class placement_owner {
 public:
-    placement_owner(const configuration& in_force, const cell_map& cells)
-        : config{in_force}, map{cells}
+    /// Without tiers, every request ranks the same.
+    placement_owner(const configuration& in_force, const cell_map& cells, bool with_tiers)
+        : config{in_force}, map{cells}, tiered{with_tiers}
     {
     }
 
@@ -71,6 +72,7 @@
 
     const configuration& config;
     const cell_map& map;
+    bool tiered;
     std::map<cell_id, owned_cell> owned;
     std::uint64_t next_grant = 1;
     time_point next_poll;
--- a/lib/core/entry.cpp
+++ b/lib/core/entry.cpp
@@ -137,6 +137,7 @@
 void entry::tick(step_context& context)
 {
     this->keys.expire(context.now);
+    this->poll_all(context);
     while (!this->timers.empty() && this->timers.begin()->first <= context.now) {
         open_request& request = this->requests.at(this->timers.begin()->second);
         if (context.now >= request.deadline) {
--- a/lib/core/entry_attempts.cpp
+++ b/lib/core/entry_attempts.cpp
@@ -25,6 +25,8 @@
     this->wake(request, request.deadline);
     const attempt_id attempt{this->next_attempt};
     this->ledger.record(request.id, attempt, upstream);
+    if (this->direct.active())
+        this->direct.dispatched(upstream);
     this->open(request, attempt_mode::fresh, context);
 }
 
@@ -84,6 +86,10 @@
 void entry::release(open_request& request, attempt_outcome outcome, step_context& context)
 {
     const running_attempt& running = *request.running;
+    if (!request.cell) {
+        this->direct.released(running.upstream);
+        return;
+    }
     permit_release made;
     made.request = request.id;
     made.cell = *request.cell;
--- a/lib/core/entry_placement.cpp
+++ b/lib/core/entry_placement.cpp
@@ -13,6 +13,10 @@
 static constexpr duration retry_base = 50ms;
 static constexpr duration retry_most = 1s;
 static constexpr std::uint32_t most_retries = 3;
+/// Time between two looks for room of its own, for placement without owners.
+static constexpr duration look_again_after = 20ms;
+/// Time between two polls of every upstream's load, for placement without owners.
+static constexpr duration poll_period = 1s;
 
 node_name entry::owner_of(const cell_id& id, time_point now) const
 {
@@ -41,6 +45,10 @@
 // the refusal at once and is told when to come back.
 void entry::place(open_request& request, step_context& context)
 {
+    if (this->direct.active()) {
+        this->place_direct(request, context);
+        return;
+    }
     std::vector<const cell*> candidates = this->env.cells.serving(request.route, request.version);
     std::erase_if(candidates, [&](const cell* candidate) {
         return contains(request.denied_by, candidate->id);
@@ -67,6 +75,42 @@
     this->ask_owner(request, context);
 }
 
+void entry::place_direct(open_request& request, step_context& context)
+{
+    std::vector<const cell_upstream*> candidates;
+    for (const cell* serving : this->env.cells.serving(request.route, request.version)) {
+        for (const cell_upstream& upstream : serving->upstreams) {
+            if (serves(upstream, request.route, request.version))
+                candidates.push_back(&upstream);
+        }
+    }
+    if (candidates.empty()) {
+        this->refuse(request, refusal_reason::no_upstream, 1s, context);
+        return;
+    }
+    const std::size_t entries = this->env.members.others().size() + 1;
+    const std::optional<upstream_name> chosen =
+        this->direct.choose(candidates, entries, context.random);
+    if (!chosen) {
+        request.phase = request_phase::backing_off;
+        this->wake(request, context.now + look_again_after);
+        return;
+    }
+    context.log(decision_kind::placed, request.id, chosen->value);
+    this->dispatch(request, *chosen, 0, context);
+}
+
+void entry::poll_all(step_context& context)
+{
+    if (!this->direct.active() || this->next_poll > context.now)
+        return;
+    this->next_poll = context.now + poll_period;
+    for (const auto& [id, cell] : this->env.cells.all()) {
+        for (const cell_upstream& upstream : cell.upstreams)
+            context.effects.emplace_back(poll_upstream{upstream.name, upstream.spec.address, 0});
+    }
+}
+
 void entry::ask_owner(open_request& request, step_context& context)
 {
     if (this->env.cells.find(*request.cell) == nullptr) {
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -5,6 +5,7 @@
 #include "ragwortcove/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace ragwortcove::core {
@@ -20,14 +21,29 @@
 /// Cells told of on one heartbeat, at most.
 static constexpr std::size_t most_cells_told = 16;
 
+static placement_policy policy_of(const node_settings& settings)
+{
+    const std::optional<placement_policy> policy =
+        parse_placement_policy(settings.placement_policy);
+    assert(policy && "settings are checked before a node is made");
+    return *policy;
+}
+
+static bool is_tiered(const placement_policy& policy)
+{
+    const permit_placement* permits = std::get_if<permit_placement>(&policy);
+    return permits == nullptr || permits->tiered;
+}
+
 node::state::state(const node_settings& from, std::uint64_t seed)
     : settings{from}, random{seed}, members{this->settings},
       platform{this->settings.platform_calls_per_second, platform_burst}, feed{this->config,
                                                                                this->members,
                                                                                this->platform},
       requests{entry_surroundings{this->settings, this->config, this->cells, this->members,
-                                  this->view, this->platform}},
-      placement{this->config, this->cells}
+                                  this->view, this->platform},
+               policy_of(this->settings)},
+      placement{this->config, this->cells, is_tiered(policy_of(this->settings))}
 {
 }
 
@@ -140,7 +156,11 @@
         void operator()(const upstream_progress& e) { this->self.requests.progressed(e, context); }
         void operator()(const upstream_finished& e) { this->self.requests.finished(e, context); }
         void operator()(const upstream_failed& e) { this->self.requests.failed(e, context); }
-        void operator()(const load_reported& e) { this->self.placement.load(e); }
+        void operator()(const load_reported& e)
+        {
+            this->self.placement.load(e);
+            this->self.requests.load(e);
+        }
         void operator()(const cache_reported& e) { this->self.placement.cache(e); }
         void operator()(const probe_answered& e) { this->self.placement.probed(e, context); }
         void operator()(const order_answered&) {}
--- a/lib/core/placement_owner.cpp
+++ b/lib/core/placement_owner.cpp
@@ -85,6 +85,8 @@
     waiting.ask = message;
     waiting.entry = entry;
     waiting.rank = tier == nullptr ? unknown_rank : tier->rank;
+    if (!this->tiered)
+        waiting.rank = 0;
     waiting.weight = team == nullptr ? 1.0 : team->weight;
     waiting.cost =
         prefill + typical_between_tokens(cell) * std::int64_t{message.output_tokens} + 1ms;
