[core] cell owners are worked out when members or cells change, not for each request

Cause: every permit hashed all members of a region (some 140 at the target size) twice or more. Change: a map of owners, rebuilt when the membership, the cells or a member's reachability change. Requests stay in their own region while it has a cell that has not denied them. The heartbeat period grows with the number of members.

--- a/include/ragwortcove/core/address_answer.hpp
+++ b/include/ragwortcove/core/address_answer.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/cell_map.hpp"
+#include "ragwortcove/core/cell_owners.hpp"
 #include "ragwortcove/core/configuration.hpp"
 #include "ragwortcove/core/context.hpp"
 #include "ragwortcove/core/effect.hpp"
@@ -16,6 +17,7 @@
 [[nodiscard]] address_answer answer_addresses(const addresses_asked& asked,
                                               const node_settings& self,
                                               const configuration& config, const cell_map& cells,
-                                              const membership& members, step_context& context);
+                                              const cell_owners& owners, const membership& members,
+                                              step_context& context);
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/cell_map.hpp"
+#include "ragwortcove/core/cell_owners.hpp"
 #include "ragwortcove/core/cell_view.hpp"
 #include "ragwortcove/core/configuration.hpp"
 #include "ragwortcove/core/context.hpp"
@@ -29,6 +30,7 @@
     const configuration& config;
     const cell_map& cells;
     const membership& members;
+    const cell_owners& owners;
     cell_view& view;
     platform_caller& platform;
 };
@@ -99,7 +101,6 @@
     void withdraw(open_request& request, step_context& context);
     void report_held(open_request& request, step_context& context);
     void retry(open_request& request, refusal_reason otherwise, step_context& context);
-    [[nodiscard]] node_name owner_of(const cell_id& id, time_point now) const;
 
     // entry_attempts.cpp: dispatch, resumption and answers.
     void dispatch(open_request& request, const upstream_name& upstream, std::uint32_t cached,
--- a/lib/core/address_answer.cpp
+++ b/lib/core/address_answer.cpp
@@ -1,10 +1,7 @@
 #include "ragwortcove/core/address_answer.hpp"
 
-#include "ragwortcove/core/rendezvous.hpp"
-
 #include <algorithm>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace ragwortcove::core {
@@ -17,19 +14,16 @@
 /// Bits of a ticket's nonce below the wall-clock time of its minting.
 static constexpr unsigned nonce_random_bits = 20;
 
-static std::set<std::string> owners_of_route(const route_name& route, const configuration& config,
-                                             const cell_map& cells, const membership& members,
-                                             time_point now)
+static std::set<node_name> owners_of_route(const route_name& route, const configuration& config,
+                                           const cell_map& cells, const cell_owners& owners)
 {
-    std::set<std::string> owners;
+    std::set<node_name> found;
     const route_spec* spec = config.find_route(route);
     if (spec == nullptr)
-        return owners;
-    for (const cell* serving : cells.serving(*spec, {})) {
-        const std::vector<std::string> candidates = members.owners(serving->region, now);
-        owners.insert(candidates[rendezvous_first(serving->key, candidates)]);
-    }
-    return owners;
+        return found;
+    for (const cell* serving : cells.serving(*spec, {}))
+        found.insert(owners.of(serving->id));
+    return found;
 }
 
 static std::vector<member_claim> live_members(const membership& members)
@@ -67,10 +61,10 @@
 
 address_answer answer_addresses(const addresses_asked& asked, const node_settings& self,
                                 const configuration& config, const cell_map& cells,
-                                const membership& members, step_context& context)
+                                const cell_owners& owners, const membership& members,
+                                step_context& context)
 {
-    const std::set<std::string> owners =
-        owners_of_route(asked.route, config, cells, members, context.now);
+    const std::set<node_name> preferred = owners_of_route(asked.route, config, cells, owners);
     address_answer answer;
     answer.exchange = asked.exchange;
     answer.time_to_live = self.address_time_to_live;
@@ -78,7 +72,7 @@
     for (const member_claim& claim : spread(live_members(members), context.random)) {
         offered_address offered;
         offered.address = claim.callers;
-        offered.weight = owners.contains(claim.name.value) ? owner_weight : 1.0;
+        offered.weight = preferred.contains(claim.name) ? owner_weight : 1.0;
         offered.failure_domain = claim.failure_domain;
         const std::uint64_t nonce =
             minted | uniform_below(context.random, std::uint64_t{1} << nonce_random_bits);
--- a/lib/core/entry_placement.cpp
+++ b/lib/core/entry_placement.cpp
@@ -1,5 +1,4 @@
 #include "ragwortcove/core/entry.hpp"
-#include "ragwortcove/core/rendezvous.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -18,14 +17,6 @@
 /// Time between two polls of every upstream's load, for placement without owners.
 static constexpr duration poll_period = 1s;
 
-node_name entry::owner_of(const cell_id& id, time_point now) const
-{
-    const cell* found = this->env.cells.find(id);
-    assert(found != nullptr && "only a cell of the map has an owner");
-    const std::vector<std::string> owners = this->env.members.owners(found->region, now);
-    return node_name{owners[rendezvous_first(found->key, owners)]};
-}
-
 static bool contains(const std::vector<cell_id>& cells, const cell_id& id)
 {
     return std::find(cells.begin(), cells.end(), id) != cells.end();
@@ -41,6 +32,16 @@
                        });
 }
 
+// Regions are tens of milliseconds apart, and lose each other now and then: another region's cells
+// are used only when this region's have denied the request or there are none.
+static void keep_local(std::vector<const cell*>& candidates, const region_name& region)
+{
+    const auto is_local = [&](const cell* candidate) { return candidate->region == region; };
+    if (!std::any_of(candidates.begin(), candidates.end(), is_local))
+        return;
+    std::erase_if(candidates, [&](const cell* candidate) { return !is_local(candidate); });
+}
+
 // A cell that denied the request is not asked again; when every cell has denied it, the caller gets
 // the refusal at once and is told when to come back.
 void entry::place(open_request& request, step_context& context)
@@ -60,6 +61,7 @@
         request.avoid.clear();
     std::erase_if(candidates,
                   [&](const cell* candidate) { return !has_other_upstream(*candidate, request); });
+    keep_local(candidates, this->env.self.region);
     const cell* chosen = this->env.view.choose(candidates, request.call.prefix);
     if (chosen == nullptr) {
         if (request.denied_by.empty())
@@ -118,7 +120,7 @@
         return;
     }
     request.phase = request_phase::awaiting_permit;
-    request.owner = this->owner_of(*request.cell, context.now);
+    request.owner = this->env.owners.of(*request.cell);
     permit_ask ask;
     ask.request = request.id;
     ask.cell = *request.cell;
@@ -178,7 +180,7 @@
         return;
     // An owner that has just lost the cell denies; the one that has it now is asked.
     if (this->env.cells.find(message.cell) != nullptr &&
-        this->owner_of(message.cell, context.now) != from) {
+        this->env.owners.of(message.cell) != from) {
         this->ask_owner(*request, context);
         return;
     }
@@ -234,7 +236,7 @@
                 this->place(request, context);
             continue;
         }
-        const node_name owner = this->owner_of(*request.cell, context.now);
+        const node_name& owner = this->env.owners.of(*request.cell);
         if (owner == request.owner)
             continue;
         if (request.phase == request_phase::awaiting_permit) {
--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -9,8 +9,12 @@
 
 using namespace std::chrono_literals;
 
-/// Time between two heartbeats that this node starts.
-static constexpr duration heartbeat_period = 200ms;
+/// Time between two heartbeats that this node starts, while members are few.
+static constexpr duration shortest_period = 200ms;
+/// The same when members are many; bounds what a node spends on membership.
+static constexpr duration longest_period = 1s;
+/// Members up to which the shortest period is kept; from there on it grows with their number.
+static constexpr std::size_t members_at_shortest_period = 10;
 /// How long a heartbeat's answer may take.
 static constexpr duration answer_limit = 400ms;
 /// How long a suspect may take to refute.
@@ -30,6 +34,14 @@
 {
 }
 
+// One heartbeat a period costs a node the same at any number of members. The period itself grows
+// too, so that a large fleet spends less on what its many prober pairs see anyway.
+static duration heartbeat_period(std::size_t members)
+{
+    const auto scale = static_cast<std::int64_t>(members / members_at_shortest_period);
+    return std::clamp(shortest_period * scale, shortest_period, longest_period);
+}
+
 static bool is_newer(const member_claim& claim, const member_claim& known)
 {
     if (claim.run != known.run)
@@ -199,6 +211,10 @@
     }
     for (auto at = this->members.begin(); at != this->members.end();) {
         member& known = at->second;
+        if (known.unreachable_until != time_point{} && known.unreachable_until <= context.now) {
+            known.unreachable_until = time_point{};
+            this->changes.owners_changed = true;
+        }
         if (known.expires_at > context.now) {
             ++at;
             continue;
@@ -220,7 +236,7 @@
     this->expire(context);
     if (context.now < this->next_period)
         return {};
-    this->next_period = context.now + heartbeat_period;
+    this->next_period = context.now + heartbeat_period(this->members.size());
     if (this->probe_order.empty()) {
         for (const auto& [name, known] : this->members) {
             if (known.claim.state != member_state::dead)
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -2,7 +2,6 @@
 
 #include "node_state.hpp"
 #include "ragwortcove/core/address_answer.hpp"
-#include "ragwortcove/core/rendezvous.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -41,7 +40,7 @@
                                                                                this->members,
                                                                                this->platform},
       requests{entry_surroundings{this->settings, this->config, this->cells, this->members,
-                                  this->view, this->platform},
+                                  this->owners, this->view, this->platform},
                policy_of(this->settings)},
       placement{this->config, this->cells, is_tiered(policy_of(this->settings))}
 {
@@ -191,8 +190,8 @@
         void operator()(const addresses_asked& e)
         {
             context.effects.emplace_back(answer_addresses(e, this->self.settings, this->self.config,
-                                                          this->self.cells, this->self.members,
-                                                          context));
+                                                          this->self.cells, this->self.owners,
+                                                          this->self.members, context));
         }
     };
     std::visit(visitor{*this, context}, happened);
@@ -229,29 +228,24 @@
 
 void node::state::settle(step_context& context)
 {
-    if (this->config_changed) {
-        this->config_changed = false;
+    const bool cells_changed = std::exchange(this->config_changed, false);
+    if (cells_changed) {
         this->cells.rebuild(this->config);
         this->view.forget_unknown(this->cells);
-        this->placement.refresh(context);
         this->members.become_live();
-        this->requests.owners_changed(context);
     }
     const membership_changes changes = this->members.take_changes();
     for (const incarnation ended : changes.ended)
         this->placement.entry_gone(ended, context);
+    if (changes.owners_changed || cells_changed) {
+        this->owners.rebuild(this->cells, this->members, context.now);
+        this->placement.keep(this->owners.owned_by(this->settings.name), context);
+        if (cells_changed)
+            this->placement.refresh(context);
+        this->requests.owners_changed(context);
+    }
     if (changes.was_taken_for_dead)
         this->requests.report_all(context);
-    if (!changes.owners_changed)
-        return;
-    std::vector<cell_id> owned;
-    for (const auto& [id, cell] : this->cells.all()) {
-        const std::vector<std::string> candidates = this->members.owners(cell.region, context.now);
-        if (candidates[rendezvous_first(cell.key, candidates)] == this->settings.name.value)
-            owned.push_back(id);
-    }
-    this->placement.keep(owned, context);
-    this->requests.owners_changed(context);
 }
 
 // A message to this node itself is handled in the same step; what comes of it goes through the same
--- a/lib/core/node_state.hpp
+++ b/lib/core/node_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/cell_map.hpp"
+#include "ragwortcove/core/cell_owners.hpp"
 #include "ragwortcove/core/cell_view.hpp"
 #include "ragwortcove/core/configuration.hpp"
 #include "ragwortcove/core/configuration_feed.hpp"
@@ -40,6 +41,7 @@
     configuration config;
     cell_map cells;
     membership members;
+    cell_owners owners;
     platform_caller platform;
     configuration_feed feed;
     cell_view view;
