[core] the member that a newcomer greets tells it of all others

Cause: a node that starts knows nobody, and a few claims on each heartbeat would take minutes to teach it 860 members. Change: introductions of 16 claims each, once, to a node that is joining and tells of nobody itself.

--- a/include/ragwortcove/core/membership.hpp
+++ b/include/ragwortcove/core/membership.hpp
@@ -46,6 +46,8 @@
     /// Fills in the sender, the members to tell of and the receiver's answer wish.
     [[nodiscard]] heartbeat make_heartbeat(const node_name& receiver, bool wants_answer,
                                            step_context& context);
+    /// Heartbeats that tell a newcomer of every member, a few on each.
+    [[nodiscard]] std::vector<heartbeat> introductions() const;
     void receive(const heartbeat& message, step_context& context);
     /// A hint of the platform's lagging list; never declares a member dead.
     void hint(std::span<const member_claim> members, step_context& context);
@@ -59,9 +61,8 @@
     [[nodiscard]] time_point next_wakeup() const;
 
     [[nodiscard]] const member* find(const node_name& name) const;
+    /// The member that runs under this incarnation; null when none is known or it has ended.
     [[nodiscard]] const member* find_run(incarnation run) const;
-    /// Whether the incarnation is known to have ended.
-    [[nodiscard]] bool has_ended(incarnation run) const;
     /// Names of members that may own something, this node among them; a region's, or all if none.
     [[nodiscard]] std::vector<std::string> owners(const region_name& region, time_point now) const;
     /// Members other than this one that are not dead.
--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -25,6 +25,8 @@
 static constexpr duration unreachable_time = 2s;
 /// Claims on one heartbeat, at most.
 static constexpr std::size_t most_claims_told = 8;
+/// Claims on one heartbeat to a newcomer, so that a datagram stays below a usual MTU.
+static constexpr std::size_t claims_on_introduction = 16;
 /// How often a changed claim is passed on.
 static constexpr std::uint32_t tell_count = 6;
 
@@ -201,6 +203,19 @@
     return made;
 }
 
+std::vector<heartbeat> membership::introductions() const
+{
+    std::vector<heartbeat> made;
+    for (const auto& [name, known] : this->members) {
+        if (made.empty() || made.back().known.size() == claims_on_introduction) {
+            made.emplace_back();
+            made.back().sender = this->own;
+        }
+        made.back().known.push_back(known.claim);
+    }
+    return made;
+}
+
 void membership::expire(step_context& context)
 {
     if (this->pending && this->pending->due <= context.now) {
@@ -278,11 +293,6 @@
     return found == this->members.end() ? nullptr : &found->second;
 }
 
-bool membership::has_ended(incarnation run) const
-{
-    return run != this->own.run && this->find_run(run) == nullptr;
-}
-
 std::vector<std::string> membership::owners(const region_name& region, time_point now) const
 {
     std::vector<std::string> local;
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -67,14 +67,31 @@
         this->view.update(digest, now);
 }
 
+// A node that has just started knows nobody. Left to the few claims on each heartbeat it would take
+// minutes to know a large fleet, so the member that it greets tells it of all.
+static bool comes_from_newcomer(const heartbeat& message)
+{
+    return message.wants_answer && message.known.empty() &&
+           message.sender.state == member_state::joining;
+}
+
 void node::state::handle_heartbeat(const heartbeat& message, step_context& context)
 {
     this->members.receive(message, context);
     this->feed.heard(message, context);
     for (const cell_digest& digest : message.cells)
         this->view.update(digest, context.now);
-    if (message.wants_answer)
-        this->send_heartbeat(message.sender.name, message.sender.peers, false, context);
+    if (!message.wants_answer)
+        return;
+    this->send_heartbeat(message.sender.name, message.sender.peers, false, context);
+    if (!comes_from_newcomer(message))
+        return;
+    for (heartbeat& introduction : this->members.introductions()) {
+        introduction.store = this->config.store();
+        introduction.configuration = this->config.at();
+        context.effects.emplace_back(
+            send_peer{message.sender.name, message.sender.peers, std::move(introduction)});
+    }
 }
 
 void node::state::handle_peer(const node_name& from, incarnation run, const peer_message& message,
