[core] short work's wait is not counted in long work, and a free permit is no wait

Cause, found by a new test: with long work queued at its rank, a short request was denied as overloaded although an upstream had a permit free for it: the estimate counted the long queue. Change: the wait is zero where a permit is free, and short work counts short work alone. Tests of the owner: tiers, team shares, headroom, early refusal, ejection and panic, a leaving engine, take-over.

--- a/include/ragwortcove/core/fair_queue.hpp
+++ b/include/ragwortcove/core/fair_queue.hpp
@@ -48,8 +48,8 @@
     [[nodiscard]] std::size_t size() const { return this->places.size(); }
     [[nodiscard]] bool empty() const { return this->places.empty(); }
     [[nodiscard]] time_point next_expiry() const;
-    /// Estimated work that waits in ranks up to `rank`.
-    [[nodiscard]] duration queued_cost(std::uint32_t rank) const;
+    /// Estimated work that waits in ranks up to `rank`; short work alone, or all of it.
+    [[nodiscard]] duration queued_cost(std::uint32_t rank, bool short_only) const;
     /// Highest rank that waits; zero when the queue is empty.
     [[nodiscard]] std::uint32_t lowest_rank() const;
 
@@ -66,7 +66,8 @@
     };
     struct rank_state {
         double virtual_now = 0.0;
-        duration cost{0};
+        duration short_cost{0};
+        duration long_cost{0};
         std::map<lane_key, lane> lanes;
         /// Lanes with waiting requests, by start tag.
         std::set<std::pair<double, lane_key>> order;
--- a/include/ragwortcove/core/placement_owner.hpp
+++ b/include/ragwortcove/core/placement_owner.hpp
@@ -66,7 +66,8 @@
               duration retry_after, step_context& context);
     [[nodiscard]] waiting_ask make_waiting(const owned_cell& cell, const node_name& entry,
                                            const permit_ask& message, time_point now) const;
-    [[nodiscard]] duration estimated_wait(const owned_cell& cell, std::uint32_t rank) const;
+    [[nodiscard]] duration estimated_wait(const owned_cell& cell, std::uint32_t rank,
+                                          bool is_long) const;
     void sync_engines(owned_cell& cell);
     void poll(owned_cell& cell, step_context& context);
 
--- a/lib/core/fair_queue.cpp
+++ b/lib/core/fair_queue.cpp
@@ -14,7 +14,7 @@
     lane& to = rank.lanes[key];
     this->places[request] = place{ask.rank, key, ask.expires};
     this->expiries.insert({ask.expires, request});
-    rank.cost += ask.cost;
+    (ask.is_long ? rank.long_cost : rank.short_cost) += ask.cost;
     if (to.waiting.empty()) {
         // A lane that comes back does not get credit for the time it was away.
         to.start = std::max(to.start, rank.virtual_now);
@@ -29,7 +29,7 @@
     lane& from = of.lanes.at(key);
     waiting_ask taken = std::move(from.waiting[index]);
     from.waiting.erase(from.waiting.begin() + static_cast<std::ptrdiff_t>(index));
-    of.cost -= taken.cost;
+    (taken.is_long ? of.long_cost : of.short_cost) -= taken.cost;
     this->places.erase(taken.ask.request);
     this->expiries.erase({taken.expires, taken.ask.request});
     if (from.waiting.empty())
@@ -120,13 +120,13 @@
     return this->expiries.empty() ? time_point::max() : this->expiries.begin()->first;
 }
 
-duration fair_queue::queued_cost(std::uint32_t rank) const
+duration fair_queue::queued_cost(std::uint32_t rank, bool short_only) const
 {
     duration total{0};
     for (const auto& [number, of] : this->ranks) {
         if (number > rank)
             break;
-        total += of.cost;
+        total += short_only ? of.short_cost : of.short_cost + of.long_cost;
     }
     return total;
 }
--- a/lib/core/placement_owner.cpp
+++ b/lib/core/placement_owner.cpp
@@ -97,14 +97,16 @@
     return waiting;
 }
 
-duration placement_owner::estimated_wait(const owned_cell& cell, std::uint32_t rank) const
+// Long work cannot take the whole of an upstream, so it does not count for short work's wait.
+duration placement_owner::estimated_wait(const owned_cell& cell, std::uint32_t rank,
+                                         bool is_long) const
 {
     std::uint32_t side_by_side = 0;
     for (const auto& [name, engine] : cell.engines)
         side_by_side += engine.health.limit(engine.limit.value());
     if (side_by_side == 0)
         return duration{0};
-    return cell.queue.queued_cost(rank) / std::int64_t{side_by_side};
+    return cell.queue.queued_cost(rank, !is_long) / std::int64_t{side_by_side};
 }
 
 void placement_owner::deny(const node_name& entry, const permit_ask& ask, refusal_reason reason,
@@ -140,7 +142,9 @@
     if (cell->queue.contains(message.request) || holds(*cell, message.request))
         return;
     waiting_ask waiting = this->make_waiting(*cell, entry, message, context.now);
-    const duration wait = this->estimated_wait(*cell, waiting.rank);
+    const bool has_room = this->choose(*cell, waiting, context.now) != nullptr;
+    const duration wait =
+        has_room ? duration{0} : this->estimated_wait(*cell, waiting.rank, waiting.is_long);
     if (waiting.cost > message.time_left) {
         this->deny(entry, message, refusal_reason::deadline_unreachable, 0s, context);
         return;
@@ -171,7 +175,7 @@
 
 // Panic: when every upstream of a cell looks bad, the judgement itself is in doubt, and refusing
 // all work would be worse than trying. Each then gets one request at a time.
-static bool has_room(const engine_state& engine, const waiting_ask& ask, bool panic)
+static bool can_take(const engine_state& engine, const waiting_ask& ask, bool panic)
 {
     if (panic)
         return engine.held.empty();
@@ -199,7 +203,7 @@
     for (auto& [name, engine] : cell.engines) {
         if (!serves(engine.info, *route, ask.ask.version) || avoids(ask.ask, name))
             continue;
-        if (!has_room(engine, ask, panic))
+        if (!can_take(engine, ask, panic))
             continue;
         const std::uint32_t cached = engine.cache.cached_tokens(ask.ask.prefix);
         const duration time =
@@ -434,7 +438,7 @@
     for (auto& [id, cell] : this->owned) {
         for (const waiting_ask& late : cell.queue.take_expired(context.now))
             this->deny(late.entry, late.ask, refusal_reason::overloaded,
-                       this->estimated_wait(cell, late.rank), context);
+                       this->estimated_wait(cell, late.rank, late.is_long), context);
         for (auto& [name, engine] : cell.engines) {
             if (engine.health.take_probe(context.now))
                 context.effects.emplace_back(probe_upstream{name, engine.info.spec.address});
@@ -468,7 +472,7 @@
         digest.lowest_rank_queued = cell.queue.lowest_rank();
         for (const auto& [name, engine] : cell.engines)
             digest.free_permits += engine.free_permits();
-        const duration wait = this->estimated_wait(cell, unknown_rank);
+        const duration wait = this->estimated_wait(cell, unknown_rank, true);
         digest.queued_tokens = static_cast<std::uint32_t>(
             wait / std::max(duration{1000}, typical_between_tokens(cell)));
         made.push_back(digest);
