[daemon] ragwortcoved: the whole path from a caller to an upstream

Three faults were found on the way and are mended here: - an empty store was taken for no store, so that changes after it were never applied (cause: emptiness was told by revision zero; now by the store's id); - X-Timeout-Ms and Allow were not among the headers that lib/http reads; names that nothing uses are gone from its list, since each costs a search a request; - a stream's error chunk was read as an empty one. Messages to peers are dropped until the transport is there.

--- a/include/ragwortcove/core/configuration.hpp
+++ b/include/ragwortcove/core/configuration.hpp
@@ -26,7 +26,7 @@
 
     [[nodiscard]] const store_id& store() const { return this->store_name; }
     [[nodiscard]] revision at() const { return this->current; }
-    [[nodiscard]] bool empty() const { return this->current.value == 0; }
+    [[nodiscard]] bool empty() const { return this->store_name.empty(); }
     [[nodiscard]] const std::map<object_key, object>& objects() const { return this->by_key; }
 
     /// Changes after a revision, or nothing when the backlog no longer covers it.
--- a/include/ragwortcove/daemon/chat.hpp
+++ b/include/ragwortcove/daemon/chat.hpp
@@ -47,7 +47,7 @@
     std::optional<chat_usage> usage;
 };
 
-/// Reads a chunk; nothing when it is not one.
+/// Reads a chunk; nothing when it is not one, or reports an error.
 [[nodiscard]] std::optional<chat_chunk> parse_chat_chunk(std::string_view data);
 
 /// What each part of one answer says of it.
--- a/include/ragwortcove/daemon/daemon_settings.hpp
+++ b/include/ragwortcove/daemon/daemon_settings.hpp
@@ -20,6 +20,7 @@
 
 struct platform_settings {
     platform_mode mode = platform_mode::http;
+    /// Where the object API is; the embedded store is served there by this process.
     core::endpoint address;
 };
 
--- a/include/ragwortcove/daemon/metrics.hpp
+++ b/include/ragwortcove/daemon/metrics.hpp
@@ -49,7 +49,6 @@
     void count_tokens(std::uint64_t tokens);
     void count_decision(core::decision_kind kind);
     void count_platform_call();
-    void count_peer_message(std::string_view direction, std::string_view kind);
 
     [[nodiscard]] std::string render(const metric_gauges& gauges) const;
 
@@ -64,7 +63,6 @@
     counter_map attempts;
     counter_map attempt_failures;
     counter_map decisions;
-    counter_map peer_messages;
     summary_map first_bytes;
     summary_map whole_answers;
     std::uint64_t tokens_forwarded = 0;
--- a/include/ragwortcove/daemon/runtime.hpp
+++ b/include/ragwortcove/daemon/runtime.hpp
@@ -12,6 +12,7 @@
 #include "ragwortcove/http/client.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/server.hpp"
+#include "ragwortcove/platform/http_platform.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -61,6 +62,7 @@
     caller_exchanges exchanges;
     upstream_client upstreams;
     upstream_reports reports;
+    platform::http_platform platform;
     std::deque<core::event> waiting_events;
     bool stepping = false;
     bool drain_asked = false;
--- a/include/ragwortcove/daemon/upstream_client.hpp
+++ b/include/ragwortcove/daemon/upstream_client.hpp
@@ -19,6 +19,7 @@
 
 /// A caller's request as an upstream gets it; kept until the exchange ends, for retries.
 struct upstream_message {
+    core::route_name route;
     std::string method;
     /// Path and query.
     std::string target;
--- a/lib/core/configuration.cpp
+++ b/lib/core/configuration.cpp
@@ -16,7 +16,10 @@
 // counts from the start, and taking it would put old configuration back in force.
 bool configuration::apply(const feed_snapshot& snapshot)
 {
-    if (!same_store(this->store_name, snapshot.store) || snapshot.at <= this->current)
+    if (!same_store(this->store_name, snapshot.store))
+        return false;
+    // The first snapshot may be of a store that holds nothing yet, at revision zero.
+    if (!this->empty() && snapshot.at <= this->current)
         return false;
     this->store_name = snapshot.store;
     this->current = snapshot.at;
--- a/lib/daemon/chat.cpp
+++ b/lib/daemon/chat.cpp
@@ -170,6 +170,8 @@
     if (failed || !parsed.is_object())
         return std::nullopt;
     const json::object& body = parsed.get_object();
+    if (body.contains("error"))
+        return std::nullopt;
     chat_chunk chunk;
     chunk.usage = read_usage(body);
     const json::object* choice = find_first_choice(body);
--- a/lib/daemon/daemon_settings.cpp
+++ b/lib/daemon/daemon_settings.cpp
@@ -232,7 +232,7 @@
               [](daemon_settings& into, std::string_view text) {
                   return store_mode(text, into.platform.mode);
               }},
-    known_key{"platform", "address", false, expected_endpoint,
+    known_key{"platform", "address", true, expected_endpoint,
               [](daemon_settings& into, std::string_view text) {
                   return store_endpoint(text, into.platform.address);
               }},
@@ -408,8 +408,6 @@
         if (known.required)
             this->require(known.section, known.key, known.expected);
     }
-    if (this->has("platform", "mode") && this->settings.platform.mode == platform_mode::http)
-        this->require("platform", "address", expected_endpoint);
     this->check_pair("tls", "certificate", "private_key");
     this->check_pair("tls", "private_key", "certificate");
     this->check_pair("tls", "client_authority", "certificate");
--- a/lib/daemon/metrics.cpp
+++ b/lib/daemon/metrics.cpp
@@ -125,11 +125,6 @@
     ++this->platform_calls;
 }
 
-void metrics::count_peer_message(std::string_view direction, std::string_view kind)
-{
-    ++this->peer_messages[label("direction", direction) + "," + label("kind", kind)];
-}
-
 static void render_head(std::string& page, std::string_view name, std::string_view type,
                         std::string_view help)
 {
@@ -215,8 +210,6 @@
     render_counters(page, "attempt_failures_total", "Attempts that failed.",
                     this->attempt_failures);
     render_counters(page, "decisions_total", "Decisions logged.", this->decisions);
-    render_counters(page, "peer_messages_total", "Messages between instances.",
-                    this->peer_messages);
     render_counter(page, "tokens_forwarded_total", "Output tokens passed to callers.",
                    this->tokens_forwarded);
     render_counter(page, "platform_calls_total", "Calls to the platform.", this->platform_calls);
--- a/lib/daemon/process.cpp
+++ b/lib/daemon/process.cpp
@@ -4,10 +4,12 @@
 #include "ragwortcove/daemon/operator_access.hpp"
 #include "ragwortcove/daemon/runtime.hpp"
 #include "ragwortcove/http/loop.hpp"
+#include "ragwortcove/standin/platform_server.hpp"
 
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <memory>
 #include <random>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -72,6 +74,20 @@
         write_log(log_event::platform_embedded, {{"detail", "NOTHING THAT IS DECLARED LASTS"}});
 }
 
+/// Serves the object API from this process's memory, at the address where the platform would be,
+/// so that the command-line tool works with it unchanged.
+static std::unique_ptr<standin::platform_server>
+open_embedded_store(http::loop& loop, const daemon_settings& settings)
+{
+    if (settings.platform.mode != platform_mode::embedded)
+        return nullptr;
+    standin::platform_server_settings store;
+    store.platform.store.value = "embedded-" + std::to_string(settings.node.run.value);
+    store.listen.address = settings.platform.address.address;
+    store.listen.port = settings.platform.address.port;
+    return std::make_unique<standin::platform_server>(loop, store);
+}
+
 int run_process(const std::string& settings_path, const daemon_settings& read)
 {
     daemon_settings settings = read;
@@ -79,10 +95,14 @@
     configure_log(settings.log);
     const int signals = open_signals();
     http::loop loop;
+    const std::unique_ptr<standin::platform_server> store = open_embedded_store(loop, settings);
     runtime running{loop, settings, [&loop] { loop.stop(); }};
-    if (!running.listening()) {
-        write_log(log_event::listen_failed, {{"callers", format_endpoint(settings.node.callers)},
-                                             {"peers", format_endpoint(settings.node.peers)}});
+    const bool has_platform = store == nullptr || store->listening();
+    if (!running.listening() || !has_platform) {
+        write_log(log_event::listen_failed,
+                  {{"callers", format_endpoint(settings.node.callers)},
+                   {"peers", format_endpoint(settings.node.peers)},
+                   {"platform", format_endpoint(settings.platform.address)}});
         return EXIT_FAILURE;
     }
     log_start(settings);
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -38,6 +38,13 @@
     return made;
 }
 
+static platform::http_platform_settings make_platform_settings(const daemon_settings& settings)
+{
+    platform::http_platform_settings made;
+    made.address = settings.platform.address;
+    return made;
+}
+
 /// Carries out what a caller or an operator asks.
 struct runtime::call_visitor {
     runtime& self;
@@ -51,6 +58,7 @@
         reply.stream = call.chat.stream;
         reply.prompt_tokens = call.request.prompt_tokens;
         upstream_message message;
+        message.route = call.request.route;
         message.body = std::move(call.chat.upstream_body);
         this->open(std::move(reply), std::move(message));
         this->self.dispatch(core::request_arrived{this->id, std::move(call.request)});
@@ -58,6 +66,7 @@
     void operator()(service_call&& call)
     {
         upstream_message message;
+        message.route = call.request.route;
         message.method = std::move(call.method);
         message.target = std::move(call.target);
         message.content_type = std::move(call.content_type);
@@ -161,10 +170,18 @@
     }
     void operator()(const core::refuse_exchange& refused) { this->self.exchanges.refuse(refused); }
     void operator()(const core::cut_exchange& broken) { this->self.exchanges.cut(broken); }
-    void operator()(const core::send_peer&) {}
-    void operator()(const core::call_platform&) {}
-    void operator()(const core::open_watch&) {}
-    void operator()(const core::close_watch&) {}
+    void operator()(core::send_peer&& message) { (void)message; }
+    void operator()(const core::call_platform& call)
+    {
+        this->self.figures.count_platform_call();
+        this->self.platform.start(call);
+    }
+    void operator()(const core::open_watch& watch)
+    {
+        this->self.figures.count_platform_call();
+        this->self.platform.start(watch);
+    }
+    void operator()(const core::close_watch& watch) { this->self.platform.start(watch); }
     void operator()(const core::probe_upstream& wanted) { this->self.reports.probe(wanted); }
     void operator()(const core::poll_upstream& wanted) { this->self.reports.poll(wanted); }
     void operator()(const core::order_upstream& wanted) { this->self.reports.order(wanted); }
@@ -189,7 +206,9 @@
       upstreams(loop, this->upstream_pool,
                 [this](const core::event& happened) { this->dispatch(happened); }),
       reports(this->upstream_pool,
-              [this](const core::event& happened) { this->dispatch(happened); })
+              [this](const core::event& happened) { this->dispatch(happened); }),
+      platform(loop, make_platform_settings(from),
+               [this](core::event&& happened) { this->dispatch(happened); })
 {
     this->read_wall_clock();
     this->dispatch(core::tick{});
@@ -256,10 +275,12 @@
 {
     if (const auto* failed = std::get_if<core::upstream_failed>(&happened))
         this->figures.count_attempt_failure(failed->failure);
+    if (const auto* broken = std::get_if<core::peer_disconnected>(&happened))
+        write_log(log_event::peer_disconnected, {{"peer", broken->peer.value}});
     core::effect_list effects;
     this->node.step(happened, this->now(), effects);
-    for (const core::effect& wanted : effects)
-        std::visit(effect_visitor{*this}, wanted);
+    for (core::effect& wanted : effects)
+        std::visit(effect_visitor{*this}, std::move(wanted));
 }
 
 /// A tick that comes early does no harm, so an armed timer is only moved forwards.
--- a/lib/daemon/upstream_client.cpp
+++ b/lib/daemon/upstream_client.cpp
@@ -22,7 +22,7 @@
 {
     const std::string id = core::format_request_id(wanted.request);
     http::request made;
-    made.headers = {{"x-request-id", id}};
+    made.headers = {{"x-request-id", id}, {"x-route", message.route.value}};
     switch (wanted.mode) {
     case core::attempt_mode::fresh:
         made.method = "POST";
@@ -54,7 +54,8 @@
     made.path = message.target.substr(0, question);
     if (question != std::string::npos)
         made.query = message.target.substr(question + 1);
-    made.headers = {{"x-request-id", core::format_request_id(wanted.request)}};
+    made.headers = {{"x-request-id", core::format_request_id(wanted.request)},
+                    {"x-route", message.route.value}};
     if (!message.content_type.empty())
         made.headers.push_back({"content-type", message.content_type});
     if (!message.idempotency_key.empty())
--- a/lib/http/known_headers.cpp
+++ b/lib/http/known_headers.cpp
@@ -18,6 +18,7 @@
     standard_header{WSI_TOKEN_HOST, "host"},
     standard_header{WSI_TOKEN_CONNECTION, "connection"},
     standard_header{WSI_TOKEN_HTTP_ACCEPT, "accept"},
+    standard_header{WSI_TOKEN_HTTP_ALLOW, "allow"},
     standard_header{WSI_TOKEN_HTTP_AUTHORIZATION, "authorization"},
     standard_header{WSI_TOKEN_HTTP_CACHE_CONTROL, "cache-control"},
     standard_header{WSI_TOKEN_HTTP_CONTENT_LENGTH, "content-length"},
@@ -35,34 +36,9 @@
 };
 
 /// libwebsockets 4.1 can't list the headers that it has no token for, only look one up by name.
-static constexpr std::array<std::string_view, 27> custom_headers{
-    "idempotency-key:",
-    "x-request-id:",
-    "x-team:",
-    "x-tier:",
-    "x-deadline-ms:",
-    "x-verdict:",
-    "x-ragwortcove-team:",
-    "x-ragwortcove-tier:",
-    "x-ragwortcove-route:",
-    "x-ragwortcove-version:",
-    "x-ragwortcove-deadline-ms:",
-    "x-ragwortcove-request:",
-    "x-ragwortcove-request-id:",
-    "x-ragwortcove-verdict:",
-    "x-ragwortcove-reason:",
-    "x-ragwortcove-incarnation:",
-    "x-ragwortcove-fencing:",
-    "x-ragwortcove-revision:",
-    "x-ragwortcove-change:",
-    "x-ragwortcove-priority:",
-    "x-ragwortcove-upstream:",
-    "x-ragwortcove-offset:",
-    "x-ragwortcove-tokens:",
-    "traceparent:",
-    "x-not-run:",
-    "x-output-tokens:",
-    "x-route:",
+static constexpr std::array<std::string_view, 7> custom_headers{
+    "idempotency-key:", "x-not-run:", "x-output-tokens:", "x-request-id:",
+    "x-route:",         "x-team:",    "x-timeout-ms:",
 };
 
 std::vector<header> read_headers(lws* wsi)
