--- a/include/ragwortcove/standin/engine_model.hpp
+++ b/include/ragwortcove/standin/engine_model.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -188,6 +189,11 @@
     [[nodiscard]] engine_request_status status(const core::request_id& id) const;
     /// Whether the request waits or runs here.
     [[nodiscard]] bool live(const core::request_id& id) const;
+    /// Tokens of a prompt's prefix that are cached now.
+    [[nodiscard]] std::uint32_t cached_prefix(std::span<const core::prefix_hash> prefix) const
+    {
+        return this->cache.count(prefix);
+    }
     [[nodiscard]] engine_load load(core::time_point now) const;
     [[nodiscard]] std::vector<engine_cache_event> cache_events(std::uint64_t after,
                                                                core::time_point now) const;
--- a/include/ragwortcove/standin/prefix_cache.hpp
+++ b/include/ragwortcove/standin/prefix_cache.hpp
@@ -25,6 +25,8 @@
 
     /// Tokens of the longest cached prefix; the blocks found count as used.
     std::uint32_t find(std::span<const core::prefix_hash> prefix);
+    /// The same without using the blocks.
+    [[nodiscard]] std::uint32_t count(std::span<const core::prefix_hash> prefix) const;
     cache_change insert(std::span<const core::prefix_hash> prefix);
     void clear();
     [[nodiscard]] std::size_t blocks() const { return this->by_hash.size(); }
--- a/lib/bench/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder that keeps the library non-empty until its first module is written.
--- a/lib/standin/prefix_cache.cpp
+++ b/lib/standin/prefix_cache.cpp
@@ -2,6 +2,8 @@
 
 #include "ragwortcove/core/request.hpp"
 
+#include <algorithm>
+
 namespace ragwortcove::standin {
 
 prefix_cache::prefix_cache(std::uint32_t capacity_tokens)
@@ -23,6 +25,15 @@
     return found * core::prefix_block_tokens;
 }
 
+std::uint32_t prefix_cache::count(std::span<const core::prefix_hash> prefix) const
+{
+    const auto missing = [&](const core::prefix_hash& hash) {
+        return !this->by_hash.contains(hash.value);
+    };
+    const auto end = std::find_if(prefix.begin(), prefix.end(), missing);
+    return static_cast<std::uint32_t>(end - prefix.begin()) * core::prefix_block_tokens;
+}
+
 cache_change prefix_cache::insert(std::span<const core::prefix_hash> prefix)
 {
     cache_change change;
