[daemon] answers that are not streamed start anew with a fresh attempt

The core repeats an idempotent request whose answer the caller has had no byte of; the shell kept the parts of the lost attempt and said nothing of streaming, so that a cut stream was refused in the middle of its body. It now tells the core whether a caller streams, and drops the parts.

--- a/lib/daemon/caller_call.cpp
+++ b/lib/daemon/caller_call.cpp
@@ -91,6 +91,7 @@
     call.request.route.value = call.chat.model;
     call.request.prompt_tokens = core::estimate_tokens(call.chat.prompt);
     call.request.max_output_tokens = call.chat.max_tokens;
+    call.request.streaming = call.chat.stream;
     call.request.prefix = core::prefix_hashes(call.chat.prompt);
     return call;
 }
--- a/lib/daemon/caller_exchanges.cpp
+++ b/lib/daemon/caller_exchanges.cpp
@@ -63,11 +63,26 @@
         exchange->request = request;
 }
 
+/// Drops what an attempt before brought of an answer that the caller has had no byte of.
+static void start_over(caller_reply& reply)
+{
+    if (auto* chat = std::get_if<chat_reply>(&reply)) {
+        chat->content.clear();
+        chat->completion_tokens = 0;
+    }
+    if (auto* service = std::get_if<service_reply>(&reply))
+        service->body.clear();
+}
+
 void caller_exchanges::note_attempt(const core::open_attempt& opened)
 {
     this->identify(opened.exchange, opened.request);
-    if (caller_exchange* exchange = this->find(opened.exchange))
-        exchange->attempt = opened.attempt;
+    caller_exchange* exchange = this->find(opened.exchange);
+    if (exchange == nullptr)
+        return;
+    exchange->attempt = opened.attempt;
+    if (opened.mode == core::attempt_mode::fresh)
+        start_over(exchange->reply);
 }
 
 std::string caller_exchanges::next_local_request_id()
--- a/unittests/daemon/cluster.hpp
+++ b/unittests/daemon/cluster.hpp
@@ -24,20 +24,34 @@
 
 namespace ragwortcove::daemon::test {
 
-/// A port that nothing listens on now.
-inline std::uint16_t find_free_port()
+/// A TCP socket bound to any free port of loopback.
+inline int bind_any_port()
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    return descriptor;
+}
+
+inline std::uint16_t port_of(int descriptor)
+{
+    sockaddr_in address{};
     socklen_t length = sizeof address;
     REQUIRE(getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) == 0);
-    close(descriptor);
     return ntohs(address.sin_port);
 }
 
+/// A port that nothing listens on now.
+inline std::uint16_t find_free_port()
+{
+    const int descriptor = bind_any_port();
+    const std::uint16_t port = port_of(descriptor);
+    close(descriptor);
+    return port;
+}
+
 inline void run_until(http::loop& on, const std::function<bool()>& done)
 {
     static constexpr std::chrono::seconds limit{20};
@@ -224,24 +238,19 @@
         run_until(this->loop, [&] { return written; });
     }
 
-    /// Declares one tier, one team, an engine's route `chat`, a service's route `lookup`
-    /// and a service's route `payment`, whose calls may not be repeated.
-    void declare_all()
+    /// Declares one tier, one team, the engine, an engine's route `chat`, a service's route
+    /// `lookup` and a service's route `payment`, whose calls may not be repeated.
+    void declare_all() { this->declare_all(this->engine.port()); }
+    /// The same with another engine.
+    void declare_all(std::uint16_t engine_port)
     {
         using core::object_kind;
-        const std::string engine_address = "127.0.0.1:" + std::to_string(this->engine.port());
         const std::string service_address = "127.0.0.1:" + std::to_string(this->service.port());
         this->declare(object_kind::tier, "first", {{"rank", "0"}});
         this->declare(object_kind::team, "default", {{"weight", "1"}});
         this->declare(object_kind::version, "v1", {{"target", "model-a"}});
         this->declare(object_kind::version, "s1", {{"target", "members"}});
-        this->declare(object_kind::upstream, "engine-1",
-                      {{"kind", "engine"},
-                       {"address", engine_address},
-                       {"region", "ch"},
-                       {"failure_domain", "zurich"},
-                       {"target", "model-a"},
-                       {"version", "v1"}});
+        this->declare_engine("engine-1", engine_port);
         this->declare(object_kind::upstream, "service-1",
                       {{"kind", "service"},
                        {"address", service_address},
@@ -258,14 +267,25 @@
                        {"kind", "service"},
                        {"tier", "first"},
                        {"idempotent", "false"}});
-        run_until(this->loop, [this] { return this->knows_route("payment"); });
+        run_until(this->loop, [this] { return this->knows(object_kind::route, "payment"); });
+    }
+
+    void declare_engine(std::string name, std::uint16_t at)
+    {
+        this->declare(core::object_kind::upstream, std::move(name),
+                      {{"kind", "engine"},
+                       {"address", "127.0.0.1:" + std::to_string(at)},
+                       {"region", "ch"},
+                       {"failure_domain", "zurich"},
+                       {"target", "model-a"},
+                       {"version", "v1"}});
     }
 
-    [[nodiscard]] bool knows_route(std::string_view name) const
+    [[nodiscard]] bool knows(core::object_kind kind, std::string_view name) const
     {
         const core::node_status status = this->daemon->status();
         return status.ready && std::ranges::any_of(status.objects, [&](const core::object& each) {
-                   return each.key.kind == core::object_kind::route && each.key.name == name;
+                   return each.key.kind == kind && each.key.name == name;
                });
     }
 
