--- a/include/ragwortcove/peer/codec.hpp
+++ b/include/ragwortcove/peer/codec.hpp
@@ -31,6 +31,8 @@
 struct envelope {
     std::optional<greeting> hello;
     std::vector<core::peer_message> messages;
+    /// Whether the sender sends nothing more on this stream.
+    bool last = false;
 };
 
 /// Why an envelope cannot be read.
--- a/lib/peer/decoder.cpp
+++ b/lib/peer/decoder.cpp
@@ -452,6 +452,7 @@
             return boost::leaf::new_error(codec_error{"greeting.name", "name of 1 to 1024 bytes"});
         result.hello = greeting{{value.greeting().name()}, {value.greeting().run()}};
     }
+    result.last = value.last();
     message_reader reader{this->names, this->runs};
     for (const wire::Message& message : value.messages()) {
         result.messages.push_back(reader.read(message));
--- a/lib/peer/encoder.cpp
+++ b/lib/peer/encoder.cpp
@@ -309,6 +309,7 @@
         out.mutable_greeting()->set_name(value.hello->name.value);
         out.mutable_greeting()->set_run(value.hello->run.value);
     }
+    out.set_last(value.last);
     message_writer writer{this->names, this->runs, out};
     for (const core::peer_message& message : value.messages)
         std::visit(writer, message);
--- a/unittests/peer/codec_test.cpp
+++ b/unittests/peer/codec_test.cpp
@@ -61,11 +61,13 @@
                 sent.hello = greeting{{draw_name()}, draw_run()};
             sent.messages = draw_some(
                 [] { return draw_message(*rc::gen::inRange<std::size_t>(0, message_kinds)); });
+            sent.last = turn == 3;
             wire::Envelope out;
             sender.encode(sent, out);
             const auto back = receiver.decode(out);
             RC_ASSERT(back.has_value());
             RC_ASSERT(back->hello == sent.hello);
+            RC_ASSERT(back->last == sent.last);
             RC_ASSERT(back->messages == sent.messages);
         }
     });
