[http] closed clients, malformed messages and kept connections

Cause: libwebsockets 4.1 neither reads from a connection whose request is being served nor ignores it, and so spins when the client closes or sends a second request; it finds a kept connection only by a host without a port; it ends unknown methods without an answer. Change: reading is paused while a response is awaited, an edge-triggered watch hears of the close; unknown methods get 501, bodies without a proper length 411 or 400, large ones 413; the client's pool keeps its connections.

--- a/include/ragwortcove/http/message.hpp
+++ b/include/ragwortcove/http/message.hpp
@@ -10,6 +10,8 @@
 
 namespace ragwortcove::http {
 
+/// Besides the common headers of HTTP, only those of the list in lib/http/known_headers.cpp are
+/// read from a message.
 struct header {
     /// Lower-case name without a colon.
     std::string name;
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -29,7 +29,8 @@
     lws* connection = nullptr;
     /// Index of the pooled vhost; unset on a connection of its own.
     std::optional<std::size_t> slot;
-    std::string host;
+    /// Address and port of the upstream.
+    std::string upstream;
     std::string target;
     std::size_t body_written = 0;
     /// Set from the first byte that may have reached the socket.
@@ -51,7 +52,7 @@
     lws_vhost* vhost = nullptr;
     bool busy = false;
     /// Upstream of the last exchange, whose connection is likely still open.
-    std::string host;
+    std::string upstream;
 };
 
 } // namespace
@@ -105,11 +106,6 @@
         taken->handlers.failed(error);
 }
 
-static client_error lost_or_not_sent(const exchange& each)
-{
-    return each.written ? client_error::connection_lost : client_error::not_sent;
-}
-
 static void close_connection(exchange& each)
 {
     if (each.connection != nullptr)
@@ -222,6 +218,9 @@
     return method == "HEAD" || status == 204 || status == 304;
 }
 
+static constexpr int first_status = 100;
+static constexpr int last_status = 599;
+
 static int receive_head(lws* wsi, exchange* each)
 {
     if (each == nullptr)
@@ -236,9 +235,19 @@
     each->bodiless = has_no_body(each->wanted.message.method, head.status);
     const client_exchange id = each->id;
     client::state& self = *each->owner;
+    if (head.status < first_status || head.status > last_status) {
+        end_failed(self, *each, client_error::malformed);
+        return -1;
+    }
     if (each->handlers.headed)
         each->handlers.headed(head);
-    return self.exchanges.count(id) == 0 ? -1 : 0;
+    if (self.exchanges.count(id) == 0)
+        return -1;
+    if (!each->bodiless || head.content_length == 0)
+        return 0;
+    // libwebsockets would wait for a body that never comes.
+    end_whole(self, *each);
+    return -1;
 }
 
 static int read_body(lws* wsi, exchange* each)
@@ -292,14 +301,25 @@
     return -1;
 }
 
-static void lose_connection(exchange* each)
+/// libwebsockets starts its texts about a response that it can't read with this.
+static constexpr std::string_view unreadable_response = "HS:";
+
+static client_error error_of_text(const exchange& each, std::string_view text)
+{
+    if (!each.written)
+        return client_error::not_sent;
+    return text.starts_with(unreadable_response) ? client_error::malformed
+                                                 : client_error::connection_lost;
+}
+
+static void lose_connection(exchange* each, std::string_view text = {})
 {
     if (each == nullptr)
         return;
     client::state& self = *each->owner;
     each->connection = nullptr;
     const client_exchange id = each->id;
-    const client_error error = lost_or_not_sent(*each);
+    const client_error error = error_of_text(*each, text);
     // libwebsockets may report this inside `client::start`; the caller hears of it later.
     self.on.after(std::chrono::microseconds(0), [&self, id, error] {
         const auto found = self.exchanges.find(id);
@@ -323,8 +343,13 @@
         return receive_body(exchange_of(wsi), in, length);
     if (reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP)
         return complete(exchange_of(wsi));
-    if (reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR ||
-        reason == LWS_CALLBACK_CLOSED_CLIENT_HTTP || reason == LWS_CALLBACK_WSI_DESTROY) {
+    if (reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR) {
+        lose_connection(exchange_of(wsi),
+                        {static_cast<const char*>(in), in != nullptr ? length : 0});
+        lws_set_opaque_user_data(wsi, nullptr);
+        return 0;
+    }
+    if (reason == LWS_CALLBACK_CLOSED_CLIENT_HTTP || reason == LWS_CALLBACK_WSI_DESTROY) {
         lose_connection(exchange_of(wsi));
         lws_set_opaque_user_data(wsi, nullptr);
         return 0;
@@ -362,8 +387,10 @@
     this->self->ended = true;
     for (auto& [id, each] : this->self->exchanges) {
         this->self->on.cancel(each->idle_timer);
-        if (each->connection != nullptr)
-            lws_set_opaque_user_data(each->connection, nullptr);
+        if (each->connection == nullptr)
+            continue;
+        lws_set_opaque_user_data(each->connection, nullptr);
+        lws_set_timeout(each->connection, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_SYNC);
     }
     for (const pool_slot& slot : this->self->pool)
         lws_vhost_destroy(slot.vhost);
@@ -373,15 +400,16 @@
 }
 
 /// A free slot, if possible one with an open connection to that host.
-static std::optional<std::size_t> choose_slot(const client::state& self, const std::string& host)
+static std::optional<std::size_t> choose_slot(const client::state& self,
+                                              const std::string& upstream)
 {
     std::optional<std::size_t> any;
     for (std::size_t index = 0; index < self.pool.size(); ++index) {
         if (self.pool[index].busy)
             continue;
-        if (self.pool[index].host == host)
+        if (self.pool[index].upstream == upstream)
             return index;
-        if (!any || self.pool[index].host.empty())
+        if (!any || self.pool[index].upstream.empty())
             any = index;
     }
     return any;
@@ -394,7 +422,8 @@
     info.address = each.wanted.address.c_str();
     info.port = each.wanted.port;
     info.path = each.target.c_str();
-    info.host = each.host.c_str();
+    // A kept connection is found by its host, which has to be the bare address.
+    info.host = info.address;
     info.method = each.wanted.message.method.c_str();
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
     if (each.slot)
@@ -418,15 +447,15 @@
     each.owner = &pooled;
     each.wanted = std::move(request);
     each.handlers = std::move(handlers);
-    each.host = each.wanted.address + ":" + std::to_string(each.wanted.port);
+    each.upstream = each.wanted.address + ":" + std::to_string(each.wanted.port);
     each.target = each.wanted.message.path;
     if (!each.wanted.message.query.empty())
         each.target += "?" + each.wanted.message.query;
     if (!each.wanted.fresh_connection)
-        each.slot = choose_slot(pooled, each.host);
+        each.slot = choose_slot(pooled, each.upstream);
     if (each.slot) {
         pooled.pool[*each.slot].busy = true;
-        pooled.pool[*each.slot].host = each.host;
+        pooled.pool[*each.slot].upstream = each.upstream;
     }
     each.last_activity = pooled.on.now();
     pooled.exchanges.emplace(each.id, std::move(made));
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -19,7 +19,7 @@
 
 static std::string percent_decoded(std::string_view text)
 {
-    const std::string escaped(text);
+    std::string escaped(text);
     std::vector<char> plain(escaped.size() + 1);
     if (lws_urldecode(plain.data(), escaped.c_str(), static_cast<int>(plain.size())) < 0)
         return escaped;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -1,5 +1,6 @@
 #include "ragwortcove/http/server.hpp"
 
+#include "hangup_watch.hpp"
 #include "known_headers.hpp"
 #include "loop_state.hpp"
 
@@ -10,11 +11,13 @@
 #include <charconv>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
 namespace ragwortcove::http {
 
+static constexpr int status_bad_request = 400;
 static constexpr int status_payload_too_large = 413;
 static constexpr int status_length_required = 411;
 /// Idle time after which a kept connection is closed.
@@ -33,12 +36,16 @@
     request message;
     response_head head;
     std::string unsent;
+    /// The response to a HEAD request has no body.
+    bool head_only = false;
     bool delivered = false;
     bool refused = false;
     bool head_ready = false;
     bool head_written = false;
     bool finished = false;
     bool aborted = false;
+    /// Reading from the connection is paused.
+    bool paused = false;
 };
 
 } // namespace
@@ -52,6 +59,9 @@
     bool ended = false;
     server_exchange last_exchange = 0;
     std::map<server_exchange, exchange> exchanges;
+    /// Connections that have carried a request and are still open.
+    std::set<lws*> connections;
+    std::optional<hangup_watch> hangups;
 
     exchange* find(server_exchange id)
     {
@@ -105,11 +115,14 @@
     }
 }
 
-static std::uint64_t parse_length(std::optional<std::string_view> text)
+/// Nothing when the text is no number.
+static std::optional<std::uint64_t> parse_length(std::string_view text)
 {
     std::uint64_t length = 0;
-    if (text)
-        std::from_chars(text->data(), text->data() + text->size(), length);
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, length);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+        return std::nullopt;
     return length;
 }
 
@@ -118,8 +131,20 @@
     return static_cast<exchange*>(lws_get_opaque_user_data(wsi));
 }
 
+/// Pauses reading while there is nothing to write; see `hangup_watch`.
+static void pause_reading(exchange& each)
+{
+    each.paused = true;
+    lws_rx_flow_control(each.connection, 0);
+}
+
+/// libwebsockets writes nothing to a connection whose reading is paused.
 static void request_write(exchange& each)
 {
+    if (each.paused) {
+        each.paused = false;
+        lws_rx_flow_control(each.connection, 1);
+    }
     lws_callback_on_writable(each.connection);
 }
 
@@ -129,7 +154,11 @@
         return;
     each.delivered = true;
     lws_set_timeout(each.connection, NO_PENDING_TIMEOUT, 0);
-    self.requested(each.id, std::move(each.message));
+    const server_exchange id = each.id;
+    self.requested(id, std::move(each.message));
+    exchange* const still = self.find(id);
+    if (still != nullptr && !still->head_ready && !still->aborted)
+        pause_reading(*still);
 }
 
 static void refuse(exchange& each, int status)
@@ -143,11 +172,14 @@
 
 static int begin_exchange(server::state& self, lws* wsi)
 {
+    if (self.connections.insert(wsi).second)
+        self.hangups->add(wsi);
     const server_exchange id = ++self.last_exchange;
     exchange& each = self.exchanges[id];
     each.id = id;
     each.connection = wsi;
     each.message.method = read_method(wsi, each.message.path);
+    each.head_only = each.message.method == "HEAD";
     each.message.query = read_query(wsi);
     each.message.headers = read_headers(wsi);
     lws_set_opaque_user_data(wsi, &each);
@@ -155,16 +187,21 @@
         refuse(each, status_length_required);
         return 0;
     }
-    const std::uint64_t length = parse_length(find_header(each.message.headers, "content-length"));
-    if (length > self.settings.most_body_bytes) {
+    const auto length =
+        parse_length(find_header(each.message.headers, "content-length").value_or("0"));
+    if (!length) {
+        refuse(each, status_bad_request);
+        return 0;
+    }
+    if (*length > self.settings.most_body_bytes) {
         refuse(each, status_payload_too_large);
         return 0;
     }
-    if (length == 0) {
+    if (*length == 0) {
         deliver(self, each);
         return 0;
     }
-    each.message.body.reserve(length);
+    each.message.body.reserve(*length);
     return 0;
 }
 
@@ -178,7 +215,7 @@
 
 static bool has_no_body(const exchange& each)
 {
-    return each.message.method == "HEAD" || each.head.status == 204 || each.head.status == 304;
+    return each.head_only || each.head.status == 204 || each.head.status == 304;
 }
 
 static bool add_header(lws* wsi, const header& each, unsigned char** at, unsigned char* end)
@@ -271,6 +308,8 @@
         return -1;
     if (each->finished && each->unsent.empty())
         return end_exchange(self, *each);
+    if (each->unsent.empty())
+        pause_reading(*each);
     if (!each->unsent.empty())
         request_write(*each);
     return 0;
@@ -278,6 +317,7 @@
 
 static void close_exchange(server::state& self, lws* wsi)
 {
+    self.connections.erase(wsi);
     exchange* each = exchange_of(wsi);
     if (each == nullptr)
         return;
@@ -289,6 +329,12 @@
         self.closed(id);
 }
 
+static void end_hung_up(const server::state& self, lws* wsi)
+{
+    if (self.connections.count(wsi) != 0 && exchange_of(wsi) != nullptr)
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_SYNC);
+}
+
 static int handle_server_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
                                std::size_t length)
 {
@@ -317,8 +363,29 @@
     return lws_callback_http_dummy(wsi, reason, user, in, length);
 }
 
+static constexpr std::string_view unknown_method_answer =
+    "HTTP/1.1 501 Not Implemented\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// libwebsockets hands over connections whose first line it can't read, such as one with a method
+/// that it doesn't know.
+static int handle_unreadable_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
+{
+    if (reason == LWS_CALLBACK_RAW_RX || reason == LWS_CALLBACK_RAW_ADOPT) {
+        lws_callback_on_writable(wsi);
+        return 0;
+    }
+    if (reason != LWS_CALLBACK_RAW_WRITEABLE)
+        return 0;
+    std::string out(LWS_PRE, '\0');
+    out += unknown_method_answer;
+    lws_write(wsi, reinterpret_cast<unsigned char*>(out.data()) + LWS_PRE, out.size() - LWS_PRE,
+              LWS_WRITE_RAW);
+    return -1;
+}
+
 static const lws_protocols server_protocols[] = {
     {"http", handle_server_event, 0, 0, 0, nullptr, 0},
+    {"unreadable", handle_unreadable_event, 0, 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
@@ -331,21 +398,29 @@
     info.protocols = server_protocols;
     info.user = &self;
     info.keepalive_timeout = keep_alive_seconds;
-    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6 |
+                   LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
+    info.listen_accept_role = "raw-skt";
+    info.listen_accept_protocol = "unreadable";
     return lws_create_vhost(self.on.context(), &info);
 }
 
 server::server(loop& on, const server_settings& settings, request_handler requested,
                closed_handler closed)
-    : self(std::make_unique<state>(
-          state{on, settings, std::move(requested), std::move(closed), nullptr, false, 0, {}}))
+    : self(std::make_unique<state>(state{
+          on, settings, std::move(requested), std::move(closed), nullptr, false, 0, {}, {}, {}}))
 {
+    state* const own = this->self.get();
+    own->hangups.emplace(on, [own](lws* connection) { end_hung_up(*own, connection); });
     this->self->vhost = create_server_vhost(*this->self);
 }
 
 server::~server()
 {
     this->self->ended = true;
+    const std::set<lws*> connections = std::move(this->self->connections);
+    for (lws* const connection : connections)
+        lws_set_timeout(connection, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_SYNC);
     if (this->self->vhost != nullptr)
         lws_vhost_destroy(this->self->vhost);
     loop& on = this->self->on;
@@ -370,6 +445,8 @@
     if (each == nullptr || each->head_ready)
         return;
     each->head = std::move(head);
+    if (has_no_body(*each) && !each->head.content_length)
+        each->head.content_length = 0;
     each->head_ready = true;
     request_write(*each);
 }
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -5,7 +5,15 @@
 #include "ragwortcove/http/client.hpp"
 #include "ragwortcove/http/server.hpp"
 
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 namespace ragwortcove::http::test {
 
@@ -69,4 +77,146 @@
     return done();
 }
 
+inline sockaddr_in loopback_address(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/// A plain connected socket, for messages that no proper HTTP library would send.
+class raw_connection {
+public:
+    explicit raw_connection(int connected) : descriptor(connected)
+    {
+        const timeval limit{10, 0};
+        ::setsockopt(connected, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    ~raw_connection() { this->close(); }
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const ssize_t count =
+                ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0)
+                return;
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+
+    /// Reads until `end` has come or the other side closes.
+    [[nodiscard]] std::string receive_until(std::string_view end) const
+    {
+        std::string all;
+        char part[4096];
+        while (all.find(end) == std::string::npos) {
+            const ssize_t count = ::recv(this->descriptor, part, sizeof part, 0);
+            if (count <= 0)
+                return all;
+            all.append(part, static_cast<std::size_t>(count));
+        }
+        return all;
+    }
+
+    [[nodiscard]] std::string receive_all() const
+    {
+        std::string all;
+        char part[4096];
+        for (;;) {
+            const ssize_t count = ::recv(this->descriptor, part, sizeof part, 0);
+            if (count <= 0)
+                return all;
+            all.append(part, static_cast<std::size_t>(count));
+        }
+    }
+
+    void close()
+    {
+        if (this->descriptor >= 0)
+            ::close(this->descriptor);
+        this->descriptor = -1;
+    }
+
+private:
+    int descriptor;
+};
+
+/// Runs `talk` on a thread of its own with a connection to `port`; tells when it is done.
+class raw_client {
+public:
+    raw_client(std::uint16_t port, std::function<void(raw_connection&)> talk)
+        : worker([this, port, talk = std::move(talk)] {
+              const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+              const sockaddr_in address = loopback_address(port);
+              raw_connection connection(descriptor);
+              if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+                            sizeof address) == 0)
+                  talk(connection);
+              this->finished = true;
+          })
+    {
+    }
+    ~raw_client() { this->worker.join(); }
+    raw_client(const raw_client&) = delete;
+    raw_client& operator=(const raw_client&) = delete;
+
+    [[nodiscard]] bool done() const { return this->finished; }
+
+private:
+    std::atomic<bool> finished{false};
+    std::thread worker;
+};
+
+/// Accepts connections one after another and lets `talk` serve each until it returns.
+class raw_server {
+public:
+    explicit raw_server(std::function<void(raw_connection&)> talk)
+        : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = loopback_address(0);
+        socklen_t length = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        REQUIRE(::bind(this->descriptor, generic, length) == 0);
+        REQUIRE(::listen(this->descriptor, 16) == 0);
+        REQUIRE(::getsockname(this->descriptor, generic, &length) == 0);
+        this->own_port = ntohs(address.sin_port);
+        this->worker = std::thread([this, talk = std::move(talk)] {
+            for (;;) {
+                const int accepted = ::accept(this->descriptor, nullptr, nullptr);
+                if (accepted < 0)
+                    return;
+                ++this->accepted_count;
+                this->serving = accepted;
+                raw_connection connection(accepted);
+                talk(connection);
+                this->serving = -1;
+            }
+        });
+    }
+    ~raw_server()
+    {
+        ::shutdown(this->descriptor, SHUT_RDWR);
+        ::shutdown(this->serving, SHUT_RDWR);
+        this->worker.join();
+        ::close(this->descriptor);
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return this->own_port; }
+    [[nodiscard]] int accepted() const { return this->accepted_count; }
+
+private:
+    int descriptor;
+    std::uint16_t own_port = 0;
+    std::atomic<int> accepted_count{0};
+    std::atomic<int> serving{-1};
+    std::thread worker;
+};
+
 } // namespace ragwortcove::http::test
