--- a/include/ragwortcove/daemon/metrics.hpp
+++ b/include/ragwortcove/daemon/metrics.hpp
@@ -4,6 +4,7 @@
 
 #include "ragwortcove/core/effect.hpp"
 #include "ragwortcove/core/event.hpp"
+#include "ragwortcove/peer/transport.hpp"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -32,6 +33,9 @@
     std::uint32_t live_members = 0;
     bool ready = false;
     bool draining = false;
+    /// Traffic with other instances; none is shown when unset.
+    const peer::transport_counters* peers = nullptr;
+    std::uint32_t peer_streams = 0;
 };
 
 /// Counts what happens to callers' requests, attempts, peers and the platform.
--- a/include/ragwortcove/daemon/runtime.hpp
+++ b/include/ragwortcove/daemon/runtime.hpp
@@ -12,6 +12,7 @@
 #include "ragwortcove/http/client.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/server.hpp"
+#include "ragwortcove/peer/transport.hpp"
 #include "ragwortcove/platform/http_platform.hpp"
 
 #include <cstdint>
@@ -63,6 +64,7 @@
     upstream_client upstreams;
     upstream_reports reports;
     platform::http_platform platform;
+    peer::transport peers;
     std::deque<core::event> waiting_events;
     bool stepping = false;
     bool drain_asked = false;
--- a/lib/daemon/metrics.cpp
+++ b/lib/daemon/metrics.cpp
@@ -195,9 +195,43 @@
     render_gauge(page, "live_members", "Instances that this node knows to be live.",
                  gauges.live_members);
     render_gauge(page, "ready", "Whether this node serves requests.", gauges.ready ? 1 : 0);
+    render_gauge(page, "peer_streams", "Open streams to other instances.", gauges.peer_streams);
     render_gauge(page, "draining", "Whether this node is shutting down.", gauges.draining ? 1 : 0);
 }
 
+static void add_traffic(std::map<std::string, std::uint64_t>& messages,
+                        std::map<std::string, std::uint64_t>& bytes, std::string_view direction,
+                        const std::array<peer::traffic, peer::message_kinds>& by_kind)
+{
+    for (std::size_t index = 0; index < by_kind.size(); ++index) {
+        const std::string labels =
+            label("direction", direction) + "," + label("kind", peer::message_kind_name(index));
+        messages[labels] = by_kind[index].messages;
+        bytes[labels] = by_kind[index].bytes;
+    }
+}
+
+static void render_peers(std::string& page, const peer::transport_counters& counters)
+{
+    std::map<std::string, std::uint64_t> messages;
+    std::map<std::string, std::uint64_t> bytes;
+    add_traffic(messages, bytes, "sent", counters.sent);
+    add_traffic(messages, bytes, "received", counters.received);
+    render_counters(page, "peer_messages_total", "Messages between instances.", messages);
+    render_counters(page, "peer_message_bytes_total", "Bytes of messages between instances.",
+                    bytes);
+    render_counters(page, "peer_envelope_bytes_total",
+                    "Bytes on streams between instances, before framing.",
+                    {{label("direction", "sent"), counters.envelopes_sent.bytes},
+                     {label("direction", "received"), counters.envelopes_received.bytes}});
+    render_counter(page, "peer_streams_broken_total", "Streams between instances that broke.",
+                   counters.streams_broken);
+    render_counter(page, "peer_messages_dropped_total", "Messages that waited too long.",
+                   counters.messages_dropped);
+    render_counter(page, "peer_malformed_total", "Messages that could not be read.",
+                   counters.malformed);
+}
+
 std::string metrics::render(const metric_gauges& gauges) const
 {
     std::string page;
@@ -218,6 +252,8 @@
     render_summaries(page, "answer_seconds", "Time from a request to its answer's last byte.",
                      this->whole_answers);
     render_gauges(page, gauges);
+    if (gauges.peers != nullptr)
+        render_peers(page, *gauges.peers);
     return page;
 }
 
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -45,6 +45,17 @@
     return made;
 }
 
+static peer::transport_settings make_transport_settings(const daemon_settings& settings)
+{
+    peer::transport_settings made;
+    made.name = settings.node.name;
+    made.run = settings.node.run;
+    made.listen = settings.node.peers;
+    made.tls = {settings.peer_tls.certificate_file, settings.peer_tls.private_key_file,
+                settings.peer_tls.authority_file};
+    return made;
+}
+
 /// Carries out what a caller or an operator asks.
 struct runtime::call_visitor {
     runtime& self;
@@ -170,7 +181,7 @@
     }
     void operator()(const core::refuse_exchange& refused) { this->self.exchanges.refuse(refused); }
     void operator()(const core::cut_exchange& broken) { this->self.exchanges.cut(broken); }
-    void operator()(core::send_peer&& message) { (void)message; }
+    void operator()(core::send_peer&& message) { this->self.peers.send(std::move(message)); }
     void operator()(const core::call_platform& call)
     {
         this->self.figures.count_platform_call();
@@ -208,7 +219,9 @@
       reports(this->upstream_pool,
               [this](const core::event& happened) { this->dispatch(happened); }),
       platform(loop, make_platform_settings(from),
-               [this](core::event&& happened) { this->dispatch(happened); })
+               [this](core::event&& happened) { this->dispatch(happened); }),
+      peers(loop, make_transport_settings(from),
+            [this](core::event&& happened) { this->dispatch(happened); })
 {
     this->read_wall_clock();
     this->dispatch(core::tick{});
@@ -222,7 +235,7 @@
 
 bool runtime::listening() const
 {
-    return this->callers.listening();
+    return this->callers.listening() && this->peers.listening();
 }
 
 core::time_point runtime::now() const
@@ -389,6 +402,8 @@
 {
     metric_gauges gauges = make_gauges(this->status());
     gauges.open_attempts = static_cast<std::uint32_t>(this->upstreams.open_attempts());
+    gauges.peers = &this->peers.counters();
+    gauges.peer_streams = static_cast<std::uint32_t>(this->peers.open_streams());
     return gauges;
 }
 
