[core] a dispatch that may still be running is not repeated

The answer went silent, the resumption could not be sent, and the entry took that for proof that the engine was not running the request; it sent the request to a second engine while the first still ran it.

Change: that a resumption was not sent proves the end of the dispatch only when the engine had closed a connection of it before. A refused resumption proves nothing.

--- a/include/ragwortcove/core/open_request.hpp
+++ b/include/ragwortcove/core/open_request.hpp
@@ -40,6 +40,8 @@
     std::uint32_t resumes = 0;
     /// Whether an attempt to resume is what is open now.
     bool resuming = false;
+    /// Whether the upstream itself closed a connection that carried this dispatch.
+    bool closed_by_upstream = false;
 };
 
 struct open_request {
--- a/lib/core/entry_attempts.cpp
+++ b/lib/core/entry_attempts.cpp
@@ -193,20 +193,24 @@
 void entry::resume(open_request& request, upstream_failure failure, step_context& context)
 {
     context.effects.emplace_back(cancel_attempt{request.running->attempt});
-    (void)failure;
+    if (failure == upstream_failure::connection_lost)
+        request.running->closed_by_upstream = true;
     ++request.running->resumes;
     context.log(decision_kind::resumed, request.id, request.running->upstream.value);
     this->open(request, attempt_mode::resume, context);
 }
 
-// Whether the dispatch that was lost cannot be running any more. An engine that refuses
-// connections, does not know the request or has answered with an error is not running it. A silent
-// one may be.
-static bool is_over(upstream_failure failure, upstream_kind kind)
+// Whether the dispatch that was lost cannot be running any more. An engine that does not know the
+// request or has answered with an error is not running it. A silent one may be, and so may one that
+// could not be reached to resume: only when it had closed the connection itself and now takes none
+// has its process ended. That it refuses to resume says nothing of the dispatch before.
+static bool is_over(const running_attempt& running, upstream_failure failure, upstream_kind kind)
 {
     switch (failure) {
     case upstream_failure::not_sent:
+        return running.closed_by_upstream;
     case upstream_failure::refused:
+        return false;
     case upstream_failure::error_answer:
     case upstream_failure::unknown_request:
         return true;
@@ -227,8 +231,8 @@
         context.effects.emplace_back(cancel_attempt{request.running->attempt});
     this->release(request, silent ? attempt_outcome::silent : attempt_outcome::failed, context);
     request.avoid.push_back(request.running->upstream);
-    const bool may_repeat =
-        request.idempotent && !request.answer_begun() && is_over(failure, request.route.kind);
+    const bool may_repeat = request.idempotent && !request.answer_begun() &&
+                            is_over(*request.running, failure, request.route.kind);
     const refusal_reason reason =
         silent ? refusal_reason::upstream_silent : refusal_reason::upstream_failed;
     if (!may_repeat) {
--- a/unittests/core/node_test.cpp
+++ b/unittests/core/node_test.cpp
@@ -241,3 +241,31 @@
         CHECK(refused->answer.reason == refusal_reason::key_owner_gone);
     }
 }
+
+TEST_CASE("a dispatch that may still be running is not repeated")
+{
+    lone_node alone;
+    const open_attempt opened = alone.arrive(1, "chat", 400ms);
+    REQUIRE(opened.attempt.value != 0);
+
+    SUBCASE("a silent engine that cannot be reached to resume may be running it")
+    {
+        alone.step(upstream_failed{opened.attempt, upstream_failure::silent}, 3s);
+        const open_attempt* resumed = alone.last<open_attempt>();
+        REQUIRE(resumed != nullptr);
+        REQUIRE(resumed->mode == attempt_mode::resume);
+        alone.step(upstream_failed{resumed->attempt, upstream_failure::not_sent}, 4s);
+        const refuse_exchange* refused = alone.last<refuse_exchange>();
+        REQUIRE(refused != nullptr);
+        CHECK(refused->answer.outcome == verdict::may_have_run);
+    }
+    SUBCASE("one that closed the connection and takes none any more has ended")
+    {
+        alone.step(upstream_failed{opened.attempt, upstream_failure::connection_lost}, 3s);
+        const open_attempt* resumed = alone.last<open_attempt>();
+        REQUIRE(resumed != nullptr);
+        alone.step(upstream_failed{resumed->attempt, upstream_failure::not_sent}, 4s);
+        CHECK(alone.last<refuse_exchange>() == nullptr);
+        CHECK(alone.under_test.status(at(4s)).open_requests == 1);
+    }
+}
