[core] a key that may have been used elsewhere is not refused as not run

Change: while the question for the key is open, and where a request on another entry's ticket is refused before the question is asked, the verdict is may_have_run.

--- a/lib/core/entry.cpp
+++ b/lib/core/entry.cpp
@@ -40,13 +40,25 @@
     return {verdict::answered, refusal_reason::bad_request, 0s};
 }
 
+// A key on another entry's ticket may have been used there; only that entry knows.
+static bool may_be_used_elsewhere(const caller_request& call, const configuration& config,
+                                  incarnation self)
+{
+    if (!call.key || !call.key->on_ticket || call.key->on_ticket->minted_by == self)
+        return false;
+    const route_spec* route = config.find_route(call.route);
+    const bool idempotent = call.safe_method || (route != nullptr && route->idempotent);
+    return !idempotent;
+}
+
 void entry::arrive(const request_arrived& message, step_context& context)
 {
     assert(!this->requests.contains(message.exchange) && "an exchange carries one request");
     const request_id id{this->env.self.run, this->next_request++};
-    const refusal checked =
-        check(message.request, this->env.config, context.now >= this->refuse_from);
+    refusal checked = check(message.request, this->env.config, context.now >= this->refuse_from);
     if (checked.outcome == verdict::not_run) {
+        if (may_be_used_elsewhere(message.request, this->env.config, this->env.self.run))
+            checked.outcome = verdict::may_have_run;
         context.log(decision_kind::refused, id, message.request.route.value,
                     std::string(to_string(checked.reason)));
         context.effects.emplace_back(refuse_exchange{message.exchange, id, checked});
@@ -73,7 +85,10 @@
 void entry::refuse(open_request& request, refusal_reason reason, duration retry_after,
                    step_context& context)
 {
-    const verdict outcome = this->ledger.verdict_of(request.id);
+    // Until the entry that minted the key's ticket has answered, the key may have been used.
+    const bool key_unknown = request.phase == request_phase::asking_key;
+    const verdict outcome =
+        key_unknown ? verdict::may_have_run : this->ledger.verdict_of(request.id);
     const refusal answer{outcome, reason, retry_after};
     if (request.answer_begun()) {
         context.log(decision_kind::cut, request.id, request.call.route.value,
--- a/unittests/core/node_test.cpp
+++ b/unittests/core/node_test.cpp
@@ -269,3 +269,29 @@
         CHECK(alone.under_test.status(at(4s)).open_requests == 1);
     }
 }
+
+TEST_CASE("a key that may have been used at another entry is never refused as not run")
+{
+    lone_node alone;
+    alone.step(drain_requested{}, 400ms);
+    const auto refuse_with_ticket_of = [&](incarnation minted_by) {
+        const ticket proof{{"127.0.0.1", 8001}, minted_by, 1};
+        caller_request request;
+        request.route = route_name{"admission"};
+        request.key = parse_idempotency_key(format_ticket(proof) + ".payment");
+        alone.step(request_arrived{exchange_id{minted_by.value}, request}, 1h);
+        const refuse_exchange* refused = alone.last<refuse_exchange>();
+        REQUIRE(refused != nullptr);
+        CHECK(refused->answer.reason == refusal_reason::shutting_down);
+        return refused->answer.outcome;
+    };
+
+    SUBCASE("on its own ticket the leaving entry knows that nothing ran")
+    {
+        CHECK(refuse_with_ticket_of(alone.settings.run) == verdict::not_run);
+    }
+    SUBCASE("on another's ticket it does not know")
+    {
+        CHECK(refuse_with_ticket_of(incarnation{7}) == verdict::may_have_run);
+    }
+}
