--- a/lib/bench/ledger.cpp
+++ b/lib/bench/ledger.cpp
@@ -27,8 +27,7 @@
 void ledger::started(call_record& call, const call_start& start, bool live_elsewhere,
                      time_point now)
 {
-    const auto same_try = [&](const call_start& other) { return other.from == start.from; };
-    if (live_elsewhere && std::any_of(call.starts.begin(), call.starts.end(), same_try)) {
+    if (live_elsewhere) {
         this->break_promise(promise::dispatched_once, now,
                             name_of(call) + " started while live on another upstream");
     }
--- a/lib/bench/upstream_process.cpp
+++ b/lib/bench/upstream_process.cpp
@@ -68,8 +68,8 @@
     const call_start start{{made.request.entry, made.exchange}, made.request, upstream.index};
     bool live_elsewhere = false;
     for (const call_start& earlier : call.starts) {
-        live_elsewhere =
-            live_elsewhere || this->live_on(this->upstreams[earlier.upstream], earlier.request);
+        const bool lives = this->live_on(this->upstreams[earlier.upstream], earlier.request);
+        live_elsewhere = live_elsewhere || (earlier.from == start.from && lives);
     }
     const auto count_starts = [&] {
         return std::visit(
