--- a/include/ragwortcove/core/object_fields.hpp
+++ b/include/ragwortcove/core/object_fields.hpp
@@ -41,4 +41,8 @@
 [[nodiscard]] std::optional<duration> parse_duration(std::string_view text);
 [[nodiscard]] std::string format_duration(duration value);
 
+/// Reads an IP address and port: `10.0.0.7:8000`, `[::1]:8000`.
+[[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
+[[nodiscard]] std::string format_endpoint(const endpoint& value);
+
 } // namespace ragwortcove::core
--- a/lib/core/field_value.cpp
+++ b/lib/core/field_value.cpp
@@ -116,6 +116,14 @@
            value.port != 0;
 }
 
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    endpoint value;
+    if (!read_value(text, value))
+        return std::nullopt;
+    return value;
+}
+
 /// Reads `count` digits at the front of a text and takes them off it.
 static std::optional<int> take_digits(std::string_view& text, std::size_t count)
 {
@@ -222,6 +230,11 @@
 }
 
 std::string write_value(const endpoint& value)
+{
+    return format_endpoint(value);
+}
+
+std::string format_endpoint(const endpoint& value)
 {
     const bool is_ipv6 = value.address.find(':') != std::string::npos;
     const auto host = is_ipv6 ? "[" + value.address + "]" : value.address;
