--- a/include/ragwortcove/daemon/daemon_settings.hpp
+++ b/include/ragwortcove/daemon/daemon_settings.hpp
@@ -51,8 +51,5 @@
 
 [[nodiscard]] settings_outcome read_daemon_settings(const settings::ini_document& document);
 [[nodiscard]] settings_outcome load_daemon_settings(const std::string& path);
-/// Reads `192.0.2.1:80` or `[2001:db8::1]:80`.
-[[nodiscard]] std::optional<core::endpoint> parse_endpoint(std::string_view text);
-[[nodiscard]] std::string format_endpoint(const core::endpoint& value);
 
 } // namespace ragwortcove::daemon
--- a/lib/daemon/caller_exchanges.cpp
+++ b/lib/daemon/caller_exchanges.cpp
@@ -1,5 +1,6 @@
 #include "ragwortcove/daemon/caller_exchanges.hpp"
 
+#include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/core/request.hpp"
 #include "ragwortcove/daemon/daemon_settings.hpp"
 
--- a/lib/daemon/daemon_settings.cpp
+++ b/lib/daemon/daemon_settings.cpp
@@ -3,7 +3,6 @@
 #include "ragwortcove/core/object_fields.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -37,13 +36,6 @@
 static constexpr std::string_view expected_endpoint =
     "an IP address and a port, such as 192.0.2.1:8080";
 
-static bool is_ip_address(const std::string& text)
-{
-    std::array<unsigned char, sizeof(in6_addr)> parsed{};
-    return inet_pton(AF_INET, text.c_str(), parsed.data()) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), parsed.data()) == 1;
-}
-
 template <class Number> static bool read_number(std::string_view text, Number& into)
 {
     const char* end = text.data() + text.size();
@@ -51,30 +43,6 @@
     return read.ec == std::errc{} && read.ptr == end;
 }
 
-std::optional<core::endpoint> parse_endpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    core::endpoint parsed;
-    std::string_view address = text.substr(0, colon);
-    if (address.starts_with('[') && address.ends_with(']'))
-        address = address.substr(1, address.size() - 2);
-    parsed.address = std::string{address};
-    if (!is_ip_address(parsed.address))
-        return std::nullopt;
-    if (!read_number(text.substr(colon + 1), parsed.port) || parsed.port == 0)
-        return std::nullopt;
-    return parsed;
-}
-
-std::string format_endpoint(const core::endpoint& value)
-{
-    const bool is_ipv6 = value.address.find(':') != std::string::npos;
-    const std::string address = is_ipv6 ? "[" + value.address + "]" : value.address;
-    return address + ":" + std::to_string(value.port);
-}
-
 static bool store_name(std::string_view text, std::string& into)
 {
     static constexpr std::size_t longest_name = 63;
@@ -95,7 +63,7 @@
 
 static bool store_endpoint(std::string_view text, core::endpoint& into)
 {
-    const std::optional<core::endpoint> parsed = parse_endpoint(text);
+    const std::optional<core::endpoint> parsed = core::parse_endpoint(text);
     if (!parsed)
         return false;
     into = *parsed;
@@ -115,7 +83,8 @@
 {
     while (!text.empty()) {
         const std::size_t comma = std::min(text.find(','), text.size());
-        const std::optional<core::endpoint> parsed = parse_endpoint(trim(text.substr(0, comma)));
+        const std::optional<core::endpoint> parsed =
+            core::parse_endpoint(trim(text.substr(0, comma)));
         if (!parsed)
             return false;
         into.push_back(*parsed);
--- a/lib/daemon/process.cpp
+++ b/lib/daemon/process.cpp
@@ -1,5 +1,6 @@
 #include "ragwortcove/daemon/process.hpp"
 
+#include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/daemon/operator_access.hpp"
 #include "ragwortcove/daemon/runtime.hpp"
--- a/unittests/daemon/daemon_settings_test.cpp
+++ b/unittests/daemon/daemon_settings_test.cpp
@@ -1,3 +1,4 @@
+#include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/daemon/daemon_settings.hpp"
 
 #include <doctest/doctest.h>
