[http] TLS with optional client certificates, renewed without a restart

Cause: callers and operators are to be served over TLS, operators known by the common name of their certificate. Change: server and client take certificates and authorities from their settings; reload_tls() takes a renewed pair, after a trial, for new connections. The result of OpenSSL's check of a client's certificate is heeded in the server's own callback: libwebsockets accepts any certificate there by default, which a test with another authority showed. Conclusion: tests with certificates made at test time pass, also under the sanitizers.

--- a/include/ragwortcove/http/server.hpp
+++ b/include/ragwortcove/http/server.hpp
@@ -55,6 +55,9 @@
     /// Answers with a whole body at once.
     void respond(server_exchange exchange, int status, std::string_view content_type,
                  std::string_view body, std::vector<header> headers = {});
+    /// Reads the files of the certificate again, for new connections; false leaves the old ones in
+    /// force.
+    [[nodiscard]] bool reload_tls();
     /// Closes the connection without a proper end, so that the client sees a cut answer.
     void abort(server_exchange exchange);
     /// Bytes waiting to be written to the client.
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -362,6 +362,20 @@
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
+static const char* path_or_null(const std::string& path)
+{
+    return path.empty() ? nullptr : path.c_str();
+}
+
+static void set_tls(lws_context_creation_info& info, const client_settings& settings)
+{
+    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    info.client_ssl_ca_filepath = path_or_null(settings.authority_file);
+    info.client_ssl_cert_filepath = path_or_null(settings.certificate_file);
+    info.client_ssl_private_key_filepath = path_or_null(settings.private_key_file);
+    info.alpn = "http/1.1";
+}
+
 static lws_vhost* create_client_vhost(client::state& self, const std::string& name)
 {
     lws_context_creation_info info{};
@@ -369,6 +383,9 @@
     info.vhost_name = name.c_str();
     info.protocols = client_protocols;
     info.user = &self;
+    info.options = LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
+    if (self.settings.tls)
+        set_tls(info, self.settings);
     return lws_create_vhost(self.on.context(), &info);
 }
 
@@ -428,6 +445,8 @@
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
     if (each.slot)
         info.ssl_connection |= LCCSCF_PIPELINE;
+    if (self.settings.tls)
+        info.ssl_connection |= LCCSCF_USE_SSL;
     // Without it libwebsockets drops the body of the response unseen.
     info.local_protocol_name = client_protocols[0].name;
     info.vhost = each.slot ? self.pool[*each.slot].vhost : self.single_vhost;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -5,6 +5,7 @@
 #include "loop_state.hpp"
 
 #include <libwebsockets.h>
+#include <openssl/ssl.h>
 
 #include <array>
 #include <cassert>
@@ -62,6 +63,8 @@
     /// Connections that have carried a request and are still open.
     std::set<lws*> connections;
     std::optional<hangup_watch> hangups;
+    /// OpenSSL's settings for new connections; null without TLS.
+    SSL_CTX* tls_context = nullptr;
 
     exchange* find(server_exchange id)
     {
@@ -170,6 +173,20 @@
     request_write(each);
 }
 
+/// Subject common name of the client's certificate, if it showed one.
+static std::string read_peer_name(lws* wsi)
+{
+    union {
+        lws_tls_cert_info_results results;
+        std::array<char, 512> room;
+    } info{};
+    const std::size_t most = sizeof info - sizeof info.results + sizeof info.results.ns.name;
+    if (!lws_is_ssl(wsi) ||
+        lws_tls_peer_cert_info(wsi, LWS_TLS_CERT_INFO_COMMON_NAME, &info.results, most) != 0)
+        return {};
+    return {info.results.ns.name, static_cast<std::size_t>(info.results.ns.len)};
+}
+
 static int begin_exchange(server::state& self, lws* wsi)
 {
     if (self.connections.insert(wsi).second)
@@ -179,6 +196,7 @@
     each.id = id;
     each.connection = wsi;
     each.message.method = read_method(wsi, each.message.path);
+    each.message.peer_common_name = read_peer_name(wsi);
     each.head_only = each.message.method == "HEAD";
     each.message.query = read_query(wsi);
     each.message.headers = read_headers(wsi);
@@ -338,10 +356,17 @@
 static int handle_server_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
                                std::size_t length)
 {
+    // OpenSSL's own result of the check comes as the length; libwebsockets would not heed it.
+    if (reason == LWS_CALLBACK_OPENSSL_PERFORM_CLIENT_CERT_VERIFICATION)
+        return length == 0 ? -1 : 0;
     lws_vhost* vhost = wsi != nullptr ? lws_get_vhost(wsi) : nullptr;
     auto* self = vhost != nullptr ? static_cast<server::state*>(lws_vhost_user(vhost)) : nullptr;
     if (self == nullptr)
         return 0;
+    if (reason == LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS) {
+        self->tls_context = static_cast<SSL_CTX*>(user);
+        return 0;
+    }
     if (reason == LWS_CALLBACK_HTTP)
         return self->ended ? -1 : begin_exchange(*self, wsi);
     if (reason == LWS_CALLBACK_HTTP_BODY)
@@ -383,6 +408,21 @@
     return -1;
 }
 
+/// Has libwebsockets ask for certificates that this server's own authority has signed; a client may
+/// come without one.
+static void set_tls(lws_context_creation_info& info, const tls_settings& tls)
+{
+    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    info.ssl_cert_filepath = tls.certificate_file.c_str();
+    info.ssl_private_key_filepath = tls.private_key_file.c_str();
+    info.alpn = "http/1.1";
+    if (tls.client_authority_file.empty())
+        return;
+    info.ssl_ca_filepath = tls.client_authority_file.c_str();
+    info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT |
+                    LWS_SERVER_OPTION_PEER_CERT_NOT_REQUIRED;
+}
+
 static const lws_protocols server_protocols[] = {
     {"http", handle_server_event, 0, 0, 0, nullptr, 0},
     {"unreadable", handle_unreadable_event, 0, 0, 0, nullptr, 0},
@@ -402,13 +442,24 @@
                    LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
     info.listen_accept_role = "raw-skt";
     info.listen_accept_protocol = "unreadable";
+    if (self.settings.tls.enabled())
+        set_tls(info, self.settings.tls);
     return lws_create_vhost(self.on.context(), &info);
 }
 
 server::server(loop& on, const server_settings& settings, request_handler requested,
                closed_handler closed)
-    : self(std::make_unique<state>(state{
-          on, settings, std::move(requested), std::move(closed), nullptr, false, 0, {}, {}, {}}))
+    : self(std::make_unique<state>(state{on,
+                                         settings,
+                                         std::move(requested),
+                                         std::move(closed),
+                                         nullptr,
+                                         false,
+                                         0,
+                                         {},
+                                         {},
+                                         {},
+                                         nullptr}))
 {
     state* const own = this->self.get();
     own->hangups.emplace(on, [own](lws* connection) { end_hung_up(*own, connection); });
@@ -439,6 +490,24 @@
     return static_cast<std::uint16_t>(lws_get_vhost_listen_port(this->self->vhost));
 }
 
+static bool load_certificate(SSL_CTX* into, const tls_settings& tls)
+{
+    return SSL_CTX_use_certificate_chain_file(into, tls.certificate_file.c_str()) == 1 &&
+           SSL_CTX_use_PrivateKey_file(into, tls.private_key_file.c_str(), SSL_FILETYPE_PEM) == 1 &&
+           SSL_CTX_check_private_key(into) == 1;
+}
+
+bool server::reload_tls()
+{
+    // A trial first: a certificate without its key would leave the server with neither pair.
+    const std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> trial(SSL_CTX_new(TLS_server_method()),
+                                                                  SSL_CTX_free);
+    const tls_settings& tls = this->self->settings.tls;
+    if (this->self->tls_context == nullptr || !load_certificate(trial.get(), tls))
+        return false;
+    return load_certificate(this->self->tls_context, tls);
+}
+
 void server::start_response(server_exchange exchange, response_head&& head)
 {
     auto* each = this->self->find(exchange);
