[load] open-loop load over real sockets

Cause: what callers see is to be measured on real processes, with the time that a late sender loses counted in.

--- a/tools/ragwortcove-bench/commands.hpp
+++ b/tools/ragwortcove-bench/commands.hpp
@@ -10,5 +10,6 @@
 /// Each takes its arguments with its own name first, and gives the exit code.
 int run_experiment_command(std::vector<std::string> arguments);
 int run_faults_command(std::vector<std::string> arguments);
+int run_load_command(std::vector<std::string> arguments);
 
 } // namespace ragwortcove::bench
--- a/tools/ragwortcove-bench/main.cpp
+++ b/tools/ragwortcove-bench/main.cpp
@@ -22,6 +22,7 @@
             bench::run_experiment_command},
     command{"faults", "checks the promises under seeded fault schedules",
             bench::run_faults_command},
+    command{"load", "sends open-loop load over real sockets", bench::run_load_command},
 };
 
 static void print_usage(std::ostream& out)
