[daemon] the parts of a chunk that do not change are written once

Each token of a stream cost a JSON object for its chunk and heap memory to read the engine's; the head is now written once a stream, and chunks are read into a buffer on the stack.

--- a/include/ragwortcove/daemon/caller_exchanges.hpp
+++ b/include/ragwortcove/daemon/caller_exchanges.hpp
@@ -23,7 +23,8 @@
     std::uint32_t completion_tokens = 0;
     /// Text so far of an answer that is not streamed.
     std::string content;
-    bool headed = false;
+    /// Set with the head of a streamed answer.
+    std::optional<chat_chunk_writer> chunks;
 };
 
 /// A plain service's answer on its way to a caller.
@@ -90,8 +91,10 @@
     [[nodiscard]] std::string next_local_request_id();
     [[nodiscard]] std::string request_text(const caller_exchange& exchange);
     void write_problem(core::exchange_id id, const problem& value, std::string_view request_id);
-    void write_chat_tokens(core::exchange_id id, caller_exchange& exchange, chat_reply& reply,
+    void write_chat_tokens(core::exchange_id id, const caller_exchange& exchange, chat_reply& reply,
                            std::string_view text);
+    void start_chat_stream(core::exchange_id id, const caller_exchange& exchange,
+                           chat_reply& reply);
     void write_chat_end(core::exchange_id id, caller_exchange& exchange, chat_reply& reply,
                         const engine_answer& answer);
 
--- a/include/ragwortcove/daemon/chat.hpp
+++ b/include/ragwortcove/daemon/chat.hpp
@@ -65,7 +65,18 @@
     std::string_view finish_reason;
 };
 
-[[nodiscard]] std::string render_chat_chunk(const chat_answer_head& head, std::string_view content);
+/// Writes an answer's chunks; what is the same in all of them is written once.
+class chat_chunk_writer {
+public:
+    explicit chat_chunk_writer(const chat_answer_head& head);
+    [[nodiscard]] std::string write(std::string_view content) const;
+
+private:
+    /// Text before and after the content.
+    std::string before;
+    std::string after;
+};
+
 [[nodiscard]] std::string render_chat_end(const chat_answer_head& head, const chat_answer_end& end);
 [[nodiscard]] std::string render_chat_answer(const chat_answer_head& head, std::string_view content,
                                              const chat_answer_end& end);
--- a/lib/daemon/caller_exchanges.cpp
+++ b/lib/daemon/caller_exchanges.cpp
@@ -104,24 +104,28 @@
     return {request_id, reply.model, exchange.arrived_at};
 }
 
-void caller_exchanges::write_chat_tokens(core::exchange_id id, caller_exchange& exchange,
+void caller_exchanges::write_chat_tokens(core::exchange_id id, const caller_exchange& exchange,
                                          chat_reply& reply, std::string_view text)
 {
     if (!reply.stream) {
         reply.content += text;
         return;
     }
+    if (!reply.chunks)
+        this->start_chat_stream(id, exchange, reply);
+    this->server.write(id.value, http::format_event(reply.chunks->write(text)));
+}
+
+void caller_exchanges::start_chat_stream(core::exchange_id id, const caller_exchange& exchange,
+                                         chat_reply& reply)
+{
     const std::string request_id = this->request_text(exchange);
-    if (!reply.headed) {
-        reply.headed = true;
-        http::response_head head;
-        head.headers = {{"content-type", std::string{event_stream_content_type}},
-                        {"cache-control", "no-store"},
-                        {"x-request-id", request_id}};
-        this->server.start_response(id.value, std::move(head));
-    }
-    const chat_answer_head head = make_head(exchange, reply, request_id);
-    this->server.write(id.value, http::format_event(render_chat_chunk(head, text)));
+    http::response_head head;
+    head.headers = {{"content-type", std::string{event_stream_content_type}},
+                    {"cache-control", "no-store"},
+                    {"x-request-id", request_id}};
+    this->server.start_response(id.value, std::move(head));
+    reply.chunks.emplace(make_head(exchange, reply, request_id));
 }
 
 /// Drops the first `skip` tokens; nothing when a piece would have to be split.
@@ -193,8 +197,8 @@
         return;
     }
     // An answer without tokens still needs its head.
-    if (!reply.headed)
-        this->write_chat_tokens(id, exchange, reply, {});
+    if (!reply.chunks)
+        this->start_chat_stream(id, exchange, reply);
     this->server.write(id.value, http::format_event(render_chat_end(head, end)));
     this->server.write(id.value, http::format_event(http::stream_end_marker));
     this->server.finish(id.value);
@@ -258,7 +262,7 @@
     const problem value = make_problem(broken.answer);
     const std::string request_id = this->request_text(*exchange);
     const auto* reply = std::get_if<chat_reply>(&exchange->reply);
-    if (reply == nullptr || !reply->headed) {
+    if (reply == nullptr || !reply->chunks) {
         this->write_problem(broken.exchange, value, request_id);
         this->close(broken.exchange);
         return;
--- a/lib/daemon/chat.cpp
+++ b/lib/daemon/chat.cpp
@@ -4,12 +4,15 @@
 
 #include <boost/json.hpp>
 
+#include <array>
+
 namespace ragwortcove::daemon {
 
 namespace json = boost::json;
 
 /// Most output tokens that a caller may ask for.
 static constexpr std::int64_t most_output_tokens = 1'000'000;
+static constexpr std::size_t chunk_buffer_bytes = 4096;
 
 /// Reads the text of a message's content: a string, or parts of which some are text.
 static std::optional<std::string> read_content(const json::value& content)
@@ -165,8 +168,11 @@
 
 std::optional<chat_chunk> parse_chat_chunk(std::string_view data)
 {
+    // A chunk comes for each token, so its parts go into a buffer on the stack where they fit.
+    std::array<unsigned char, chunk_buffer_bytes> buffer; // NOLINT: filled as it is needed
+    json::monotonic_resource memory{buffer.data(), buffer.size()};
     boost::system::error_code failed;
-    const json::value parsed = json::parse(data, failed);
+    const json::value parsed = json::parse(data, failed, &memory);
     if (failed || !parsed.is_object())
         return std::nullopt;
     const json::object& body = parsed.get_object();
@@ -211,15 +217,24 @@
     return finish_reason.empty() ? "stop" : finish_reason;
 }
 
-std::string render_chat_chunk(const chat_answer_head& head, std::string_view content)
+chat_chunk_writer::chat_chunk_writer(const chat_answer_head& head)
 {
     json::object choice;
     choice["index"] = 0;
-    choice["delta"] = json::object{{"content", content}};
+    choice["delta"] = json::object{{"content", ""}};
     choice["finish_reason"] = nullptr;
     json::object body = render_head(head, "chat.completion.chunk");
     body["choices"] = json::array{std::move(choice)};
-    return json::serialize(body);
+    const std::string whole = json::serialize(body);
+    static constexpr std::string_view empty_content = "{\"content\":\"\"}";
+    const std::size_t content = whole.rfind(empty_content) + empty_content.find("\"\"");
+    this->before = whole.substr(0, content);
+    this->after = whole.substr(content + 2);
+}
+
+std::string chat_chunk_writer::write(std::string_view content) const
+{
+    return this->before + json::serialize(content) + this->after;
 }
 
 std::string render_chat_end(const chat_answer_head& head, const chat_answer_end& end)
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -14,7 +14,8 @@
                     "an address takes connections", "none"},
     log_event_entry{log_event::listen_failed, "listen_failed", log_level::error,
                     "an address of the settings cannot be listened on; the daemon ends",
-                    "free the port or correct `[node] callers` or `[node] peers`"},
+                    "free the port, or correct `[node] callers`, `[node] peers` or an embedded "
+                    "`[platform] address`"},
     log_event_entry{log_event::drain_started, "drain_started", log_level::info,
                     "a graceful shutdown was asked for; no new caller is sent here", "none"},
     log_event_entry{log_event::drain_finished, "drain_finished", log_level::info,
--- a/unittests/daemon/chat_test.cpp
+++ b/unittests/daemon/chat_test.cpp
@@ -106,6 +106,6 @@
     CHECK(answer.at_pointer("/choices/0/message/content").as_string() == "a \"b\"");
     CHECK(answer.at_pointer("/choices/0/finish_reason").as_string() == "stop");
     CHECK(answer.at_pointer("/usage/total_tokens").as_int64() == 12);
-    const auto chunk = parse_chat_chunk(render_chat_chunk(head, "a \"b\""));
+    const auto chunk = parse_chat_chunk(chat_chunk_writer{head}.write("a \"b\""));
     CHECK(chunk->content == "a \"b\"");
 }
