[core] a service's calls of unlike length no longer shrink its limit to one

Seen: through three daemons, a stand-in service that does 2463 calls a second directly with 16 callers did 154, with one call in flight at a time. Cause: the limit held each call against the quickest call ever seen, and calls of one service differ five times in length. The unloaded time is now the mean at the lightest load seen, and the limit waits for a few samples.

--- a/include/ragwortcove/core/adaptive_limit.hpp
+++ b/include/ragwortcove/core/adaptive_limit.hpp
@@ -24,10 +24,20 @@
     [[nodiscard]] duration smoothed() const;
 
 private:
+    void learn_unloaded(double time, std::uint32_t in_flight);
+    /// Whether enough has been seen to move the limit.
+    [[nodiscard]] bool has_settled() const;
+
     double most;
     double limit;
     double unloaded_us = 0.0;
     double smoothed_us = 0.0;
+    /// Smoothed over many more samples than `smoothed_us`.
+    double slow_us = 0.0;
+    std::uint64_t samples = 0;
+    /// Load, in requests side by side, up to which a sample counts as unloaded.
+    std::uint32_t reference_load = 0;
+    std::uint64_t reference_samples = 0;
 };
 
 } // namespace ragwortcove::core
--- a/lib/core/adaptive_limit.cpp
+++ b/lib/core/adaptive_limit.cpp
@@ -6,10 +6,17 @@
 
 /// Share of a new sample in the smoothed time.
 static constexpr double smoothing = 0.2;
+/// Share of a new sample in the slow and the unloaded time, once there are many.
+static constexpr double slow_smoothing = 0.02;
+/// Samples after which the slow time is a mean that can be relied on.
+static constexpr std::uint64_t settled_samples = 50;
+/// Samples at the reference load, or else in all, that are waited for before the limit moves.
+static constexpr std::uint64_t least_reference_samples = 10;
+static constexpr std::uint64_t least_samples = 20;
+/// Samples that the unloaded time counts for when a lower reference load is found.
+static constexpr std::uint64_t carried_samples = 4;
 /// Times the unloaded time that a loaded unit may take before the limit shrinks.
 static constexpr double tolerance = 2.0;
-/// Drift of the unloaded time towards slower samples, so that one quick answer does not rule.
-static constexpr double unloaded_drift = 0.002;
 static constexpr double smallest_limit = 1.0;
 /// Share of the limit that one sample over the tolerance takes away, at most.
 static constexpr double largest_decrease = 0.05;
@@ -25,20 +32,49 @@
     this->limit = std::min(this->limit, this->most);
 }
 
+static double share_of(std::uint64_t sample_number)
+{
+    return std::max(1.0 / static_cast<double>(sample_number), slow_smoothing);
+}
+
+// The unloaded time is a mean, not the quickest answer: the calls of one service differ several
+// times in length, and held against its quickest one the service looks loaded when it is alone. It
+// is the mean at the lightest load seen, so that it does not rise while the upstream is busy; a
+// limit that has shrunk too far brings a lighter load about and is corrected by it.
+void adaptive_limit::learn_unloaded(double time, std::uint32_t in_flight)
+{
+    ++this->samples;
+    this->slow_us += share_of(this->samples) * (time - this->slow_us);
+    if (in_flight * 2 <= this->reference_load) {
+        this->reference_load = in_flight;
+        this->reference_samples = std::min(this->reference_samples, carried_samples);
+    }
+    if (in_flight <= this->reference_load) {
+        ++this->reference_samples;
+        this->unloaded_us += share_of(this->reference_samples) * (time - this->unloaded_us);
+    }
+    if (this->samples >= settled_samples)
+        this->unloaded_us = std::min(this->unloaded_us, this->slow_us);
+}
+
+bool adaptive_limit::has_settled() const
+{
+    return this->reference_samples >= least_reference_samples || this->samples >= least_samples;
+}
+
 void adaptive_limit::sample(duration unit_time, std::uint32_t in_flight)
 {
     const auto time = static_cast<double>(unit_time.count());
     if (time <= 0.0)
         return;
-    if (this->unloaded_us == 0.0) {
-        this->unloaded_us = time;
+    if (this->samples == 0) {
         this->smoothed_us = time;
-        return;
+        this->reference_load = std::max<std::uint32_t>(in_flight, 1);
     }
     this->smoothed_us += smoothing * (time - this->smoothed_us);
-    this->unloaded_us = time < this->unloaded_us
-                            ? time
-                            : this->unloaded_us + unloaded_drift * (time - this->unloaded_us);
+    this->learn_unloaded(time, in_flight);
+    if (!this->has_settled())
+        return;
     const double gradient = tolerance * this->unloaded_us / this->smoothed_us;
     if (gradient < 1.0) {
         this->limit *= std::max(gradient, 1.0 - largest_decrease);
--- a/lib/core/placement_owner.cpp
+++ b/lib/core/placement_owner.cpp
@@ -281,8 +281,9 @@
     switch (release.outcome) {
     case attempt_outcome::completed: {
         engine.rates.learn(release);
-        const duration unit =
-            release.between_tokens.count() > 0 ? release.between_tokens : release.first_token_after;
+        // An engine's first token waits for its prompt, so it says nothing of a token's time.
+        const bool is_engine = engine.info.spec.kind == upstream_kind::engine;
+        const duration unit = is_engine ? release.between_tokens : release.first_token_after;
         engine.limit.sample(unit, in_flight);
         log_health(engine, engine.health.succeeded(), context);
         return;
