[core] a key's right is given away by the incarnation that minted its ticket alone

Cause: entry::key_asked handed over any key that its registry did not know. A restarted entry is still asked by tickets of its predecessor, and knows nothing of what that one dispatched, so that a key could run twice. Change: the ticket must be of this incarnation and young enough to be remembered; otherwise the answer is 'used'.

--- a/lib/core/entry_keys.cpp
+++ b/lib/core/entry_keys.cpp
@@ -111,11 +111,21 @@
     this->place(request, context);
 }
 
+// A restarted entry is asked by callers' tickets of its predecessor until all have heard of the
+// restart. It knows nothing of what its predecessor dispatched, so that it has no right to give.
+static bool has_right(const std::string& key, incarnation self, unix_millis wall)
+{
+    const idempotency_key parsed = parse_idempotency_key(key);
+    return parsed.on_ticket && parsed.on_ticket->minted_by == self &&
+           !is_too_old(*parsed.on_ticket, wall);
+}
+
 void entry::key_asked(const node_name& from, incarnation run, const key_ask& message,
                       step_context& context)
 {
     const key_standing before = this->keys.standing(message.key);
-    if (this->keys.hand_over(message.key, run, context.now)) {
+    if (has_right(message.key, this->env.self.run, context.wall) &&
+        this->keys.hand_over(message.key, run, context.now)) {
         context.send(from, key_answer{message.request, key_state::handed_over});
         return;
     }
--- a/unittests/core/node_test.cpp
+++ b/unittests/core/node_test.cpp
@@ -295,3 +295,34 @@
         CHECK(refuse_with_ticket_of(incarnation{7}) == verdict::may_have_run);
     }
 }
+
+TEST_CASE("the right of a key is given away by the incarnation that minted its ticket alone")
+{
+    lone_node alone;
+    const node_name asker{"entry-2"};
+    const auto ask = [&](const ticket& on, const char* name, std::uint64_t sequence) {
+        const key_ask message{{incarnation{50}, sequence}, format_ticket(on) + name};
+        alone.step(peer_received{asker, incarnation{50}, message}, 400ms);
+        const send_peer* sent = alone.last<send_peer>();
+        REQUIRE(sent != nullptr);
+        return std::get<key_answer>(sent->message).state;
+    };
+    const ticket own{alone.settings.callers, alone.settings.run, 1'000'000ULL << 20U};
+
+    SUBCASE("its own")
+    {
+        CHECK(ask(own, ".guest-1", 1) == key_state::handed_over);
+    }
+    SUBCASE("its predecessor's")
+    {
+        ticket former = own;
+        former.minted_by = incarnation{41};
+        CHECK(ask(former, ".guest-2", 1) == key_state::used);
+    }
+    SUBCASE("its own, but too old to be remembered")
+    {
+        ticket old = own;
+        old.nonce = 1;
+        CHECK(ask(old, ".guest-3", 1) == key_state::used);
+    }
+}
