[core] prompts being computed are counted, long ones go one at a time, warm engines go first

Cause: top-tier requests timed out behind long prompts that an engine had taken in order, and prefixes were computed on every engine of a cell. Change: the entry tells the owner when a prompt of 256 tokens or more has been computed (permit_started), so the owner knows each engine's prefill backlog and learns its rate; long prompts go one at a time and one engine in three is kept free of them; engines that hold the prefix and can begin soon go first.

--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -106,6 +106,7 @@
     void dispatch(open_request& request, const upstream_name& upstream, std::uint32_t cached,
                   step_context& context);
     void open(open_request& request, attempt_mode mode, step_context& context);
+    void started(open_request& request, step_context& context);
     void release(open_request& request, attempt_outcome outcome, step_context& context);
     void lost(open_request& request, upstream_failure failure, step_context& context);
     void resume(open_request& request, upstream_failure failure, step_context& context);
--- a/include/ragwortcove/core/peer_message.hpp
+++ b/include/ragwortcove/core/peer_message.hpp
@@ -72,6 +72,18 @@
 
 enum class attempt_outcome { completed, failed, silent, cancelled, unused };
 
+/// Prompt tokens to compute from which on an entry tells the owner when they have been computed;
+/// shorter prompts hold nobody up.
+inline constexpr std::uint32_t least_tokens_to_tell = 256;
+
+/// The first part of the answer has come: the prompt is computed.
+struct permit_started {
+    request_id request;
+    cell_id cell;
+    upstream_name upstream;
+    bool operator==(const permit_started&) const = default;
+};
+
 /// A permit that was used, or not, is over; what was seen of the upstream.
 struct permit_release {
     request_id request;
@@ -199,6 +211,6 @@
 
 using peer_message = std::variant<permit_ask, permit_grant, permit_denial, permit_withdrawal,
                                   permit_release, permit_report, key_ask, key_answer, heartbeat,
-                                  feed_ask, feed_delta, feed_snapshot>;
+                                  feed_ask, feed_delta, feed_snapshot, permit_started>;
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/placement_owner.hpp
+++ b/include/ragwortcove/core/placement_owner.hpp
@@ -39,6 +39,7 @@
 
     void ask(const node_name& entry, const permit_ask& message, step_context& context);
     void withdraw(const permit_withdrawal& message, step_context& context);
+    void started(const permit_started& message, step_context& context);
     void release(const permit_release& message, step_context& context);
     void report(const node_name& entry, const permit_report& message, step_context& context);
     /// An entry's incarnation ended: its permits and requests go.
@@ -59,7 +60,7 @@
 private:
     owned_cell* open(const cell_id& id, step_context& context);
     void grant_waiting(owned_cell& cell, step_context& context);
-    [[nodiscard]] engine_state* choose(owned_cell& cell, const waiting_ask& ask, time_point now);
+    [[nodiscard]] engine_state* choose(owned_cell& cell, const waiting_ask& ask);
     void grant(owned_cell& cell, engine_state& engine, const waiting_ask& ask,
                step_context& context);
     void deny(const node_name& entry, const permit_ask& ask, refusal_reason reason,
--- a/lib/bench/capacity.cpp
+++ b/lib/bench/capacity.cpp
@@ -7,9 +7,8 @@
 #include <ctime>
 #include <fstream>
 #include <string>
-#include <utility>
-
 #include <unistd.h>
+#include <utility>
 
 namespace ragwortcove::bench {
 
@@ -63,11 +62,11 @@
                                {address_of(0, index), peer_port}});
     }
     for (std::uint32_t rank = 0; rank < 4; ++rank)
-        fleet.objects.push_back(make_object(
-            core::object_kind::tier, "tier-" + std::to_string(rank), core::tier_spec{rank, 30s}));
+        fleet.objects.push_back(make_object(core::object_kind::tier, "tier-" + std::to_string(rank),
+                                            core::tier_spec{rank, 30s}));
     for (std::size_t team = 0; team < size.teams; ++team)
-        fleet.objects.push_back(
-            make_object(core::object_kind::team, "team-" + std::to_string(team), core::team_spec{}));
+        fleet.objects.push_back(make_object(core::object_kind::team, "team-" + std::to_string(team),
+                                            core::team_spec{}));
     for (std::size_t index = 0; index < size.nodes * size.upstreams_per_node; ++index)
         fleet.objects.push_back(make_upstream(size, index));
     const auto writes = static_cast<double>(fleet.objects.size());
--- a/lib/bench/peer_links.cpp
+++ b/lib/bench/peer_links.cpp
@@ -67,6 +67,7 @@
            std::holds_alternative<core::permit_grant>(message) ||
            std::holds_alternative<core::permit_denial>(message) ||
            std::holds_alternative<core::permit_withdrawal>(message) ||
+           std::holds_alternative<core::permit_started>(message) ||
            std::holds_alternative<core::permit_release>(message) ||
            std::holds_alternative<core::permit_report>(message);
 }
--- a/lib/core/engine_state.cpp
+++ b/lib/core/engine_state.cpp
@@ -1,27 +1,27 @@
 #include "ragwortcove/core/engine_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortcove::core {
 
 /// Share of a new sample in a learned rate.
 static constexpr double smoothing = 0.2;
-/// Prompts shorter than this say little about the prefill rate, in tokens.
-static constexpr std::uint32_t least_prefill_sample = 256;
 
 void learned_rates::learn(const permit_release& release)
 {
-    const std::uint32_t computed =
-        release.prefill_tokens - std::min(release.prefill_tokens, release.cached_tokens);
-    if (computed >= least_prefill_sample && release.first_token_after.count() > 0) {
-        const double seen = static_cast<double>(computed) * 1e6 /
-                            static_cast<double>(release.first_token_after.count());
-        this->prefill_tokens_per_second += smoothing * (seen - this->prefill_tokens_per_second);
-    }
-    if (release.between_tokens.count() > 0) {
-        const auto seen = static_cast<double>(release.between_tokens.count());
-        this->between_tokens_us += smoothing * (seen - this->between_tokens_us);
-    }
+    if (release.between_tokens.count() == 0)
+        return;
+    const auto seen = static_cast<double>(release.between_tokens.count());
+    this->between_tokens_us += smoothing * (seen - this->between_tokens_us);
+}
+
+void learned_rates::learn_prefill(std::uint32_t tokens, duration taken)
+{
+    if (taken.count() <= 0)
+        return;
+    const double seen = static_cast<double>(tokens) * 1e6 / static_cast<double>(taken.count());
+    this->prefill_tokens_per_second += smoothing * (seen - this->prefill_tokens_per_second);
 }
 
 duration learned_rates::prefill_time(std::uint32_t tokens) const
@@ -54,12 +54,39 @@
                       [](const auto& entry) { return entry.second.is_long; }));
 }
 
-duration engine_state::time_to_finish(std::uint32_t prefill_tokens, std::uint32_t cached_tokens,
-                                      std::uint32_t output_tokens, time_point now) const
+std::uint32_t engine_state::prefill_backlog() const
+{
+    std::uint32_t tokens = 0;
+    for (const auto& [request, permit] : this->held)
+        tokens += permit.computing ? permit.uncached_tokens : 0;
+    return tokens;
+}
+
+void engine_state::hold(const request_id& request, held_permit&& permit)
+{
+    permit.computing = permit.uncached_tokens >= least_tokens_to_tell;
+    permit.backlog_tokens = this->prefill_backlog() + permit.uncached_tokens;
+    this->held.insert_or_assign(request, std::move(permit));
+}
+
+void engine_state::started(const request_id& request, time_point now)
+{
+    const auto found = this->held.find(request);
+    if (found == this->held.end() || !found->second.computing)
+        return;
+    found->second.computing = false;
+    this->rates.learn_prefill(found->second.backlog_tokens, now - found->second.granted);
+}
+
+duration engine_state::prefill_wait() const
+{
+    return this->rates.prefill_time(this->prefill_backlog());
+}
+
+duration engine_state::time_to_finish(std::uint32_t uncached_tokens,
+                                      std::uint32_t output_tokens) const
 {
-    const duration waiting = std::max(duration{0}, this->prefill_free_at - now);
-    const std::uint32_t computed = prefill_tokens - std::min(prefill_tokens, cached_tokens);
-    return waiting + this->rates.prefill_time(computed) +
+    return this->prefill_wait() + this->rates.prefill_time(uncached_tokens) +
            this->rates.between_tokens() * std::int64_t{output_tokens};
 }
 
--- a/lib/core/entry_attempts.cpp
+++ b/lib/core/entry_attempts.cpp
@@ -76,12 +76,23 @@
         return;
     const std::uint32_t skip = request->received - message.offset;
     if (request->received == 0)
-        running.first_part = context.now;
+        this->started(*request, context);
     running.last_part = context.now;
     request->received = end;
     context.effects.emplace_back(forward_progress{request->exchange, message.attempt, skip});
 }
 
+void entry::started(open_request& request, step_context& context)
+{
+    running_attempt& running = *request.running;
+    running.first_part = context.now;
+    const bool worth_telling =
+        request.route.kind == upstream_kind::engine &&
+        request.call.prompt_tokens >= running.cached_tokens + least_tokens_to_tell;
+    if (worth_telling && request.cell)
+        context.send(request.owner, permit_started{request.id, *request.cell, running.upstream});
+}
+
 // What the owner learns from: the time between tokens only when there were enough of them.
 void entry::release(open_request& request, attempt_outcome outcome, step_context& context)
 {
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -113,6 +113,7 @@
             this->self.requests.denied(this->from, m, context);
         }
         void operator()(const permit_withdrawal& m) { this->self.placement.withdraw(m, context); }
+        void operator()(const permit_started& m) { this->self.placement.started(m, context); }
         void operator()(const permit_release& m) { this->self.placement.release(m, context); }
         void operator()(const permit_report& m)
         {
--- a/lib/core/placement_owner.cpp
+++ b/lib/core/placement_owner.cpp
@@ -17,6 +17,8 @@
 static constexpr duration long_work = 4s;
 /// Prompts that take longer to compute hold up others and count as long.
 static constexpr duration long_prefill = 400ms;
+/// Longest wait for an engine that holds a prompt's prefix before another one is used.
+static constexpr duration longest_warm_wait = 300ms;
 /// Share of an upstream's limit that long work may take.
 static constexpr double long_share = 0.75;
 /// Time between two polls of an upstream's load and cache reports.
@@ -142,7 +144,7 @@
     if (cell->queue.contains(message.request) || holds(*cell, message.request))
         return;
     waiting_ask waiting = this->make_waiting(*cell, entry, message, context.now);
-    const bool has_room = this->choose(*cell, waiting, context.now) != nullptr;
+    const bool has_room = this->choose(*cell, waiting) != nullptr;
     const duration wait =
         has_room ? duration{0} : this->estimated_wait(*cell, waiting.rank, waiting.is_long);
     if (waiting.cost > message.time_left) {
@@ -173,14 +175,42 @@
                        [](const auto& entry) { return entry.second.health.ejected(); });
 }
 
+static bool has_backlog(const engine_state& engine)
+{
+    return engine.prefill_backlog() > 0;
+}
+
+// An engine computes prompts in the order in which they come, so a long one holds up every short
+// one behind it. Long prompts go one at a time, and one engine in three is kept free of them.
+static bool may_compute_long_prompt(const owned_cell& cell, const engine_state& engine)
+{
+    if (has_backlog(engine))
+        return false;
+    const auto busy = std::count_if(cell.engines.begin(), cell.engines.end(),
+                                    [](const auto& entry) { return has_backlog(entry.second); });
+    constexpr std::size_t engines_to_one_kept_free = 3;
+    const std::size_t kept_free = cell.engines.size() / engines_to_one_kept_free;
+    return static_cast<std::size_t>(busy) + kept_free < cell.engines.size();
+}
+
+static std::uint32_t uncached_tokens(const engine_state& engine, const permit_ask& ask)
+{
+    return ask.prefill_tokens -
+           std::min(ask.prefill_tokens, engine.cache.cached_tokens(ask.prefix));
+}
+
 // Panic: when every upstream of a cell looks bad, the judgement itself is in doubt, and refusing
 // all work would be worse than trying. Each then gets one request at a time.
-static bool can_take(const engine_state& engine, const waiting_ask& ask, bool panic)
+static bool can_take(const owned_cell& cell, const engine_state& engine, const waiting_ask& ask,
+                     bool panic)
 {
     if (panic)
         return engine.held.empty();
     if (engine.free_permits() == 0)
         return false;
+    const duration prefill = engine.rates.prefill_time(uncached_tokens(engine, ask.ask));
+    if (prefill > long_prefill && !may_compute_long_prompt(cell, engine))
+        return false;
     if (!ask.is_long)
         return true;
     const double most_long = std::max(1.0, long_share * static_cast<double>(engine.limit.value()));
@@ -192,25 +222,46 @@
     return std::find(ask.avoid.begin(), ask.avoid.end(), name) != ask.avoid.end();
 }
 
-engine_state* placement_owner::choose(owned_cell& cell, const waiting_ask& ask, time_point now)
+// Engines that hold the prompt's prefix are preferred while they can begin soon: a prefix computed
+// once more costs all later work of that engine.
+static void keep_warm(std::vector<engine_state*>& candidates, const permit_ask& ask)
+{
+    std::uint32_t most_cached = 0;
+    for (const engine_state* candidate : candidates)
+        most_cached = std::max(most_cached, candidate->cache.cached_tokens(ask.prefix));
+    if (most_cached == 0)
+        return;
+    const auto is_warm = [&](const engine_state* candidate) {
+        return candidate->cache.cached_tokens(ask.prefix) == most_cached &&
+               candidate->prefill_wait() <= longest_warm_wait;
+    };
+    if (!std::any_of(candidates.begin(), candidates.end(), is_warm))
+        return;
+    std::erase_if(candidates, [&](const engine_state* candidate) { return !is_warm(candidate); });
+}
+
+engine_state* placement_owner::choose(owned_cell& cell, const waiting_ask& ask)
 {
     const route_spec* route = this->config.find_route(ask.ask.route);
     if (route == nullptr)
         return nullptr;
     const bool panic = all_ejected(cell);
-    engine_state* best = nullptr;
-    duration best_time{0};
+    std::vector<engine_state*> candidates;
     for (auto& [name, engine] : cell.engines) {
         if (!serves(engine.info, *route, ask.ask.version) || avoids(ask.ask, name))
             continue;
-        if (!can_take(engine, ask, panic))
-            continue;
-        const std::uint32_t cached = engine.cache.cached_tokens(ask.ask.prefix);
+        if (can_take(cell, engine, ask, panic))
+            candidates.push_back(&engine);
+    }
+    keep_warm(candidates, ask.ask);
+    engine_state* best = nullptr;
+    duration best_time{0};
+    for (engine_state* candidate : candidates) {
         const duration time =
-            engine.time_to_finish(ask.ask.prefill_tokens, cached, ask.ask.output_tokens, now);
+            candidate->time_to_finish(uncached_tokens(*candidate, ask.ask), ask.ask.output_tokens);
         if (best != nullptr && time >= best_time)
             continue;
-        best = &engine;
+        best = candidate;
         best_time = time;
     }
     return best;
@@ -220,13 +271,15 @@
                             step_context& context)
 {
     const std::uint32_t cached = engine.cache.cached_tokens(ask.ask.prefix);
-    const std::uint32_t computed =
-        ask.ask.prefill_tokens - std::min(ask.ask.prefill_tokens, cached);
+    held_permit permit;
+    permit.entry = ask.entry;
+    permit.rank = ask.rank;
+    permit.is_long = ask.is_long;
+    permit.uncached_tokens = uncached_tokens(engine, ask.ask);
+    permit.output_tokens = ask.ask.output_tokens;
+    permit.granted = context.now;
     engine.cache.use(ask.ask.prefix);
-    engine.prefill_free_at =
-        std::max(engine.prefill_free_at, context.now) + engine.rates.prefill_time(computed);
-    engine.held[ask.ask.request] =
-        held_permit{ask.entry, ask.rank, ask.is_long, computed, ask.ask.output_tokens, context.now};
+    engine.hold(ask.ask.request, std::move(permit));
     const grant_id number{this->next_grant++};
     context.log(decision_kind::granted, ask.ask.request, engine.info.name.value,
                 to_string(cell.id));
@@ -240,7 +293,7 @@
         return;
     engine_state* chosen = nullptr;
     const auto fits = [&](const waiting_ask& ask) {
-        chosen = this->choose(cell, ask, context.now);
+        chosen = this->choose(cell, ask);
         return chosen != nullptr;
     };
     while (std::optional<waiting_ask> next = cell.queue.take_first(fits))
@@ -302,6 +355,18 @@
     }
 }
 
+void placement_owner::started(const permit_started& message, step_context& context)
+{
+    const auto found = this->owned.find(message.cell);
+    if (found == this->owned.end())
+        return;
+    const auto engine = found->second.engines.find(message.upstream);
+    if (engine == found->second.engines.end())
+        return;
+    engine->second.started(message.request, context.now);
+    this->grant_waiting(found->second, context);
+}
+
 void placement_owner::release(const permit_release& message, step_context& context)
 {
     const auto found = this->owned.find(message.cell);
@@ -331,12 +396,13 @@
     const tier_spec* tier = this->config.find_tier(message.tier);
     const bool is_long =
         engine->second.rates.between_tokens() * std::int64_t{message.output_tokens} > long_work;
-    engine->second.held[message.request] = held_permit{entry,
-                                                       tier == nullptr ? unknown_rank : tier->rank,
-                                                       is_long,
-                                                       message.prefill_tokens,
-                                                       message.output_tokens,
-                                                       context.now};
+    held_permit permit;
+    permit.entry = entry;
+    permit.rank = tier == nullptr ? unknown_rank : tier->rank;
+    permit.is_long = is_long;
+    permit.output_tokens = message.output_tokens;
+    permit.granted = context.now;
+    engine->second.hold(message.request, std::move(permit));
 }
 
 void placement_owner::entry_gone(incarnation run, step_context& context)
--- a/lib/peer/decoder.cpp
+++ b/lib/peer/decoder.cpp
@@ -44,6 +44,7 @@
     [[nodiscard]] core::permit_grant read(const wire::PermitGrant& from);
     [[nodiscard]] core::permit_denial read(const wire::PermitDenial& from);
     [[nodiscard]] core::permit_withdrawal read(const wire::PermitWithdrawal& from);
+    [[nodiscard]] core::permit_started read(const wire::PermitStarted& from);
     [[nodiscard]] core::permit_release read(const wire::PermitRelease& from);
     [[nodiscard]] core::permit_report read(const wire::PermitReport& from);
     [[nodiscard]] core::key_ask read(const wire::KeyAsk& from);
@@ -215,6 +216,15 @@
     return result;
 }
 
+core::permit_started message_reader::read(const wire::PermitStarted& from)
+{
+    core::permit_started result;
+    result.request = this->request(from, "permit_started.request");
+    result.cell = this->cell(from, "permit_started.cell");
+    result.upstream = this->name<core::upstream_name>(from.upstream(), "permit_started.upstream");
+    return result;
+}
+
 core::permit_release message_reader::read(const wire::PermitRelease& from)
 {
     core::permit_release result;
@@ -409,6 +419,8 @@
         return this->read(from.feed_delta());
     case wire::Message::kFeedSnapshot:
         return this->read(from.feed_snapshot());
+    case wire::Message::kPermitStarted:
+        return this->read(from.permit_started());
     case wire::Message::BODY_NOT_SET:
         break;
     }
--- a/lib/peer/encoder.cpp
+++ b/lib/peer/encoder.cpp
@@ -25,6 +25,7 @@
     void operator()(const core::permit_grant& value);
     void operator()(const core::permit_denial& value);
     void operator()(const core::permit_withdrawal& value);
+    void operator()(const core::permit_started& value);
     void operator()(const core::permit_release& value);
     void operator()(const core::permit_report& value);
     void operator()(const core::key_ask& value);
@@ -162,6 +163,14 @@
     this->write(value.cell, *to.mutable_cell());
 }
 
+void message_writer::operator()(const core::permit_started& value)
+{
+    wire::PermitStarted& to = *this->out.add_messages()->mutable_permit_started();
+    this->write(value.request, *to.mutable_request());
+    this->write(value.cell, *to.mutable_cell());
+    to.set_upstream(this->number_of(value.upstream.value));
+}
+
 void message_writer::operator()(const core::permit_release& value)
 {
     wire::PermitRelease& to = *this->out.add_messages()->mutable_permit_release();
--- a/lib/peer/message_kind.cpp
+++ b/lib/peer/message_kind.cpp
@@ -6,9 +6,9 @@
 namespace ragwortcove::peer {
 
 static constexpr std::array<std::string_view, message_kinds> kind_names = {
-    "permit_ask",     "permit_grant",  "permit_denial", "permit_withdrawal",
-    "permit_release", "permit_report", "key_ask",       "key_answer",
-    "heartbeat",      "feed_ask",      "feed_delta",    "feed_snapshot",
+    "permit_ask",    "permit_grant",  "permit_denial",  "permit_withdrawal", "permit_release",
+    "permit_report", "key_ask",       "key_answer",     "heartbeat",         "feed_ask",
+    "feed_delta",    "feed_snapshot", "permit_started",
 };
 
 std::string_view message_kind_name(std::size_t index)
--- a/unittests/peer/random_messages.hpp
+++ b/unittests/peer/random_messages.hpp
@@ -246,6 +246,8 @@
     case 11:
         return core::feed_snapshot{
             {draw_name()}, {draw_number<std::uint64_t>()}, draw_some(draw_object)};
+    case 12:
+        return core::permit_started{draw_request(), draw_cell(), draw_upstream()};
     }
     return draw_permit_message(index);
 }
