--- a/include/ragwortcove/daemon/daemon_settings.hpp
+++ b/include/ragwortcove/daemon/daemon_settings.hpp
@@ -51,5 +51,6 @@
 
 [[nodiscard]] settings_outcome read_daemon_settings(const settings::ini_document& document);
 [[nodiscard]] settings_outcome load_daemon_settings(const std::string& path);
+[[nodiscard]] bool is_loopback(const core::endpoint& address);
 
 } // namespace ragwortcove::daemon
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -27,6 +27,8 @@
     plain_mode = 109,
     platform_embedded = 110,
     operator_rejected = 111,
+    certificate_renewed = 112,
+    certificate_rejected = 113,
 
     request_placed = 200,
     request_queued = 201,
--- a/include/ragwortcove/daemon/operator_access.hpp
+++ b/include/ragwortcove/daemon/operator_access.hpp
@@ -16,7 +16,6 @@
 };
 
 [[nodiscard]] operator_proof read_operator_proof(const http::request& message);
-[[nodiscard]] bool is_loopback(const core::endpoint& address);
 /// Whether a proof admits to the operators' paths under these settings.
 [[nodiscard]] bool admits_operator(const daemon_settings& settings, const operator_proof& proof);
 
--- a/include/ragwortcove/daemon/runtime.hpp
+++ b/include/ragwortcove/daemon/runtime.hpp
@@ -50,6 +50,7 @@
     void read_wall_clock();
     void forward(const core::forward_progress& wanted);
     void log_decision(const core::log_decision& decision);
+    void reload_certificate();
     void await_last_bytes();
     [[nodiscard]] metric_gauges read_gauges() const;
 
--- a/include/ragwortcove/http/server.hpp
+++ b/include/ragwortcove/http/server.hpp
@@ -22,6 +22,7 @@
     /// Certificate authorities whose clients are accepted; empty asks for no client certificate.
     std::string client_authority_file;
     [[nodiscard]] bool enabled() const { return !this->certificate_file.empty(); }
+    bool operator==(const tls_settings&) const = default;
 };
 
 struct server_settings {
--- a/lib/daemon/daemon_settings.cpp
+++ b/lib/daemon/daemon_settings.cpp
@@ -251,6 +251,11 @@
               }},
 };
 
+bool is_loopback(const core::endpoint& address)
+{
+    return address.address.starts_with("127.") || address.address == "::1";
+}
+
 static bool is_known_section(std::string_view name)
 {
     return std::ranges::any_of(known_keys,
@@ -308,6 +313,7 @@
     void require(std::string_view section, std::string_view key, std::string_view expected);
     [[nodiscard]] bool has(std::string_view section, std::string_view key) const;
     void check_pair(std::string_view section, std::string_view key, std::string_view needed);
+    void check_plain(std::string_view key, const core::endpoint& address, std::string_view section);
     void check_whole();
 };
 
@@ -371,12 +377,24 @@
         this->require(section, needed, "a path, since " + std::string{key} + " is set");
 }
 
+/// Plain connections are for loopback alone.
+void settings_reader::check_plain(std::string_view key, const core::endpoint& address,
+                                  std::string_view section)
+{
+    if (!this->has("node", key) || address.port == 0 || is_loopback(address))
+        return;
+    this->require(section, "certificate",
+                  "a path, since [node] " + std::string{key} + " is not on loopback");
+}
+
 void settings_reader::check_whole()
 {
     for (const known_key& known : known_keys) {
         if (known.required)
             this->require(known.section, known.key, known.expected);
     }
+    this->check_plain("callers", this->settings.node.callers, "tls");
+    this->check_plain("peers", this->settings.node.peers, "peer_tls");
     this->check_pair("tls", "certificate", "private_key");
     this->check_pair("tls", "private_key", "certificate");
     this->check_pair("tls", "client_authority", "certificate");
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -40,6 +40,12 @@
     log_event_entry{log_event::operator_rejected, "operator_rejected", log_level::warning,
                     "an operator's call had neither the token nor a client certificate",
                     "check who calls; give operators the token or a certificate"},
+    log_event_entry{log_event::certificate_renewed, "certificate_renewed", log_level::info,
+                    "the certificate's files were read again; new connections get the new one",
+                    "none"},
+    log_event_entry{log_event::certificate_rejected, "certificate_rejected", log_level::error,
+                    "the certificate's files cannot be used; the old certificate stays in force",
+                    "check that `[tls] certificate` and `private_key` belong together"},
 
     log_event_entry{log_event::request_placed, "request_placed", log_level::info,
                     "a request goes to an upstream", "none"},
--- a/lib/daemon/operator_access.cpp
+++ b/lib/daemon/operator_access.cpp
@@ -18,11 +18,6 @@
     return proof;
 }
 
-bool is_loopback(const core::endpoint& address)
-{
-    return address.address.starts_with("127.") || address.address == "::1";
-}
-
 /// Compares in a time that does not depend on where the texts differ.
 static bool equals_in_constant_time(std::string_view one, std::string_view other)
 {
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -383,6 +383,15 @@
            one.idle_limit == other.idle_limit && one.placement_policy == other.placement_policy;
 }
 
+void runtime::reload_certificate()
+{
+    if (!this->settings.tls.enabled())
+        return;
+    const bool renewed = this->callers.reload_tls();
+    write_log(renewed ? log_event::certificate_renewed : log_event::certificate_rejected,
+              {{"file", this->settings.tls.certificate_file}});
+}
+
 void runtime::reload(const daemon_settings& changed)
 {
     if (!same_node(this->settings.node, changed.node))
@@ -393,6 +402,11 @@
         this->settings.node.platform_calls_per_second == changed.node.platform_calls_per_second;
     if (!same_platform)
         log_not_applied("[platform]");
+    if (this->settings.tls != changed.tls)
+        log_not_applied("[tls]");
+    if (this->settings.peer_tls != changed.peer_tls)
+        log_not_applied("[peer_tls]");
+    this->reload_certificate();
     this->settings.log = changed.log;
     this->settings.admin_token = changed.admin_token;
     configure_log(changed.log);
--- a/unittests/daemon/cluster.hpp
+++ b/unittests/daemon/cluster.hpp
@@ -142,14 +142,17 @@
     standin::service_server service{this->loop, {}};
     std::uint16_t port = find_free_port();
     bool ended = false;
+    daemon_settings settings = this->make_settings();
     std::unique_ptr<runtime> daemon;
     http::client client{this->loop, {}};
 
-    cluster()
+    explicit cluster(http::tls_settings tls = {})
     {
-        configure_log({log_level::error, {}, log_format::text});
-        this->daemon = std::make_unique<runtime>(this->loop, this->make_settings(),
-                                                 [this] { this->ended = true; });
+        this->settings.tls = std::move(tls);
+        this->settings.log.level = log_level::error;
+        configure_log(this->settings.log);
+        this->daemon =
+            std::make_unique<runtime>(this->loop, this->settings, [this] { this->ended = true; });
         REQUIRE(this->daemon->listening());
     }
 
--- a/unittests/daemon/daemon_settings_test.cpp
+++ b/unittests/daemon/daemon_settings_test.cpp
@@ -52,6 +52,18 @@
     CHECK(format_endpoint(node.peers) == "[::1]:22002");
 }
 
+TEST_CASE("the settings files of the examples can be run with")
+{
+    for (const std::string name : {"daemon-a", "daemon-b", "daemon-c", "single-daemon"}) {
+        CAPTURE(name);
+        const std::string path = RAGWORTCOVE_SOURCE_DIR "/examples/" + name + ".ini";
+        const settings_outcome read = load_daemon_settings(path);
+        for (const settings::located_error& error : read.errors)
+            MESSAGE(settings::format_error(error));
+        CHECK(read.settings);
+    }
+}
+
 TEST_CASE("a settings file with mistakes gives each of them with its place")
 {
     SUBCASE("five different mistakes give five errors, in the file's order")
@@ -102,6 +114,16 @@
         CHECK(place_of(read.errors[0]) == "7 [platform] address");
         CHECK(place_of(read.errors[1]) == "9 [tls] private_key");
     }
+    SUBCASE("an address that is not on loopback, without TLS")
+    {
+        const settings_outcome read = read_text("[node]\n"
+                                                "name = a\nregion = ch\nfailure_domain = z\n"
+                                                "callers = 192.0.2.1:80\npeers = 127.0.0.1:2\n"
+                                                "[platform]\nmode = http\n"
+                                                "address = 127.0.0.1:22100\n");
+        REQUIRE(read.errors.size() == 1);
+        CHECK(read.errors[0].key == "[tls] certificate");
+    }
     SUBCASE("a file that is not there")
     {
         const settings_outcome read = load_daemon_settings("/nonexistent/daemon.ini");
