--- a/tools/ragwortcove/describe.cpp
+++ b/tools/ragwortcove/describe.cpp
@@ -8,7 +8,6 @@
 namespace ragwortcove::tool {
 
 using cli::exit_code;
-using core::object_kind;
 
 namespace {
 
--- a/unittests/platform/http_platform_test.cpp
+++ b/unittests/platform/http_platform_test.cpp
@@ -67,7 +67,8 @@
         return answered.result;
     }
 
-    void respond_with(int status, std::string body, std::vector<http::header> headers = {})
+    void respond_with(int status, const std::string& body,
+                      const std::vector<http::header>& headers = {})
     {
         this->answer = [=, this](auto exchange) {
             this->server.respond(exchange, status, "application/json", body, headers);
