[core] a watch that skips changes begins anew

Ruled out: the conditional writes, which took effect in order. Change: changes that begin after what is in force reopen the watch there.

--- a/lib/core/configuration_feed.cpp
+++ b/lib/core/configuration_feed.cpp
@@ -97,6 +97,9 @@
 
 bool configuration_feed::watched(const watch_changed& message, step_context& context)
 {
+    // Changes between what is in force and these were lost: the watch begins anew from the former.
+    if (this->watching && message.changes.after > this->config.at())
+        context.effects.emplace_back(open_watch{this->config.at()});
     if (!this->config.apply(message.changes))
         return false;
     this->applied(context);
--- a/unittests/core/node_test.cpp
+++ b/unittests/core/node_test.cpp
@@ -326,3 +326,19 @@
         CHECK(ask(old, ".guest-3", 1) == key_state::used);
     }
 }
+
+TEST_CASE("a watch that skips changes begins anew from what is in force")
+{
+    lone_node alone;
+    const revision in_force = alone.under_test.status(at(300ms)).configuration;
+    REQUIRE(in_force == revision{7});
+    alone.step(watch_changed{{store_id{"store"}, revision{8}, revision{9}, {}, {}}}, 400ms);
+    const open_watch* opened = alone.last<open_watch>();
+    REQUIRE(opened != nullptr);
+    CHECK(opened->after == in_force);
+    CHECK(alone.under_test.status(at(400ms)).configuration == in_force);
+
+    alone.step(watch_changed{{store_id{"store"}, revision{7}, revision{9}, {}, {}}}, 500ms);
+    CHECK(alone.last<open_watch>() == nullptr);
+    CHECK(alone.under_test.status(at(500ms)).configuration == revision{9});
+}
