--- a/tools/ragwortcove-bench/commands.hpp
+++ b/tools/ragwortcove-bench/commands.hpp
@@ -11,5 +11,6 @@
 int run_experiment_command(std::vector<std::string> arguments);
 int run_faults_command(std::vector<std::string> arguments);
 int run_load_command(std::vector<std::string> arguments);
+int run_scenario_command(std::vector<std::string> arguments);
 
 } // namespace ragwortcove::bench
--- a/tools/ragwortcove-bench/main.cpp
+++ b/tools/ragwortcove-bench/main.cpp
@@ -23,6 +23,7 @@
     command{"faults", "checks the promises under seeded fault schedules",
             bench::run_faults_command},
     command{"load", "sends open-loop load over real sockets", bench::run_load_command},
+    command{"scenario", "runs scripts in the scenario language", bench::run_scenario_command},
 };
 
 static void print_usage(std::ostream& out)
