--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: packages build sanitize demo check format format-check lint generate
+.PHONY: packages build sanitize demo check format format-check lint generate fuzz-build fuzz fuzz-long
 
 packages:
 	scripts/install-packages
@@ -24,6 +24,17 @@
 	cd $(BUILD)-sanitize && ctest --output-on-failure -j $(JOBS) --timeout 300
 	cd $(BUILD) && ctest --output-on-failure -j $(JOBS) --timeout 600
 
+fuzz-build: packages
+	cmake -S . -B $(BUILD)-fuzz -G Ninja -DRAGWORTCOVE_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++-14 > /dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzzers
+
+# A short run with a fixed seed, and a longer one by command.
+fuzz: fuzz-build
+	scripts/fuzz $(BUILD)-fuzz 5000
+
+fuzz-long: fuzz-build
+	scripts/fuzz $(BUILD)-fuzz 2000000
+
 format:
 	scripts/list-sources | xargs clang-format-14 -i
 
