[platform] a silent watch is seen within 1.5 s

Change: the watch's idle limit is 1.5 s, and the stand-in platform sends its heartbeat line every 500 ms.

--- a/include/ragwortcove/platform/http_platform.hpp
+++ b/include/ragwortcove/platform/http_platform.hpp
@@ -19,7 +19,7 @@
     /// Longest time from a call to its whole answer.
     std::chrono::microseconds call_limit{std::chrono::seconds{2}};
     /// Longest silence of a watch; the platform sends heartbeat lines when nothing changes.
-    std::chrono::microseconds watch_idle_limit{std::chrono::seconds{10}};
+    std::chrono::microseconds watch_idle_limit{std::chrono::milliseconds{1500}};
     /// Kept connections; an open watch holds one of them.
     std::uint32_t pool_size = 8;
 };
--- a/lib/standin/platform_server.cpp
+++ b/lib/standin/platform_server.cpp
@@ -14,7 +14,7 @@
 namespace json = boost::json;
 
 /// How often a watch without changes carries a line, so that it does not look silent.
-static constexpr core::duration heartbeat_interval = std::chrono::seconds{2};
+static constexpr core::duration heartbeat_interval = std::chrono::milliseconds{500};
 static constexpr std::string_view json_type = "application/json";
 
 namespace {
