--- a/include/ragwortcove/bench/deployment.hpp
+++ b/include/ragwortcove/bench/deployment.hpp
@@ -42,6 +42,8 @@
     double least = 1;
     double most = 1;
     [[nodiscard]] double mean() const;
+    /// Mean of what a length is longer than `length`; zero for shorter ones.
+    [[nodiscard]] double mean_beyond(double length) const;
 };
 
 /// Open-loop arrivals on one route.
@@ -86,7 +88,8 @@
 [[nodiscard]] const core::route_spec& route_of(const deployment& plan,
                                                const core::route_name& name);
 [[nodiscard]] std::uint32_t rank_of(const deployment& plan, const core::route_name& route);
-/// Requests a second that all engines together can finish of the engines' traffic, nothing cached.
+/// Requests a second that all engines together can finish of the engines' traffic, with shared
+/// prefixes cached.
 [[nodiscard]] double engine_capacity(const deployment& plan);
 
 } // namespace ragwortcove::bench
--- a/lib/bench/callers.cpp
+++ b/lib/bench/callers.cpp
@@ -42,7 +42,7 @@
         return;
     }
     constexpr double microseconds_per_second = 1e6;
-    const double wait = this->random.exponential(microseconds_per_second / rate);
+    const double wait = this->arrivals[traffic].exponential(microseconds_per_second / rate);
     this->queue.after(duration{std::llround(wait)}, [this, traffic] { this->arrive(traffic); });
 }
 
@@ -51,7 +51,7 @@
     if (!this->sending) {
         return;
     }
-    this->launch(this->make_call(this->plan.traffic[traffic]));
+    this->launch(this->make_call(this->plan.traffic[traffic], this->arrivals[traffic]));
     this->schedule_arrival(traffic);
 }
 
@@ -60,7 +60,7 @@
     return static_cast<std::uint32_t>(std::llround(random.log_uniform(range.least, range.most)));
 }
 
-call_record& runner::state::make_call(const traffic_plan& traffic)
+call_record& runner::state::make_call(const traffic_plan& traffic, standin::random_source& source)
 {
     const core::route_spec& route = route_of(this->plan, traffic.route);
     call_record& call = this->calls.add();
@@ -71,29 +71,32 @@
     call.kind = route.kind;
     call.idempotent = route.idempotent;
     call.streaming = traffic.streaming;
-    call.caller = this->random.below(this->callers.size());
+    call.caller = source.below(this->callers.size());
     call.made_at = this->now();
     call.deadline = this->now() + route.timeout;
     if (route.kind == core::upstream_kind::service) {
         call.answer_length = this->plan.services.front().service.answer_bytes;
         return call;
     }
-    call.prompt_tokens = draw_length(this->random, traffic.prompt_tokens);
-    call.answer_length = draw_length(this->random, traffic.output_tokens);
+    call.prompt_tokens = draw_length(source, traffic.prompt_tokens);
+    call.answer_length = draw_length(source, traffic.output_tokens);
     call.max_output_tokens = static_cast<std::uint32_t>(traffic.output_tokens.most);
-    this->add_prefix(call, traffic);
+    add_prefix(call, traffic, source);
     return call;
 }
 
-void runner::state::add_prefix(call_record& call, const traffic_plan& traffic)
+void runner::state::add_prefix(call_record& call, const traffic_plan& traffic,
+                               standin::random_source& source)
 {
-    const std::uint64_t group = this->random.below(traffic.shared_prefixes);
+    const std::uint64_t group = source.below(traffic.shared_prefixes);
     const std::uint64_t shared = mix(std::hash<std::string>{}(traffic.route.value) + group);
     const std::uint32_t blocks = call.prompt_tokens / core::prefix_block_tokens;
     const std::uint32_t shared_blocks = traffic.shared_prefix_tokens / core::prefix_block_tokens;
+    const std::uint64_t own =
+        mix(static_cast<std::uint64_t>(call.made_at.time_since_epoch().count()) ^ shared);
     std::uint64_t chained = 0;
     for (std::uint32_t block = 0; block < blocks; ++block) {
-        const std::uint64_t text = block < shared_blocks ? shared : mix(call.number);
+        const std::uint64_t text = block < shared_blocks ? shared : own;
         chained = mix(chained ^ (text + block));
         call.prefix.push_back({chained});
     }
--- a/lib/bench/deployment.cpp
+++ b/lib/bench/deployment.cpp
@@ -26,6 +26,17 @@
     return (this->most - this->least) / std::log(this->most / this->least);
 }
 
+double length_range::mean_beyond(double length) const
+{
+    if (this->most <= this->least) {
+        return std::max(0.0, this->least - length);
+    }
+    // The density of a log-uniform length x is 1 / (x ln(most / least)).
+    const double from = std::clamp(length, this->least, this->most);
+    const double sum = (this->most - from) - length * std::log(this->most / from);
+    return std::max(0.0, sum / std::log(this->most / this->least));
+}
+
 namespace {
 
 /// Fills a deployment part by part; places are spread over the failure domains in turn.
@@ -319,7 +330,7 @@
             continue;
         }
         shares += traffic.share;
-        prompt += traffic.share * traffic.prompt_tokens.mean();
+        prompt += traffic.share * traffic.prompt_tokens.mean_beyond(traffic.shared_prefix_tokens);
         output += traffic.share * traffic.output_tokens.mean();
     }
     double sum = 0.0;
--- a/lib/bench/faults.cpp
+++ b/lib/bench/faults.cpp
@@ -170,6 +170,11 @@
         const auto inside = this->run.places_of(f.failure_domain, true);
         const auto outside = this->run.places_of(f.failure_domain, false);
         const time_point until = this->run.now() + f.length;
+        for (node_process& node : this->run.nodes) {
+            if (node.plan.failure_domain == f.failure_domain) {
+                node.cut_off_until = std::max(node.cut_off_until, until);
+            }
+        }
         this->run.links.cut(inside, outside, until);
         this->run.links.cut(outside, inside, until);
     }
--- a/lib/bench/ledger.hpp
+++ b/lib/bench/ledger.hpp
@@ -20,9 +20,10 @@
     /// start of the same try still waits or runs.
     void started(call_record& call, const call_start& start, bool live_elsewhere,
                  core::time_point now);
-    /// A node sends a call to an upstream.
+    /// A node sends a call to an upstream. What is accepted elsewhere could not reach the node
+    /// before `reachable_since`.
     void admitted(const call_record& call, const core::upstream_name& upstream,
-                  core::time_point now);
+                  core::time_point reachable_since, core::time_point now);
     /// A node refuses a try that reached it at `arrived`.
     void refused(call_record& call, const try_id& tried, const core::refusal& answer,
                  core::time_point arrived, core::time_point now);
--- a/lib/bench/node_effects.cpp
+++ b/lib/bench/node_effects.cpp
@@ -52,7 +52,7 @@
     if (fresh) {
         const call_record& call = this->calls.at(open->second.call);
         this->owner_of_request[effect.request] = call.number;
-        this->truth.admitted(call, upstream->name, this->now());
+        this->truth.admitted(call, upstream->name, node.cut_off_until, this->now());
         if (!call.streaming) {
             // The shell has held the parts of an answer that begins again.
             open->second.forwarded = 0;
--- a/lib/bench/run_state.hpp
+++ b/lib/bench/run_state.hpp
@@ -69,6 +69,8 @@
     bool draining = false;
     core::duration restart_after{0};
     core::time_point paused_until;
+    /// Until then neither the platform nor a node of another failure domain reaches this one.
+    core::time_point cut_off_until;
     std::deque<core::event> inbox;
     core::time_point wake_at = core::time_point::max();
     std::uint64_t last_exchange = 0;
@@ -205,8 +207,10 @@
     // Callers (callers.cpp).
     void schedule_arrival(std::size_t traffic);
     void arrive(std::size_t traffic);
-    [[nodiscard]] call_record& make_call(const traffic_plan& traffic);
-    void add_prefix(call_record& call, const traffic_plan& traffic);
+    [[nodiscard]] call_record& make_call(const traffic_plan& traffic,
+                                         standin::random_source& source);
+    static void add_prefix(call_record& call, const traffic_plan& traffic,
+                           standin::random_source& source);
     void launch(call_record& call);
     void try_call(call_number number);
     void ask_addresses(std::size_t caller);
@@ -237,7 +241,11 @@
     run_settings settings;
     event_queue queue;
     network links;
+    /// For what callers and nodes come upon; arrivals have sources of their own.
     standin::random_source random;
+    /// A source for each traffic and one for calls made by hand, so that what is offered depends on
+    /// neither placement nor faults.
+    std::vector<standin::random_source> arrivals;
     standin::platform_model platform;
     ledger truth;
     call_log calls;
--- a/lib/bench/runner.cpp
+++ b/lib/bench/runner.cpp
@@ -44,6 +44,10 @@
     for (const upstream_process& upstream : this->upstreams) {
         this->upstream_by_address[upstream.address] = upstream.index;
     }
+    // One more than there is traffic: the last is for calls made by hand.
+    for (std::size_t traffic = 0; traffic <= this->plan.traffic.size(); ++traffic) {
+        this->arrivals.emplace_back(run.seed * 104'729 + traffic);
+    }
     this->engine_requests_per_second = engine_capacity(this->plan) * run.load;
     for (const core::object& object : this->plan.objects) {
         const auto reply =
@@ -111,7 +115,7 @@
                              static_cast<double>(wanted.prompt_tokens)};
     traffic.output_tokens = {static_cast<double>(wanted.output_tokens),
                              static_cast<double>(wanted.output_tokens)};
-    call_record& call = this->self->make_call(traffic);
+    call_record& call = this->self->make_call(traffic, this->self->arrivals.back());
     if (!wanted.entry.empty()) {
         call.fixed_entry = this->self->node_named(wanted.entry).index;
     }
