[core] a request that the free upstream may not take holds up nobody

The lane offers its first request only, so all behind it waited until they were shed, while requests of a lower tier were granted.

Change: requests with another version or other upstreams to avoid wait in lanes of their own.

--- a/include/ragwortcove/core/fair_queue.hpp
+++ b/include/ragwortcove/core/fair_queue.hpp
@@ -31,7 +31,8 @@
 };
 
 /// Start-time fair queueing (Goyal, Vin and Cheng, 1996) over teams within each rank; short and
-/// long work of a team wait in separate lanes, so that neither holds up the other.
+/// long work of a team wait in separate lanes, so that neither holds up the other; so do requests
+/// that only some upstreams may take.
 class fair_queue {
 public:
     void push(waiting_ask&& ask);
@@ -57,6 +58,8 @@
     struct lane_key {
         team_name team;
         bool is_long = false;
+        version_name version;
+        std::vector<upstream_name> avoid;
         auto operator<=>(const lane_key&) const = default;
     };
     struct lane {
--- a/lib/core/fair_queue.cpp
+++ b/lib/core/fair_queue.cpp
@@ -9,7 +9,7 @@
 {
     const request_id request = ask.ask.request;
     assert(!this->places.contains(request) && "a request waits once");
-    const lane_key key{ask.ask.team, ask.is_long};
+    const lane_key key{ask.ask.team, ask.is_long, ask.ask.version, ask.ask.avoid};
     rank_state& rank = this->ranks[ask.rank];
     lane& to = rank.lanes[key];
     this->places[request] = place{ask.rank, key, ask.expires};
