--- a/include/ragwortcove/cli/caller.hpp
+++ b/include/ragwortcove/cli/caller.hpp
@@ -48,7 +48,8 @@
 
 class caller {
 public:
-    caller(std::vector<core::endpoint> first_entries, std::uint64_t seed);
+    caller(std::vector<core::endpoint> first_entries, std::uint64_t seed,
+           const http::client_settings& connection = {.pool_size = 4});
     /// Sends a request, repeats it while it is refused as not run and its time allows, and says
     /// what is known in the end.
     caller_outcome call(const caller_request& request, const text_handler& on_text = {});
--- a/include/ragwortcove/cli/common_options.hpp
+++ b/include/ragwortcove/cli/common_options.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/types.hpp"
+#include "ragwortcove/http/client.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -61,10 +62,19 @@
     [[nodiscard]] std::vector<core::endpoint> addresses() const;
     /// Bearer token of operators; empty when none is set.
     [[nodiscard]] std::string token() const;
+    /// How to connect: by TLS when an authority is named, with a certificate when one is.
+    [[nodiscard]] http::client_settings connection() const;
 
 private:
+    /// An argument's value, or else the key's in the settings file.
+    [[nodiscard]] std::string value_of(const TCLAP::ValueArg<std::string>& argument,
+                                       std::string_view key) const;
+
     TCLAP::MultiArg<std::string> daemons;
     TCLAP::ValueArg<std::string> token_text;
+    TCLAP::ValueArg<std::string> authority;
+    TCLAP::ValueArg<std::string> certificate;
+    TCLAP::ValueArg<std::string> private_key;
     TCLAP::ValueArg<std::string> settings;
 };
 
--- a/include/ragwortcove/cli/http_call.hpp
+++ b/include/ragwortcove/cli/http_call.hpp
@@ -25,7 +25,7 @@
 /// Client and loop of a command that does one thing at a time.
 class http_session {
 public:
-    http_session();
+    explicit http_session(const http::client_settings& settings = {.pool_size = 4});
     /// Waits for the response; `body_part` sees the body as it comes.
     http_answer
     exchange(http::client_request request,
--- a/lib/cli/caller.cpp
+++ b/lib/cli/caller.cpp
@@ -38,8 +38,9 @@
     return code ? otherwise : value;
 }
 
-caller::caller(std::vector<core::endpoint> first_entries, std::uint64_t seed)
-    : seeds(std::move(first_entries)), random(seed)
+caller::caller(std::vector<core::endpoint> first_entries, std::uint64_t seed,
+               const http::client_settings& connection)
+    : session(connection), seeds(std::move(first_entries)), random(seed)
 {
 }
 
--- a/lib/cli/common_options.cpp
+++ b/lib/cli/common_options.cpp
@@ -9,6 +9,7 @@
 
 static constexpr const char* version = "0.1.0";
 static constexpr std::string_view settings_section = "cli";
+static constexpr std::uint32_t connections = 4;
 
 core::endpoint parse_address(std::string_view text)
 {
@@ -74,8 +75,15 @@
     : daemons("d", "daemon", "address and port of a daemon; may be repeated", false, "ip:port",
               line.arguments()),
       token_text("", "token", "bearer token of operators", false, "", "token", line.arguments()),
-      settings("s", "settings", "INI file with [cli] daemons = ip:port, ip:port and token", false,
-               "", "file", line.arguments())
+      authority("", "authority", "PEM file of the authority of daemons' certificates; turns on TLS",
+                false, "", "file", line.arguments()),
+      certificate("", "certificate", "PEM file of an operator's certificate", false, "", "file",
+                  line.arguments()),
+      private_key("", "private-key", "PEM file of its private key", false, "", "file",
+                  line.arguments()),
+      settings("s", "settings",
+               "INI file; [cli] daemons, token, authority, certificate, private_key", false, "",
+               "file", line.arguments())
 {
 }
 
@@ -96,11 +104,30 @@
     return addresses;
 }
 
+std::string daemon_option::value_of(const TCLAP::ValueArg<std::string>& argument,
+                                    std::string_view key) const
+{
+    if (argument.isSet() || !this->settings.isSet())
+        return argument.getValue();
+    return read_setting(this->settings.getValue(), key);
+}
+
 std::string daemon_option::token() const
 {
-    if (this->token_text.isSet() || !this->settings.isSet())
-        return this->token_text.getValue();
-    return read_setting(this->settings.getValue(), "token");
+    return this->value_of(this->token_text, "token");
+}
+
+http::client_settings daemon_option::connection() const
+{
+    http::client_settings made;
+    made.pool_size = connections;
+    made.authority_file = this->value_of(this->authority, "authority");
+    made.certificate_file = this->value_of(this->certificate, "certificate");
+    made.private_key_file = this->value_of(this->private_key, "private_key");
+    made.tls = !made.authority_file.empty();
+    if (!made.tls && !made.certificate_file.empty())
+        throw invalid_arguments("--certificate: expected --authority as well");
+    return made;
 }
 
 } // namespace ragwortcove::cli
--- a/lib/cli/http_call.cpp
+++ b/lib/cli/http_call.cpp
@@ -4,10 +4,9 @@
 
 namespace ragwortcove::cli {
 
-static constexpr std::uint32_t connections = 4;
 static constexpr std::chrono::seconds get_idle_limit{3};
 
-http_session::http_session() : client(this->on, http::client_settings{.pool_size = connections}) {}
+http_session::http_session(const http::client_settings& settings) : client(this->on, settings) {}
 
 http_answer
 http_session::exchange(http::client_request request,
--- a/tools/ragwortcove/call.cpp
+++ b/tools/ragwortcove/call.cpp
@@ -153,7 +153,7 @@
     const auto request = make_request(options);
     const bool as_json = line.output() == cli::output_format::json;
 
-    cli::caller caller(daemons.addresses(), random_number());
+    cli::caller caller(daemons.addresses(), random_number(), daemons.connection());
     cli::text_handler on_text;
     if (!as_json)
         on_text = [](std::string_view text) { std::cout << text << std::flush; };
--- a/tools/ragwortcove/drain.cpp
+++ b/tools/ragwortcove/drain.cpp
@@ -57,7 +57,7 @@
     if (!limit)
         throw cli::invalid_arguments("--wait: expected a duration such as 5m");
 
-    cli::http_session session;
+    cli::http_session session(daemons.connection());
     const auto token = daemons.token();
     const auto node = find_node(session, daemons.addresses(), token, name.getValue());
     if (!node) {
--- a/tools/ragwortcove/status.cpp
+++ b/tools/ragwortcove/status.cpp
@@ -79,7 +79,7 @@
     const cli::daemon_option daemons(line);
     line.parse(arguments);
 
-    cli::http_session session;
+    cli::http_session session(daemons.connection());
     const auto all = cli::gather_status(session, daemons.addresses(), daemons.token());
     if (line.output() == cli::output_format::json)
         print_json(all);
--- a/tools/ragwortcove/top.cpp
+++ b/tools/ragwortcove/top.cpp
@@ -60,7 +60,7 @@
         throw cli::invalid_arguments("--interval: expected a duration such as 2s");
     const auto first = daemons.addresses();
 
-    cli::http_session session;
+    cli::http_session session(daemons.connection());
     for (std::uint32_t looks = 1;; ++looks) {
         const auto all = cli::gather_status(session, first, daemons.token());
         if (std::none_of(all.begin(), all.end(), [](const auto& each) { return each.answered; })) {
