--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: packages build sanitize demo check format format-check lint generate fuzz-build fuzz fuzz-long
+.PHONY: capacity packages build sanitize demo check format format-check lint generate fuzz-build fuzz fuzz-long
 
 packages:
 	scripts/install-packages
@@ -44,6 +44,10 @@
 lint: build
 	scripts/list-sources | grep '\.cpp$$' | xargs -P $(JOBS) -n 2 clang-tidy-14 -p $(BUILD) --quiet
 
+# Prints the slopes that docs/CAPACITY.md is worked out from.
+capacity: build
+	$(BUILD)/ragwortcove-bench capacity 9 25 50 100 200
+
 # Generated code is committed; only a change of a .proto file needs this.
 generate:
 	scripts/generate
--- a/tools/ragwortcove-bench/commands.hpp
+++ b/tools/ragwortcove-bench/commands.hpp
@@ -8,6 +8,7 @@
 namespace ragwortcove::bench {
 
 /// Each takes its arguments with its own name first, and gives the exit code.
+int run_capacity_command(std::vector<std::string> arguments);
 int run_experiment_command(std::vector<std::string> arguments);
 int run_faults_command(std::vector<std::string> arguments);
 int run_load_command(std::vector<std::string> arguments);
--- a/tools/ragwortcove-bench/main.cpp
+++ b/tools/ragwortcove-bench/main.cpp
@@ -18,6 +18,7 @@
 static constexpr int usage_error = 2;
 
 static constexpr std::array commands{
+    command{"capacity", "measures what control costs a node", bench::run_capacity_command},
     command{"experiment", "runs a matrix of policy, load, fault and seed",
             bench::run_experiment_command},
     command{"faults", "checks the promises under seeded fault schedules",
