[core] a node passes on only the change it has just applied, and keeps each change once

Change: the part that is not newer is dropped before a delta is kept, a change is pushed alone, and a peer that misses an earlier one asks for it.

--- a/include/ragwortcove/core/configuration.hpp
+++ b/include/ragwortcove/core/configuration.hpp
@@ -31,6 +31,8 @@
 
     /// Changes after a revision, or nothing when the backlog no longer covers it.
     [[nodiscard]] std::optional<feed_delta> changes_after(revision after) const;
+    /// The last change that was applied; null when a snapshot was.
+    [[nodiscard]] const feed_delta* last_change() const;
     [[nodiscard]] feed_snapshot snapshot() const;
 
     /// The object's specification, or null.
@@ -59,7 +61,7 @@
     [[nodiscard]] bool has_teams() const;
 
 private:
-    void remember(const feed_delta& delta);
+    void remember(feed_delta&& delta);
 
     store_id store_name;
     revision current;
--- a/lib/core/configuration.cpp
+++ b/lib/core/configuration.cpp
@@ -1,6 +1,8 @@
 #include "ragwortcove/core/configuration.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace ragwortcove::core {
 
@@ -35,32 +37,43 @@
     return !this->empty() && delta.store == this->store_name && delta.after <= this->current;
 }
 
+// A delta may overlap what is in force. What is not newer is dropped here, so that the backlog
+// holds every change once; kept whole, deltas that are joined and passed on would grow without
+// bound.
+static feed_delta newer_part(const feed_delta& delta, revision than)
+{
+    feed_delta part{delta.store, than, delta.upto, {}, {}};
+    std::copy_if(delta.changed.begin(), delta.changed.end(), std::back_inserter(part.changed),
+                 [&](const object& value) { return value.written_at > than; });
+    std::copy_if(delta.removed.begin(), delta.removed.end(), std::back_inserter(part.removed),
+                 [&](const feed_delta::removal& removed) { return removed.at > than; });
+    return part;
+}
+
 bool configuration::apply(const feed_delta& delta)
 {
     if (!this->covers_gap(delta) || delta.upto <= this->current)
         return false;
-    // A delta may overlap what is in force; only what is newer than the object in force is taken.
-    for (const object& value : delta.changed) {
+    feed_delta part = newer_part(delta, this->current);
+    for (const object& value : part.changed) {
         const auto found = this->by_key.find(value.key);
         if (found != this->by_key.end() && found->second.written_at >= value.written_at)
             continue;
-        if (found == this->by_key.end() && value.written_at <= this->current)
-            continue;
         this->by_key.insert_or_assign(value.key, value);
     }
-    for (const feed_delta::removal& removed : delta.removed) {
+    for (const feed_delta::removal& removed : part.removed) {
         const auto found = this->by_key.find(removed.key);
         if (found != this->by_key.end() && found->second.written_at < removed.at)
             this->by_key.erase(found);
     }
-    this->remember(delta);
-    this->current = delta.upto;
+    this->current = part.upto;
+    this->remember(std::move(part));
     return true;
 }
 
-void configuration::remember(const feed_delta& delta)
+void configuration::remember(feed_delta&& delta)
 {
-    this->backlog.push_back(delta);
+    this->backlog.push_back(std::move(delta));
     if (this->backlog.size() > most_backlog_deltas)
         this->backlog.pop_front();
 }
@@ -81,6 +94,11 @@
     return joined;
 }
 
+const feed_delta* configuration::last_change() const
+{
+    return this->backlog.empty() ? nullptr : &this->backlog.back();
+}
+
 feed_snapshot configuration::snapshot() const
 {
     feed_snapshot whole{this->store_name, this->current, {}};
--- a/lib/core/configuration_feed.cpp
+++ b/lib/core/configuration_feed.cpp
@@ -106,13 +106,20 @@
     return true;
 }
 
-bool configuration_feed::receive(const feed_delta& message, step_context& context)
+bool configuration_feed::receive(const node_name& from, const feed_delta& message,
+                                 step_context& context)
 {
     this->asked_until = time_point{};
-    if (!this->config.apply(message))
-        return false;
-    this->applied(context);
-    return true;
+    if (this->config.apply(message)) {
+        this->applied(context);
+        return true;
+    }
+    const bool misses_some = !this->config.empty() && message.after > this->config.at();
+    if (misses_some && message.store == this->config.store()) {
+        this->asked_until = context.now + ask_limit;
+        context.send(from, feed_ask{this->config.store(), this->config.at()});
+    }
+    return false;
 }
 
 bool configuration_feed::receive(const feed_snapshot& message, step_context& context)
@@ -141,12 +148,16 @@
 }
 
 // A change is pushed on to a few peers at random: it reaches all in about log3(n) hops, and costs a
-// node the same at any size. Peers that are missed see the revision on a heartbeat and ask.
+// node the same at any size. Only the last change goes out: what is known of a peer's revision is
+// as old as its last heartbeat. A peer that misses an earlier change asks for it.
 void configuration_feed::applied(step_context& context)
 {
     this->applied_at = context.now;
     context.log(decision_kind::configuration_applied, {}, this->config.store().value,
                 std::to_string(this->config.at().value));
+    const feed_delta* change = this->config.last_change();
+    if (change == nullptr)
+        return;
     std::vector<const member*> behind;
     for (const member* other : this->peers.others()) {
         if (other->configuration < this->config.at())
@@ -156,9 +167,7 @@
         const auto index = static_cast<std::size_t>(uniform_below(context.random, behind.size()));
         const member* chosen = behind[index];
         behind.erase(behind.begin() + static_cast<std::ptrdiff_t>(index));
-        std::optional<feed_delta> changes = this->config.changes_after(chosen->configuration);
-        if (changes)
-            context.send(chosen->claim.name, std::move(*changes));
+        context.send(chosen->claim.name, feed_delta{*change});
     }
 }
 
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -128,7 +128,7 @@
         void operator()(const feed_ask& m) { this->self.feed.receive(this->from, m, context); }
         void operator()(const feed_delta& m)
         {
-            this->self.config_changed |= this->self.feed.receive(m, context);
+            this->self.config_changed |= this->self.feed.receive(this->from, m, context);
         }
         void operator()(const feed_snapshot& m)
         {
