[settings] a header without a name is a located error

Cause: '[upstream ]' ended the process: parse_header took a substring from npos. Change: such a header is told like any other that is not understood; test case added, which the old code does not survive.

--- a/lib/settings/object_file.cpp
+++ b/lib/settings/object_file.cpp
@@ -39,8 +39,10 @@
     const auto kind = core::parse_object_kind(header.substr(0, space));
     if (!kind || !is_operators_kind(*kind))
         return std::nullopt;
-    const auto name = header.substr(header.find_first_not_of(' ', space));
-    return core::object_key{*kind, std::string(name)};
+    const auto name = header.find_first_not_of(' ', space);
+    if (name == std::string_view::npos)
+        return std::nullopt;
+    return core::object_key{*kind, std::string(header.substr(name))};
 }
 
 static std::vector<core::field> fields_of(const ini_section& section)
--- a/unittests/settings/object_file_test.cpp
+++ b/unittests/settings/object_file_test.cpp
@@ -79,6 +79,14 @@
     CHECK(file.objects.empty());
 }
 
+TEST_CASE("a header without a name is a located error")
+{
+    const auto file = read_objects(parse_ini("f.ini", "\n[upstream ]\nslots = 1\n"));
+    CHECK(file.objects.empty());
+    REQUIRE(file.errors.size() == 1);
+    CHECK(file.errors.front().line == 2);
+}
+
 TEST_CASE("objects must fit the others")
 {
     const auto in_force = objects_of(site);
