[http] one libwebsockets timer for all timers of a loop

Cause: a profile of the daemon at 800 lookups a second showed libwebsockets' sorted list of timers in front, which is searched from its head; each exchange put two of ours there. Change: the loop keeps its timers in an ordered map and sets one alarm, for the earliest.

--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -4,6 +4,7 @@
 
 #include <libwebsockets.h>
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -58,6 +59,7 @@
 
 loop::loop() : self(std::make_unique<state>())
 {
+    this->self->alarm.owner = this->self.get();
     this->self->context = create_context();
     assert(this->self->context != nullptr && "libwebsockets context not created");
     this->self->datagram_vhost = create_datagram_vhost(this->self->context);
@@ -65,8 +67,7 @@
 
 loop::~loop()
 {
-    for (auto& [id, timer] : this->self->timers)
-        lws_sul_cancel(&timer->entry);
+    lws_sul_cancel(&this->self->alarm.entry);
     lws_context_destroy(this->self->context);
 }
 
@@ -107,34 +108,56 @@
     lws_cancel_service(this->self->context);
 }
 
-static void fire_timer(lws_sorted_usec_list_t* entry)
+static void run_due_timers(loop::state& self);
+
+static void fire_alarm(lws_sorted_usec_list_t* entry)
+{
+    run_due_timers(*reinterpret_cast<loop_alarm*>(entry)->owner);
+}
+
+// libwebsockets keeps its timers in a list that it searches from the front, so it gets only the
+// earliest of ours.
+static void set_alarm(loop::state& self)
+{
+    if (self.timers.empty()) {
+        lws_sul_cancel(&self.alarm.entry);
+        return;
+    }
+    const lws_usec_t due = self.timers.begin()->first.first.count();
+    const lws_usec_t wait = std::max<lws_usec_t>(due - lws_now_usecs(), 1);
+    lws_sul_schedule(self.context, 0, &self.alarm.entry, fire_alarm, wait);
+}
+
+static void run_due_timers(loop::state& self)
 {
-    auto* timer = reinterpret_cast<loop_timer*>(entry);
-    const std::unique_ptr<loop_timer> kept = std::move(timer->owner->timers.at(timer->id));
-    timer->owner->timers.erase(kept->id);
-    kept->work();
+    const std::chrono::microseconds now(lws_now_usecs());
+    while (!self.timers.empty() && self.timers.begin()->first.first <= now) {
+        auto due = self.timers.extract(self.timers.begin());
+        self.due_times.erase(due.key().second);
+        due.mapped()();
+    }
+    set_alarm(self);
 }
 
 timer_id loop::after(std::chrono::microseconds delay, std::function<void()> work)
 {
-    auto timer = std::make_unique<loop_timer>();
-    timer->owner = this->self.get();
-    timer->id = ++this->self->last_timer;
-    timer->work = std::move(work);
-    const timer_id id = timer->id;
-    const lws_usec_t wait = std::max<lws_usec_t>(delay.count(), 1);
-    lws_sul_schedule(this->self->context, 0, &timer->entry, fire_timer, wait);
-    this->self->timers.emplace(id, std::move(timer));
+    // Work due at once runs in the next turn, not in this one.
+    const auto due = this->now() + std::max(delay, std::chrono::microseconds(1));
+    const timer_id id = ++this->self->last_timer;
+    const auto placed = this->self->timers.emplace(std::pair(due, id), std::move(work)).first;
+    this->self->due_times.emplace(id, due);
+    if (placed == this->self->timers.begin())
+        set_alarm(*this->self);
     return id;
 }
 
 void loop::cancel(timer_id timer)
 {
-    const auto found = this->self->timers.find(timer);
-    if (found == this->self->timers.end())
+    const auto found = this->self->due_times.find(timer);
+    if (found == this->self->due_times.end())
         return;
-    lws_sul_cancel(&found->second->entry);
-    this->self->timers.erase(found);
+    this->self->timers.erase(std::pair(found->second, timer));
+    this->self->due_times.erase(found);
 }
 
 std::chrono::microseconds loop::now() const
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -10,17 +10,16 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 namespace ragwortcove::http {
 
-/// A timer of `loop::after`.
-struct loop_timer {
+/// The one timer that libwebsockets keeps for a loop.
+struct loop_alarm {
     /// Comes first: libwebsockets hands back its address.
     lws_sorted_usec_list_t entry{};
     loop::state* owner = nullptr;
-    timer_id id = 0;
-    std::function<void()> work;
 };
 
 struct loop::state {
@@ -28,7 +27,10 @@
     lws_vhost* datagram_vhost = nullptr;
     std::atomic<bool> stopped{false};
     timer_id last_timer = 0;
-    std::map<timer_id, std::unique_ptr<loop_timer>> timers;
+    /// Work by the time when it is due.
+    std::map<std::pair<std::chrono::microseconds, timer_id>, std::function<void()>> timers;
+    std::map<timer_id, std::chrono::microseconds> due_times;
+    loop_alarm alarm;
     std::mutex posted_mutex;
     std::vector<std::function<void()>> posted;
     std::vector<std::unique_ptr<std::function<void()>>> datagram_watches;
