[http] exchanges wait a little for a pooled connection before they get their own

Cause: at 1,500 lookups a second a pause of the other side longer than the pool lasts sent every further request to a connection of its own; these made both sides slower, and the daemon answered 434 a second of 1,525. Change: an exchange waits up to 20 ms for the pool; at most 1,024 connections stand beside it. The load tool's retries wait with full-jitter exponential delays.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -18,6 +18,10 @@
 /// Time that a kept connection stays open unused; below the server's keep-alive time.
 static constexpr std::uint16_t keep_warm_seconds = 30;
 static constexpr std::size_t read_buffer_bytes = 32U << 10U;
+/// Time that an exchange waits for a connection of the pool before it gets one of its own.
+static constexpr std::chrono::milliseconds longest_pool_wait{20};
+/// Connections outside the pool, not counting those that callers ask for.
+static constexpr std::uint32_t most_single_connections = 1024;
 
 namespace {
 
@@ -27,8 +31,11 @@
     client_request wanted;
     client_handlers handlers;
     lws* connection = nullptr;
-    /// Index of the pooled vhost; unset on a connection of its own.
+    /// Index of the pooled vhost; unset while it waits and on a connection of its own.
     std::optional<std::size_t> slot;
+    /// Has a connection of its own.
+    bool single = false;
+    std::chrono::microseconds started{0};
     /// Address and port of the upstream.
     std::string upstream;
     std::string target;
@@ -65,8 +72,14 @@
     bool ended = false;
     client_exchange last_exchange = 0;
     std::map<client_exchange, std::unique_ptr<exchange>> exchanges;
+    /// Exchanges that wait for a connection, in their order.
+    std::deque<client_exchange> waiting;
+    /// Connections outside the pool.
+    std::uint32_t single_connections = 0;
 };
 
+static void serve_waiting(client::state& self);
+
 static exchange* exchange_of(lws* wsi)
 {
     return static_cast<exchange*>(lws_get_opaque_user_data(wsi));
@@ -77,7 +90,10 @@
 {
     if (!slot)
         return;
-    self.on.after(std::chrono::microseconds(0), [&self, slot] { self.pool[*slot].busy = false; });
+    self.on.after(std::chrono::microseconds(0), [&self, slot] {
+        self.pool[*slot].busy = false;
+        serve_waiting(self);
+    });
 }
 
 static std::unique_ptr<exchange> take(client::state& self, client_exchange id)
@@ -89,6 +105,10 @@
     if (taken->connection != nullptr)
         lws_set_opaque_user_data(taken->connection, nullptr);
     free_slot(self, taken->slot);
+    if (taken->single) {
+        --self.single_connections;
+        self.on.after(std::chrono::microseconds(0), [&self] { serve_waiting(self); });
+    }
     return taken;
 }
 
@@ -457,30 +477,89 @@
         lose_connection(&each);
 }
 
+static void connect_pooled(client::state& self, exchange& each, std::size_t slot)
+{
+    each.slot = slot;
+    self.pool[slot].busy = true;
+    self.pool[slot].upstream = each.upstream;
+    connect(self, each);
+}
+
+static void connect_single(client::state& self, exchange& each)
+{
+    each.single = true;
+    ++self.single_connections;
+    connect(self, each);
+}
+
+/// Long streams may hold the whole pool, so an exchange waits for it only for a while.
+static bool may_leave_pool(const client::state& self, const exchange& each)
+{
+    return self.single_connections < most_single_connections &&
+           self.on.now() - each.started >= longest_pool_wait;
+}
+
+static void serve_waiting(client::state& self)
+{
+    while (!self.waiting.empty() && !self.ended) {
+        const auto found = self.exchanges.find(self.waiting.front());
+        if (found == self.exchanges.end()) {
+            self.waiting.pop_front();
+            continue;
+        }
+        exchange& each = *found->second;
+        const std::optional<std::size_t> slot = choose_slot(self, each.upstream);
+        if (!slot && !may_leave_pool(self, each))
+            return;
+        self.waiting.pop_front();
+        if (slot)
+            connect_pooled(self, each, *slot);
+        if (!slot)
+            connect_single(self, each);
+    }
+}
+
+static void wait_for_connection(client::state& self, const exchange& each)
+{
+    self.waiting.push_back(each.id);
+    self.on.after(longest_pool_wait, [&self] { serve_waiting(self); });
+}
+
+static std::unique_ptr<exchange> make_exchange(client::state& self, client_request&& request,
+                                               client_handlers&& handlers)
+{
+    auto made = std::make_unique<exchange>();
+    made->id = ++self.last_exchange;
+    made->owner = &self;
+    made->wanted = std::move(request);
+    made->handlers = std::move(handlers);
+    made->upstream = made->wanted.address + ":" + std::to_string(made->wanted.port);
+    made->target = made->wanted.message.path;
+    if (!made->wanted.message.query.empty())
+        made->target += "?" + made->wanted.message.query;
+    made->started = self.on.now();
+    made->last_activity = made->started;
+    return made;
+}
+
 client_exchange client::start(client_request&& request, client_handlers&& handlers)
 {
     state& pooled = *this->self;
-    auto made = std::make_unique<exchange>();
+    auto made = make_exchange(pooled, std::move(request), std::move(handlers));
     exchange& each = *made;
-    each.id = ++pooled.last_exchange;
-    each.owner = &pooled;
-    each.wanted = std::move(request);
-    each.handlers = std::move(handlers);
-    each.upstream = each.wanted.address + ":" + std::to_string(each.wanted.port);
-    each.target = each.wanted.message.path;
-    if (!each.wanted.message.query.empty())
-        each.target += "?" + each.wanted.message.query;
-    if (!each.wanted.fresh_connection)
-        each.slot = choose_slot(pooled, each.upstream);
-    if (each.slot) {
-        pooled.pool[*each.slot].busy = true;
-        pooled.pool[*each.slot].upstream = each.upstream;
-    }
-    each.last_activity = pooled.on.now();
-    pooled.exchanges.emplace(each.id, std::move(made));
-    watch_idle(each);
     const client_exchange id = each.id;
-    connect(pooled, each);
+    pooled.exchanges.emplace(id, std::move(made));
+    watch_idle(each);
+    if (each.wanted.fresh_connection) {
+        connect_single(pooled, each);
+        return id;
+    }
+    const std::optional<std::size_t> slot =
+        pooled.waiting.empty() ? choose_slot(pooled, each.upstream) : std::nullopt;
+    if (slot)
+        connect_pooled(pooled, each, *slot);
+    if (!slot)
+        wait_for_connection(pooled, each);
     return id;
 }
 
--- a/lib/load/load_call.hpp
+++ b/lib/load/load_call.hpp
@@ -22,6 +22,9 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
 
+    /// Tries that were refused so far.
+    std::uint32_t refusals = 0;
+
     // The try under way.
     entry_address entry;
     http::response_head head;
--- a/lib/load/load_run.cpp
+++ b/lib/load/load_run.cpp
@@ -3,14 +3,16 @@
 #include "load_call.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <random>
 #include <utility>
 
 namespace ragwortcove::load {
 
-/// Random part added to each retry's delay, at most.
-static constexpr double most_retry_jitter_ms = 50.0;
+/// Random part of a retry's delay, at most: doubled with each refusal, up to a limit.
+static constexpr double first_jitter_ms = 20.0;
+static constexpr double longest_jitter_ms = 2000.0;
 static constexpr std::chrono::seconds progress_interval{1};
 
 namespace {
@@ -162,8 +164,9 @@
 {
     if (outcome.ended != try_outcome::kind::not_run || !outcome.retry_after)
         return false;
-    const double jitter =
-        std::uniform_real_distribution<double>(1.0, most_retry_jitter_ms)(this->random);
+    const double most_jitter = std::min(
+        longest_jitter_ms, std::ldexp(first_jitter_ms, static_cast<int>(call->refusals++)));
+    const double jitter = std::uniform_real_distribution<double>(1.0, most_jitter)(this->random);
     const auto delay =
         *outcome.retry_after + std::chrono::duration_cast<std::chrono::microseconds>(
                                    std::chrono::duration<double, std::milli>(jitter));
