[http] a client's slot is freed at the end of the turn

Cause: each exchange took a timer of no delay, and so one more poll of all descriptors; polling was 26% of the daemon's samples at 900 lookups a second. Change: such work runs when libwebsockets returns from the turn under way. Conclusion: no gain that could be measured here; kept since it holds back no exchange for a turn and needs no timer.

--- a/include/ragwortcove/http/loop.hpp
+++ b/include/ragwortcove/http/loop.hpp
@@ -39,6 +39,7 @@
     struct state;
 
 private:
+    friend void run_after_turn(loop& on, std::function<void()> work);
     friend void retain_until_context_ends(loop& on, std::shared_ptr<void> object);
 
     std::unique_ptr<state> self;
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -90,7 +90,7 @@
 {
     if (!slot)
         return;
-    self.on.after(std::chrono::microseconds(0), [&self, slot] {
+    run_after_turn(self.on, [&self, slot] {
         self.pool[*slot].busy = false;
         serve_waiting(self);
     });
@@ -107,7 +107,7 @@
     free_slot(self, taken->slot);
     if (taken->single) {
         --self.single_connections;
-        self.on.after(std::chrono::microseconds(0), [&self] { serve_waiting(self); });
+        run_after_turn(self.on, [&self] { serve_waiting(self); });
     }
     return taken;
 }
@@ -341,7 +341,7 @@
     const client_exchange id = each->id;
     const client_error error = error_of_text(*each, text);
     // libwebsockets may report this inside `client::start`; the caller hears of it later.
-    self.on.after(std::chrono::microseconds(0), [&self, id, error] {
+    run_after_turn(self.on, [&self, id, error] {
         const auto found = self.exchanges.find(id);
         if (found != self.exchanges.end())
             end_failed(self, *found->second, error);
--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -82,14 +82,25 @@
         work();
 }
 
+static void run_deferred(loop::state& self)
+{
+    while (!self.deferred.empty()) {
+        const std::vector<std::function<void()>> ready = std::exchange(self.deferred, {});
+        for (const std::function<void()>& work : ready)
+            work();
+    }
+}
+
 void loop::run()
 {
     this->self->stopped = false;
     run_posted(*this->self);
+    run_deferred(*this->self);
     while (!this->self->stopped) {
         if (lws_service(this->self->context, 0) < 0)
             return;
         run_posted(*this->self);
+        run_deferred(*this->self);
     }
 }
 
@@ -182,6 +193,11 @@
     return this->self->context;
 }
 
+void run_after_turn(loop& on, std::function<void()> work)
+{
+    on.self->deferred.push_back(std::move(work));
+}
+
 void retain_until_context_ends(loop& on, std::shared_ptr<void> object)
 {
     on.self->retained.push_back(std::move(object));
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -34,10 +34,15 @@
     std::mutex posted_mutex;
     std::vector<std::function<void()>> posted;
     std::vector<std::unique_ptr<std::function<void()>>> datagram_watches;
+    /// Work for the end of the turn.
+    std::vector<std::function<void()>> deferred;
     /// States that libwebsockets may call back into until its context is gone.
     std::vector<std::shared_ptr<void>> retained;
 };
 
+/// Runs `work` when libwebsockets has returned from the turn under way, without waiting for
+/// another.
+void run_after_turn(loop& on, std::function<void()> work);
 /// Keeps `object` until the loop's context is destroyed.
 void retain_until_context_ends(loop& on, std::shared_ptr<void> object);
 
