[http] the loop's timers end on a descriptor of the kernel's

Cause: libwebsockets waits for its own timers in whole milliseconds and polls without pause for the rest, so each timer of a millisecond cost up to one of processor time; a system call trace showed it. Change: the earliest timer of a loop is a timerfd that the loop watches.

--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <sys/timerfd.h>
+#include <unistd.h>
 #include <utility>
 
 namespace ragwortcove::http {
@@ -57,17 +59,21 @@
     return lws_create_vhost(context, &info);
 }
 
+static void run_due_timers(loop::state& self);
+
 loop::loop() : self(std::make_unique<state>())
 {
-    this->self->alarm.owner = this->self.get();
     this->self->context = create_context();
     assert(this->self->context != nullptr && "libwebsockets context not created");
     this->self->datagram_vhost = create_datagram_vhost(this->self->context);
+    this->self->alarm = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+    assert(this->self->alarm >= 0 && "timer descriptor not created");
+    state* const own = this->self.get();
+    this->watch_datagrams(own->alarm, [own] { run_due_timers(*own); });
 }
 
 loop::~loop()
 {
-    lws_sul_cancel(&this->self->alarm.entry);
     lws_context_destroy(this->self->context);
 }
 
@@ -119,28 +125,27 @@
     lws_cancel_service(this->self->context);
 }
 
-static void run_due_timers(loop::state& self);
-
-static void fire_alarm(lws_sorted_usec_list_t* entry)
-{
-    run_due_timers(*reinterpret_cast<loop_alarm*>(entry)->owner);
-}
-
-// libwebsockets keeps its timers in a list that it searches from the front, so it gets only the
-// earliest of ours.
-static void set_alarm(loop::state& self)
+// libwebsockets waits for its own timers in whole milliseconds and polls without pause for the
+// rest, so the earliest of ours is a descriptor of the kernel's.
+static void set_alarm(const loop::state& self)
 {
-    if (self.timers.empty()) {
-        lws_sul_cancel(&self.alarm.entry);
-        return;
+    itimerspec when{};
+    if (!self.timers.empty()) {
+        const auto due = self.timers.begin()->first.first;
+        const std::chrono::microseconds now(lws_now_usecs());
+        const auto wait = std::max(due - now, std::chrono::microseconds(1));
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
+        when.it_value.tv_sec = seconds.count();
+        when.it_value.tv_nsec = std::chrono::nanoseconds(wait - seconds).count();
     }
-    const lws_usec_t due = self.timers.begin()->first.first.count();
-    const lws_usec_t wait = std::max<lws_usec_t>(due - lws_now_usecs(), 1);
-    lws_sul_schedule(self.context, 0, &self.alarm.entry, fire_alarm, wait);
+    timerfd_settime(self.alarm, 0, &when, nullptr);
 }
 
 static void run_due_timers(loop::state& self)
 {
+    std::uint64_t expirations = 0;
+    // Nothing to read means that the alarm was moved since.
+    static_cast<void>(::read(self.alarm, &expirations, sizeof expirations));
     const std::chrono::microseconds now(lws_now_usecs());
     while (!self.timers.empty() && self.timers.begin()->first.first <= now) {
         auto due = self.timers.extract(self.timers.begin());
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -15,13 +15,6 @@
 
 namespace ragwortcove::http {
 
-/// The one timer that libwebsockets keeps for a loop.
-struct loop_alarm {
-    /// Comes first: libwebsockets hands back its address.
-    lws_sorted_usec_list_t entry{};
-    loop::state* owner = nullptr;
-};
-
 struct loop::state {
     lws_context* context = nullptr;
     lws_vhost* datagram_vhost = nullptr;
@@ -30,7 +23,8 @@
     /// Work by the time when it is due.
     std::map<std::pair<std::chrono::microseconds, timer_id>, std::function<void()>> timers;
     std::map<timer_id, std::chrono::microseconds> due_times;
-    loop_alarm alarm;
+    /// Descriptor that becomes readable when the earliest timer is due.
+    int alarm = -1;
     std::mutex posted_mutex;
     std::vector<std::function<void()>> posted;
     std::vector<std::unique_ptr<std::function<void()>>> datagram_watches;
