[core] requests split between versions by moves, evidence and brake

A route's version came from the route alone. Now the latest move of the route decides: its status gives the share of the new version, a node's own view of the evidence bounds it, and the brake and the finish-by time hold at every node without the platform. Evidence is counted at the entries by upstream of the new version, spread on the heartbeats as cumulative counts by sender, and judged by a cumulative-sum test. Status and evidence carry the finish-by time, which tells a move from an earlier one of the same name.

--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -11,6 +11,7 @@
 #include "ragwortcove/core/event.hpp"
 #include "ragwortcove/core/key_registry.hpp"
 #include "ragwortcove/core/membership.hpp"
+#include "ragwortcove/core/move_watch.hpp"
 #include "ragwortcove/core/open_request.hpp"
 #include "ragwortcove/core/output_estimate.hpp"
 #include "ragwortcove/core/placement_policy.hpp"
@@ -33,6 +34,7 @@
     const cell_owners& owners;
     cell_view& view;
     platform_caller& platform;
+    move_watch& moves;
 };
 
 /// Entry: at most once, true refusals and the whole answer are kept here.
@@ -63,6 +65,8 @@
     void owners_changed(step_context& context);
     /// Tells every owner of every permit held, since an owner may have taken them back.
     void report_all(step_context& context);
+    /// Places requests that wait for a version which gets no more anew on the old version.
+    void leave_stopped_versions(step_context& context);
     void begin_drain(time_point refuse_from);
     /// A load report, for placement without owners.
     void load(const load_reported& message) { this->direct.load(message); }
@@ -100,6 +104,10 @@
     void ask_owner(open_request& request, step_context& context);
     void withdraw(open_request& request, step_context& context);
     void report_held(open_request& request, step_context& context);
+    void choose_version(open_request& request, step_context& context);
+    void fall_back(open_request& request);
+    [[nodiscard]] bool may_use(const open_request& request, const upstream_spec& upstream,
+                               unix_millis wall) const;
     void retry(open_request& request, refusal_reason otherwise, step_context& context);
 
     // entry_attempts.cpp: dispatch, resumption and answers.
--- /dev/null
+++ b/include/ragwortcove/core/move_watch.hpp
@@ -0,0 +1,86 @@
+/// \file
+/// Every node's part in the moves: which version a request gets, what its attempts show of it, and
+/// the brake.
+#pragma once
+
+#include "ragwortcove/core/cell_map.hpp"
+#include "ragwortcove/core/configuration.hpp"
+#include "ragwortcove/core/context.hpp"
+#include "ragwortcove/core/membership.hpp"
+#include "ragwortcove/core/open_request.hpp"
+#include "ragwortcove/core/traffic_split.hpp"
+#include "ragwortcove/core/version_evidence.hpp"
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace ragwortcove::core {
+
+/// Version of a request, and the move whose new version that is, if any.
+struct version_choice {
+    version_name version;
+    /// Empty unless the request goes to the new version of a move under way.
+    move_name move;
+};
+
+/// Moves under way as this node sees them.
+class move_watch {
+public:
+    move_watch(const configuration& in_force, const cell_map& known_cells,
+               const membership& known_members)
+        : config{in_force}, cells{known_cells}, members{known_members}
+    {
+    }
+
+    /// The configuration changed.
+    void refresh();
+
+    /// Chooses a request's version and counts it in flight if it goes to a new one.
+    [[nodiscard]] version_choice choose(const route_name& route, const route_spec& spec,
+                                        bool idempotent, step_context& context);
+    /// The version that a request falls back to when it leaves the move's new version.
+    [[nodiscard]] version_name old_version(const move_name& move) const;
+    /// A request that was counted in flight is over or has left the new version.
+    void left(const move_name& move);
+    /// Whether nothing more may be sent to the move's new version.
+    [[nodiscard]] bool is_stopped(const move_name& move, unix_millis wall) const;
+
+    /// Takes what an attempt has shown.
+    void observe(const open_request& request, attempt_outcome outcome, step_context& context);
+    /// Takes what a peer has seen.
+    void merge(incarnation sender, std::span<const version_evidence> records,
+               step_context& context);
+    /// Records for a heartbeat, brakes first, at most so many.
+    [[nodiscard]] std::vector<version_evidence> records(std::size_t most);
+
+    [[nodiscard]] move_standing standing(const move_name& move) const;
+    [[nodiscard]] std::uint32_t pairs(const move_name& move) const;
+    [[nodiscard]] const traffic_split& split() const { return this->by_route; }
+    /// Sets the move's brake; it stays on.
+    void brake(const move_name& move, step_context& context);
+    /// Whether a brake went on since the last call.
+    [[nodiscard]] bool take_brake_set();
+    /// Whether this node has seen something new of a move under way since the last call.
+    [[nodiscard]] bool take_news();
+
+private:
+    [[nodiscard]] const route_move* find(const move_name& move) const;
+    [[nodiscard]] std::uint32_t canary_quota(const route_move& move, unix_millis wall) const;
+    [[nodiscard]] std::vector<std::string> entries() const;
+    void judge(const move_name& move, step_context& context);
+
+    const configuration& config;
+    const cell_map& cells;
+    const membership& members;
+    traffic_split by_route;
+    std::map<move_name, route_name> routes;
+    std::map<move_name, move_evidence> evidence;
+    std::map<move_name, std::uint32_t> in_flight;
+    bool brake_set = false;
+    bool has_news = false;
+    std::size_t next_record = 0;
+};
+
+} // namespace ragwortcove::core
--- a/include/ragwortcove/core/object.hpp
+++ b/include/ragwortcove/core/object.hpp
@@ -107,6 +107,10 @@
     std::uint32_t share_permille = 0;
     fencing_number fencing;
     std::string reason;
+    /// What the move asked for when the status was written: a move that was declared anew under the
+    /// same name has no status yet.
+    version_name to;
+    unix_millis finish_by;
     bool operator==(const move_status_spec&) const = default;
 };
 
--- a/include/ragwortcove/core/open_request.hpp
+++ b/include/ragwortcove/core/open_request.hpp
@@ -42,6 +42,8 @@
     bool resuming = false;
     /// Whether the upstream itself closed a connection that carried this dispatch.
     bool closed_by_upstream = false;
+    /// Whether the connection failed, not the answer.
+    bool connection_failed = false;
 };
 
 struct open_request {
@@ -61,6 +63,8 @@
     revision claimed_at;
 
     version_name version;
+    /// The move whose new version the request is on, if any.
+    move_name canary_of;
     std::optional<cell_id> cell;
     node_name owner;
     std::vector<cell_id> denied_by;
--- a/include/ragwortcove/core/peer_message.hpp
+++ b/include/ragwortcove/core/peer_message.hpp
@@ -137,10 +137,16 @@
     bool operator==(const cell_digest&) const = default;
 };
 
-/// What has been seen of a move's new version against its old one, as counts since the move began.
+/// What the sender has seen of a move's new version against its old one, as counts since the move
+/// began; one record for each upstream of the new version, and one without upstream for the rest.
 struct version_evidence {
     move_name move;
+    /// Tells a move from an earlier one of the same name.
+    unix_millis finish_by;
+    upstream_name upstream;
     bool brake = false;
+    /// Answers of the new version that were held against one of the old version.
+    std::uint32_t pairs = 0;
     std::uint32_t new_completed = 0;
     std::uint32_t new_failed = 0;
     std::uint32_t new_slow = 0;
--- a/lib/core/entry.cpp
+++ b/lib/core/entry.cpp
@@ -72,7 +72,7 @@
     request.arrived = context.now;
     request.deadline = context.now + message.request.timeout.value_or(request.route.timeout);
     request.idempotent = request.route.idempotent || message.request.safe_method;
-    request.version = request.route.version;
+    this->choose_version(request, context);
     request.output_estimate = request.route.kind == upstream_kind::service
                                   ? 0
                                   : this->outputs.estimate(message.request.route, request.route,
@@ -112,6 +112,7 @@
         this->by_attempt.erase(request.running->attempt);
     if (request.platform_call)
         this->by_call.erase(*request.platform_call);
+    this->fall_back(request);
     this->ledger.forget(request.id);
     this->by_request.erase(request.id);
     const exchange_id exchange = request.exchange;
@@ -140,6 +141,8 @@
 void entry::time_up(open_request& request, step_context& context)
 {
     if (request.running) {
+        // The owner learns nothing from it, but a version that answers too late is a bad one.
+        this->env.moves.observe(request, attempt_outcome::failed, context);
         context.effects.emplace_back(cancel_attempt{request.running->attempt});
         this->release(request, attempt_outcome::cancelled, context);
     }
--- a/lib/core/entry_attempts.cpp
+++ b/lib/core/entry_attempts.cpp
@@ -96,6 +96,7 @@
 // What the owner learns from: the time between tokens only when there were enough of them.
 void entry::release(open_request& request, attempt_outcome outcome, step_context& context)
 {
+    this->env.moves.observe(request, outcome, context);
     const running_attempt& running = *request.running;
     if (!request.cell) {
         this->direct.released(running.upstream);
@@ -169,9 +170,16 @@
     return "unknown";
 }
 
+static bool is_of_connection(upstream_failure failure)
+{
+    return failure == upstream_failure::not_sent || failure == upstream_failure::connection_lost ||
+           failure == upstream_failure::silent;
+}
+
 void entry::lost(open_request& request, upstream_failure failure, step_context& context)
 {
-    const running_attempt& running = *request.running;
+    running_attempt& running = *request.running;
+    running.connection_failed = is_of_connection(failure);
     context.log(decision_kind::attempt_failed, request.id, running.upstream.value,
                 std::string(describe(failure)));
     const bool first_attempt = running.resumes == 0;
--- a/lib/core/entry_placement.cpp
+++ b/lib/core/entry_placement.cpp
@@ -42,6 +42,52 @@
     std::erase_if(candidates, [&](const cell* candidate) { return !is_local(candidate); });
 }
 
+void entry::choose_version(open_request& request, step_context& context)
+{
+    version_choice chosen =
+        this->env.moves.choose(request.call.route, request.route, request.idempotent, context);
+    request.version = std::move(chosen.version);
+    request.canary_of = std::move(chosen.move);
+}
+
+void entry::fall_back(open_request& request)
+{
+    if (request.canary_of.empty())
+        return;
+    request.version = this->env.moves.old_version(request.canary_of);
+    this->env.moves.left(request.canary_of);
+    request.canary_of = {};
+}
+
+bool entry::may_use(const open_request& request, const upstream_spec& upstream,
+                    unix_millis wall) const
+{
+    if (upstream.leaving)
+        return false;
+    if (!request.version.empty() && upstream.version != request.version)
+        return false;
+    return request.canary_of.empty() || !this->env.moves.is_stopped(request.canary_of, wall);
+}
+
+void entry::leave_stopped_versions(step_context& context)
+{
+    std::vector<exchange_id> waiting;
+    for (const auto& [exchange, request] : this->requests) {
+        if (!request.canary_of.empty() && request.phase != request_phase::running &&
+            this->env.moves.is_stopped(request.canary_of, context.wall))
+            waiting.push_back(exchange);
+    }
+    for (const exchange_id exchange : waiting) {
+        open_request& request = this->requests.at(exchange);
+        this->fall_back(request);
+        if (request.phase != request_phase::awaiting_permit)
+            continue;
+        this->withdraw(request, context);
+        request.denied_by.clear();
+        this->place(request, context);
+    }
+}
+
 // A cell that denied the request is not asked again; when every cell has denied it, the caller gets
 // the refusal at once and is told when to come back.
 void entry::place(open_request& request, step_context& context)
@@ -63,6 +109,13 @@
                   [&](const cell* candidate) { return !has_other_upstream(*candidate, request); });
     keep_local(candidates, this->env.self.region);
     const cell* chosen = this->env.view.choose(candidates, request.call.prefix);
+    if (chosen == nullptr && !request.canary_of.empty()) {
+        // The new version has no room or no upstream: the old one serves the request.
+        this->fall_back(request);
+        request.denied_by.clear();
+        this->place(request, context);
+        return;
+    }
     if (chosen == nullptr) {
         if (request.denied_by.empty())
             this->refuse(request, refusal_reason::no_upstream, 1s, context);
@@ -150,7 +203,7 @@
     const bool wanted = request != nullptr && request->phase == request_phase::awaiting_permit &&
                         request->cell && *request->cell == message.cell;
     const upstream_spec* upstream = this->env.config.find_upstream(message.upstream);
-    if (!wanted || upstream == nullptr || upstream->leaving) {
+    if (!wanted || upstream == nullptr || !this->may_use(*request, *upstream, context.wall)) {
         permit_release unused;
         unused.request = message.request;
         unused.cell = message.cell;
@@ -162,7 +215,9 @@
                             request->running->upstream == message.upstream;
         if (!in_use)
             context.send(from, std::move(unused));
-        if (wanted)
+        if (wanted && upstream != nullptr && !upstream->leaving)
+            this->leave_stopped_versions(context);
+        else if (wanted)
             this->retry(*request, refusal_reason::no_upstream, context);
         return;
     }
@@ -199,6 +254,8 @@
         this->refuse(request, otherwise, retry_most, context);
         return;
     }
+    // What failed on a new version is not tried there again.
+    this->fall_back(request);
     ++request.retries;
     request.phase = request_phase::backing_off;
     request.cell.reset();
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -19,6 +19,10 @@
 static constexpr double platform_burst = 20.0;
 /// Cells told of on one heartbeat, at most.
 static constexpr std::size_t most_cells_told = 16;
+/// Records of version evidence on one heartbeat, at most.
+static constexpr std::size_t most_evidence_told = 8;
+/// Members that hear of a brake at once.
+static constexpr std::size_t brake_fanout = 3;
 
 static placement_policy policy_of(const node_settings& settings)
 {
@@ -36,11 +40,11 @@
 
 node::state::state(const node_settings& from, std::uint64_t seed)
     : settings{from}, random{seed}, members{this->settings},
-      platform{this->settings.platform_calls_per_second, platform_burst}, feed{this->config,
-                                                                               this->members,
-                                                                               this->platform},
+      platform{this->settings.platform_calls_per_second, platform_burst},
+      feed{this->config, this->members, this->platform}, moves{this->config, this->cells,
+                                                               this->members},
       requests{entry_surroundings{this->settings, this->config, this->cells, this->members,
-                                  this->owners, this->view, this->platform},
+                                  this->owners, this->view, this->platform, this->moves},
                policy_of(this->settings)},
       placement{this->config, this->cells, is_tiered(policy_of(this->settings))}
 {
@@ -55,9 +59,23 @@
     made.cells = this->placement.digests();
     if (made.cells.size() > most_cells_told)
         made.cells.resize(most_cells_told);
+    made.evidence = this->moves.records(most_evidence_told);
     context.effects.emplace_back(send_peer{to, address, std::move(made)});
 }
 
+// A brake goes to a few members at once, and from each of them to a few more: all have it after
+// about log3(n) hops. Heartbeats carry it to those that were missed.
+void node::state::spread_brakes(step_context& context)
+{
+    std::vector<const member*> others = this->members.others();
+    for (std::size_t sent = 0; sent < brake_fanout && !others.empty(); ++sent) {
+        const std::size_t index = uniform_below(context.random, others.size());
+        const member_claim& chosen = others[index]->claim;
+        this->send_heartbeat(chosen.name, chosen.peers, false, context);
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
 void node::state::refresh_view(time_point now)
 {
     if (now < this->view_refreshed_at + view_period)
@@ -81,6 +99,7 @@
     this->feed.heard(message, context);
     for (const cell_digest& digest : message.cells)
         this->view.update(digest, context.now);
+    this->moves.merge(message.sender.run, message.evidence, context);
     if (!message.wants_answer)
         return;
     this->send_heartbeat(message.sender.name, message.sender.peers, false, context);
@@ -250,6 +269,7 @@
     if (cells_changed) {
         this->cells.rebuild(this->config);
         this->view.forget_unknown(this->cells);
+        this->moves.refresh();
         this->members.become_live();
     }
     const membership_changes changes = this->members.take_changes();
@@ -264,6 +284,11 @@
     }
     if (changes.was_taken_for_dead)
         this->requests.report_all(context);
+    const bool brake_set = this->moves.take_brake_set();
+    if (brake_set)
+        this->spread_brakes(context);
+    if (brake_set || cells_changed)
+        this->requests.leave_stopped_versions(context);
 }
 
 // A message to this node itself is handled in the same step; what comes of it goes through the same
--- a/lib/core/node_state.hpp
+++ b/lib/core/node_state.hpp
@@ -10,6 +10,7 @@
 #include "ragwortcove/core/context.hpp"
 #include "ragwortcove/core/entry.hpp"
 #include "ragwortcove/core/membership.hpp"
+#include "ragwortcove/core/move_watch.hpp"
 #include "ragwortcove/core/node.hpp"
 #include "ragwortcove/core/placement_owner.hpp"
 #include "ragwortcove/core/platform_caller.hpp"
@@ -33,6 +34,7 @@
     void tick(step_context& context);
     void send_heartbeat(const node_name& to, const endpoint& address, bool wants_answer,
                         step_context& context);
+    void spread_brakes(step_context& context);
     void refresh_view(time_point now);
     void drain(step_context& context);
 
@@ -45,6 +47,7 @@
     platform_caller platform;
     configuration_feed feed;
     cell_view view;
+    move_watch moves;
     entry requests;
     placement_owner placement;
 
@@ -55,6 +58,8 @@
     time_point ticked_at;
     time_point greet_seeds_at;
     time_point view_refreshed_at;
+    /// When what was seen of a move is next sent to some members.
+    time_point evidence_due;
     unix_millis wall_base;
     time_point wall_read_at;
 };
--- a/lib/core/object_fields.cpp
+++ b/lib/core/object_fields.cpp
@@ -222,6 +222,8 @@
                  value_range<std::uint32_t>{0, 1000}, "at most 1000");
     fields.value("fencing", spec.fencing, presence::optional);
     fields.value("reason", spec.reason, presence::optional);
+    fields.value("to", spec.to, presence::optional);
+    fields.value("finish_by", spec.finish_by, presence::optional);
 }
 
 template <class Fields> static void visit_fields(Fields& fields, lease_spec& spec)
--- /dev/null
+++ b/lib/core/traffic_split.cpp
@@ -0,0 +1,134 @@
+#include "ragwortcove/core/traffic_split.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortcove::core {
+
+static constexpr double permille = 1000.0;
+
+bool is_canary(const move_standing& standing)
+{
+    return standing.suspicious || standing.passed < passes_to_unbound;
+}
+
+// The finish-by time holds without the platform: an entry that has not heard by then that the last
+// step was reached goes back by itself. A brake holds even against `done`, which its setter could
+// not have seen.
+std::uint32_t share_permille(const route_move& move, const move_standing& standing,
+                             unix_millis wall)
+{
+    if (standing.braked)
+        return 0;
+    const std::uint32_t allowed = standing.suspicious
+                                      ? std::min(move.status.share_permille, canary_share_permille)
+                                      : move.status.share_permille;
+    switch (move.status.phase) {
+    case move_phase::pending:
+    case move_phase::preparing:
+    case move_phase::reverted:
+        return 0;
+    case move_phase::shifting:
+        return wall >= move.spec.finish_by ? 0 : allowed;
+    case move_phase::soaking:
+        return allowed;
+    case move_phase::done:
+        return 1000;
+    }
+    return 0;
+}
+
+const version_name& pick_version(const route_move& move, const move_standing& standing,
+                                 const split_request& request, unix_millis wall)
+{
+    const std::uint32_t share = share_permille(move, standing, wall);
+    if (request.draw * permille >= static_cast<double>(share))
+        return move.spec.from;
+    if (move.status.phase == move_phase::done)
+        return move.spec.to;
+    const bool too_early = !request.idempotent && move.has_idempotent_requests &&
+                           standing.passed < passes_before_non_idempotent;
+    if (too_early)
+        return move.spec.from;
+    if (is_canary(standing) && request.canaries_in_flight >= request.canary_quota)
+        return move.spec.from;
+    return move.spec.to;
+}
+
+static move_status_spec status_of(const move_name& name, const move_spec& spec,
+                                  const configuration& from)
+{
+    const move_status_spec* found =
+        from.find<move_status_spec>(object_kind::move_status, name.value);
+    if (found == nullptr || found->to != spec.to)
+        return {};
+    // A move that had ended and was given another finish-by time begins anew.
+    const bool ended = found->phase == move_phase::done || found->phase == move_phase::reverted;
+    if (ended && found->finish_by != spec.finish_by)
+        return {};
+    return *found;
+}
+
+static bool is_later(const route_move& left, const route_move& right)
+{
+    return std::pair{left.spec.finish_by, left.name} > std::pair{right.spec.finish_by, right.name};
+}
+
+void traffic_split::rebuild(const configuration& from)
+{
+    this->by_route.clear();
+    this->lent_to.clear();
+    for (const auto& [key, value] : from.objects()) {
+        const move_spec* spec = std::get_if<move_spec>(&value.spec);
+        if (spec == nullptr)
+            continue;
+        const move_name name{key.name};
+        route_move made{name, *spec, status_of(name, *spec, from)};
+        const auto found = this->by_route.find(spec->route);
+        if (found == this->by_route.end() || is_later(made, found->second))
+            this->by_route.insert_or_assign(spec->route, std::move(made));
+    }
+    for (auto& [name, move] : this->by_route) {
+        const route_spec* moved = from.find_route(name);
+        if (moved != nullptr && !moved->idempotent)
+            this->find_lenders(move, *moved, from);
+    }
+}
+
+// An idempotent route that was moved to the same version has shown it already. One whose own move
+// is under way lends nothing: its requests are canaries of that move.
+void traffic_split::find_lenders(route_move& move, const route_spec& moved,
+                                 const configuration& from)
+{
+    bool shown = false;
+    for (const auto& [key, value] : from.objects()) {
+        const route_spec* other = std::get_if<route_spec>(&value.spec);
+        if (other == nullptr || !other->idempotent || other->target != moved.target)
+            continue;
+        move.has_idempotent_requests = true;
+        const route_name lender{key.name};
+        const route_move* own = this->find(lender);
+        if (own == nullptr || own->ended())
+            this->lent_to.emplace(lender, move.spec.route);
+        shown |=
+            own != nullptr && own->status.phase == move_phase::done && own->spec.to == move.spec.to;
+    }
+    move.has_idempotent_requests &= !shown;
+}
+
+const route_move* traffic_split::find(const route_name& route) const
+{
+    const auto found = this->by_route.find(route);
+    return found == this->by_route.end() ? nullptr : &found->second;
+}
+
+const route_move* traffic_split::find_lent(const route_name& route) const
+{
+    const auto lent = this->lent_to.find(route);
+    if (lent == this->lent_to.end())
+        return nullptr;
+    const route_move* move = this->find(lent->second);
+    return move == nullptr || move->ended() ? nullptr : move;
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/lib/core/version_evidence.cpp
@@ -0,0 +1,296 @@
+#include "ragwortcove/core/version_evidence.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+/// Step of a running median, as a share of its value, towards a sample.
+static constexpr double median_step = 0.03;
+static constexpr std::uint32_t median_least_samples = 8;
+/// An answer that took so many times the old version's median is slow.
+static constexpr double slow_factor = 1.6;
+/// Time between two pairs of one upstream, so that a short stall of one VM is one observation.
+static constexpr duration pair_period = 1s;
+/// The same where a single upstream serves the new version, which no other can bear out.
+static constexpr duration lone_pair_period = 3s;
+/// How long an answer of the old version stands for "the same moment", and for how many answers.
+static constexpr duration same_moment = 20s;
+static constexpr std::uint32_t most_uses = 4;
+/// Connections that break together, within this time, are one failure.
+static constexpr duration crash_time = 2s;
+
+/// Shares of pairs in which only the new version is slow: still good, and bad.
+static constexpr double good_slow_rate = 0.15;
+static constexpr double bad_slow_rate = 0.7;
+/// Shares of failures: still good at least, and bad at least.
+static constexpr double least_good_failure_rate = 0.02;
+static constexpr double most_good_failure_rate = 0.3;
+static constexpr double least_bad_failure_rate = 0.2;
+
+/// Sum over the upstreams at which the version is bad.
+static constexpr double bad_sum = 8.0;
+static constexpr double suspicious_sum = 3.0;
+/// What one upstream may add where several serve the version: one VM alone proves nothing.
+static constexpr double most_for_bad = 5.0;
+static constexpr double most_for_suspicion = 2.5;
+/// What a single upstream must show by itself.
+static constexpr double lone_failing_sum = 12.0;
+static constexpr double lone_slow_sum = 16.0;
+
+void running_median::add(duration sample)
+{
+    const double value = std::log(static_cast<double>(std::max<duration::rep>(1, sample.count())));
+    ++this->samples;
+    if (this->samples <= median_least_samples) {
+        this->log_value += (value - this->log_value) / this->samples;
+        return;
+    }
+    this->log_value += value > this->log_value ? median_step : -median_step;
+}
+
+std::optional<duration> running_median::value() const
+{
+    if (this->samples < median_least_samples)
+        return std::nullopt;
+    const double log = std::max(this->log_value, this->floor.value_or(this->log_value));
+    return duration{static_cast<duration::rep>(std::exp(log))};
+}
+
+void cumulative_test::add(std::uint32_t bad, std::uint32_t good, double good_rate, double bad_rate)
+{
+    const double for_bad = std::log(bad_rate / good_rate);
+    const double for_good = std::log((1.0 - bad_rate) / (1.0 - good_rate));
+    this->total = std::max(0.0, this->total + bad * for_bad + good * for_good);
+}
+
+template <class Key>
+static std::optional<bool> is_over(duration sample, const std::map<Key, running_median>& usual,
+                                   const Key& key)
+{
+    const auto found = usual.find(key);
+    if (found == usual.end() || sample.count() == 0)
+        return std::nullopt;
+    const std::optional<duration> median = found->second.value();
+    if (!median)
+        return std::nullopt;
+    return static_cast<double>(sample.count()) > slow_factor * static_cast<double>(median->count());
+}
+
+static std::pair<std::string, unsigned> first_token_key(const attempt_observation& seen)
+{
+    return {seen.hardware, static_cast<unsigned>(std::bit_width(seen.computed_tokens))};
+}
+
+// Unset while too little is known of the old version to judge by.
+std::optional<bool> move_evidence::is_slow(const attempt_observation& seen) const
+{
+    const std::optional<bool> to_first =
+        is_over(seen.first_token_after, this->first_token, first_token_key(seen));
+    const std::optional<bool> between =
+        is_over(seen.between_tokens, this->between_tokens, seen.hardware);
+    if (!to_first && !between)
+        return std::nullopt;
+    return to_first.value_or(false) || between.value_or(false);
+}
+
+bool move_evidence::upstream_state::is_seen() const
+{
+    const auto tells = [](const version_evidence& record) {
+        return record.new_completed + record.new_failed > 0;
+    };
+    return tells(this->own) || std::any_of(this->heard.begin(), this->heard.end(),
+                                           [&](const auto& entry) { return tells(entry.second); });
+}
+
+std::size_t move_evidence::upstreams_seen() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->upstreams.begin(), this->upstreams.end(),
+                      [](const auto& entry) { return entry.second.is_seen(); }));
+}
+
+move_evidence::upstream_state& move_evidence::state_of(const upstream_name& upstream)
+{
+    upstream_state& found = this->upstreams[upstream];
+    found.own.move = this->name;
+    found.own.finish_by = this->finish_by;
+    found.own.upstream = upstream;
+    return found;
+}
+
+// When traffic leaves the old version it gets faster, which is no fault of the new one: what was
+// usual before the first request of the new version stays the least to judge by.
+void move_evidence::keep_medians()
+{
+    for (auto& [key, median] : this->first_token)
+        median.keep_as_floor();
+    for (auto& [key, median] : this->between_tokens)
+        median.keep_as_floor();
+}
+
+void move_evidence::observe(const attempt_observation& seen, std::size_t senders, time_point now)
+{
+    ++this->changes;
+    if (!seen.on_new) {
+        this->observe_old(seen, now);
+        return;
+    }
+    if (this->upstreams_seen() == 0)
+        this->keep_medians();
+    this->observe_new(seen, senders, now);
+}
+
+void move_evidence::observe_old(const attempt_observation& seen, time_point now)
+{
+    upstream_state& state = this->state_of({});
+    const version_evidence before = state.own;
+    if (seen.failed) {
+        ++state.own.old_failed;
+        this->count(state, before, state.own);
+        return;
+    }
+    ++state.own.old_completed;
+    if (this->is_slow(seen).value_or(false))
+        ++state.own.old_slow;
+    this->count(state, before, state.own);
+    this->learn(seen, now);
+    if (seen.hardware.empty())
+        return;
+    attempt_observation any = seen;
+    any.hardware.clear();
+    this->learn(any, now);
+}
+
+void move_evidence::learn(const attempt_observation& seen, time_point now)
+{
+    const std::optional<bool> slow = this->is_slow(seen);
+    if (slow)
+        this->last_old[seen.hardware] = old_observation{now, *slow, 0};
+    this->first_token[first_token_key(seen)].add(seen.first_token_after);
+    if (seen.between_tokens.count() > 0)
+        this->between_tokens[seen.hardware].add(seen.between_tokens);
+}
+
+void move_evidence::observe_new(const attempt_observation& seen, std::size_t senders,
+                                time_point now)
+{
+    upstream_state& state = this->state_of(seen.upstream);
+    const version_evidence before = state.own;
+    if (!seen.failed) {
+        ++state.own.new_completed;
+        this->pair(state, seen, senders, now);
+    }
+    else if (!seen.connection_failed || now >= state.next_connection_failure) {
+        ++state.own.new_failed;
+        if (seen.connection_failed)
+            state.next_connection_failure = now + crash_time;
+    }
+    this->count(state, before, state.own);
+}
+
+// Slow is judged in pairs: an answer of the new version against the old version's last one on the
+// same hardware at this node. What slows both down shows in both and proves nothing. Pairs of one
+// upstream are thinned out, since answers during one stall of one VM are not independent.
+void move_evidence::pair(upstream_state& with, attempt_observation seen, std::size_t senders,
+                         time_point now)
+{
+    // Hardware that the old version does not run on is held against all of it.
+    if (!this->last_old.contains(seen.hardware))
+        seen.hardware.clear();
+    const std::optional<bool> slow = this->is_slow(seen);
+    const auto last = this->last_old.find(seen.hardware);
+    if (!slow || now < with.next_pair || last == this->last_old.end())
+        return;
+    old_observation& old = last->second;
+    if (now - old.at > same_moment || old.uses >= most_uses)
+        return;
+    ++old.uses;
+    ++with.own.pairs;
+    if (*slow && !old.slow)
+        ++with.own.new_slow;
+    const duration period = this->upstreams_seen() > 1 ? pair_period : lone_pair_period;
+    with.next_pair = now + period * static_cast<std::int64_t>(std::max<std::size_t>(1, senders));
+}
+
+double move_evidence::good_failure_rate() const
+{
+    // Half a failure in fifty stands for what is not known yet.
+    const double seen = (this->old_failed + 0.5) /
+                        (static_cast<double>(this->old_completed + this->old_failed) + 50);
+    return std::clamp(2.0 * seen, least_good_failure_rate, most_good_failure_rate);
+}
+
+void move_evidence::count(upstream_state& on, const version_evidence& before,
+                          const version_evidence& after)
+{
+    const std::uint32_t pairs = after.pairs - before.pairs;
+    const std::uint32_t slow = after.new_slow - before.new_slow;
+    const std::uint32_t failed = after.new_failed - before.new_failed;
+    const std::uint32_t completed = after.new_completed - before.new_completed;
+    this->old_completed += after.old_completed - before.old_completed;
+    this->old_failed += after.old_failed - before.old_failed;
+    this->new_completed += completed;
+    this->new_pairs += pairs;
+    on.slow.add(slow, pairs - slow, good_slow_rate, bad_slow_rate);
+    const double good_rate = this->good_failure_rate();
+    on.failing.add(failed, completed, good_rate, std::max(least_bad_failure_rate, 2 * good_rate));
+}
+
+// Datagrams may come late: only a record that is at or past the last one in every count is taken.
+static bool is_at_or_past(const version_evidence& record, const version_evidence& last)
+{
+    return record.pairs >= last.pairs && record.new_completed >= last.new_completed &&
+           record.new_failed >= last.new_failed && record.new_slow >= last.new_slow &&
+           record.old_completed >= last.old_completed && record.old_failed >= last.old_failed &&
+           record.old_slow >= last.old_slow;
+}
+
+void move_evidence::merge(incarnation sender, const version_evidence& record)
+{
+    const bool consistent = record.new_slow <= record.pairs && record.pairs <= record.new_completed;
+    if (!consistent)
+        return;
+    upstream_state& state = this->state_of(record.upstream);
+    version_evidence& last = state.heard[sender];
+    if (!is_at_or_past(record, last))
+        return;
+    const version_evidence before = last;
+    last = record;
+    this->count(state, before, record);
+}
+
+evidence_level move_evidence::level() const
+{
+    const bool lone = this->upstreams_seen() <= 1;
+    double failing = 0.0;
+    double slow = 0.0;
+    double failing_capped = 0.0;
+    double slow_capped = 0.0;
+    for (const auto& [upstream, state] : this->upstreams) {
+        failing += std::min(state.failing.sum(), lone ? lone_failing_sum : most_for_bad);
+        slow += std::min(state.slow.sum(), lone ? lone_slow_sum : most_for_bad);
+        failing_capped += std::min(state.failing.sum(), lone ? suspicious_sum : most_for_suspicion);
+        slow_capped += std::min(state.slow.sum(), lone ? suspicious_sum : most_for_suspicion);
+    }
+    if (failing >= (lone ? lone_failing_sum : bad_sum) || slow >= (lone ? lone_slow_sum : bad_sum))
+        return evidence_level::bad;
+    if (failing_capped >= suspicious_sum || slow_capped >= suspicious_sum)
+        return evidence_level::suspicious;
+    return evidence_level::clear;
+}
+
+std::vector<version_evidence> move_evidence::own_records() const
+{
+    std::vector<version_evidence> records;
+    for (const auto& [upstream, state] : this->upstreams) {
+        records.push_back(state.own);
+        records.back().brake = this->braked;
+    }
+    return records;
+}
+
+} // namespace ragwortcove::core
--- a/lib/peer/decoder.cpp
+++ b/lib/peer/decoder.cpp
@@ -281,7 +281,11 @@
 {
     core::version_evidence result;
     result.move = this->name<core::move_name>(from.move(), "heartbeat.evidence.move");
+    result.finish_by = core::unix_millis{from.finish_by()};
+    result.upstream =
+        this->name<core::upstream_name>(from.upstream(), "heartbeat.evidence.upstream");
     result.brake = from.brake();
+    result.pairs = from.pairs();
     result.new_completed = from.new_completed();
     result.new_failed = from.new_failed();
     result.new_slow = from.new_slow();
--- a/lib/peer/encoder.cpp
+++ b/lib/peer/encoder.cpp
@@ -223,7 +223,10 @@
 void message_writer::write(const core::version_evidence& value, wire::VersionEvidence& to)
 {
     to.set_move(this->number_of(value.move.value));
+    to.set_finish_by(value.finish_by.value);
+    to.set_upstream(this->number_of(value.upstream.value));
     to.set_brake(value.brake);
+    to.set_pairs(value.pairs);
     to.set_new_completed(value.new_completed);
     to.set_new_failed(value.new_failed);
     to.set_new_slow(value.new_slow);
--- a/unittests/core/object_fields_test.cpp
+++ b/unittests/core/object_fields_test.cpp
@@ -64,7 +64,8 @@
          {}},
         {{object_kind::move_status, "m"},
          {},
-         move_status_spec{move_phase::soaking, 1000, {12}, "evidence complete"},
+         move_status_spec{
+             move_phase::soaking, 1000, {12}, "evidence complete", {"chat-v2"}, {1764802800250}},
          {}},
         {{object_kind::lease, "move/m"}, {}, lease_spec{{"n1"}, {99}, {13}, {1}}, {}},
         {{object_kind::claim, "key: any = text"}, {}, claim_spec{{~0ULL}, {0}}, {}},
--- a/unittests/peer/random_messages.hpp
+++ b/unittests/peer/random_messages.hpp
@@ -87,12 +87,15 @@
 inline core::version_evidence draw_evidence()
 {
     return {{draw_name()},
+            {draw_number<std::int64_t>()},
+            {draw_name_or_empty()},
             draw_number<bool>(),
             draw_number<std::uint32_t>(),
             draw_number<std::uint32_t>(),
             draw_number<std::uint32_t>(),
             draw_number<std::uint32_t>(),
             draw_number<std::uint32_t>(),
+            draw_number<std::uint32_t>(),
             draw_number<std::uint32_t>()};
 }
 
