--- a/include/ragwortcove/core/traffic_split.hpp
+++ b/include/ragwortcove/core/traffic_split.hpp
@@ -34,6 +34,9 @@
     }
 };
 
+/// Whether a status is of this very move, not of an earlier one of the same name.
+[[nodiscard]] bool is_status_of(const move_status_spec& status, const move_spec& move);
+
 /// What a node has seen of a move's new version.
 struct move_standing {
     /// The brake is on: nothing more goes to the new version.
--- a/lib/core/node.cpp
+++ b/lib/core/node.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace ragwortcove::core {
@@ -21,6 +22,8 @@
 static constexpr std::size_t most_cells_told = 16;
 /// Records of version evidence on one heartbeat, at most.
 static constexpr std::size_t most_evidence_told = 8;
+/// Time between two reports of evidence to a move's controller.
+static constexpr duration evidence_period = 1s;
 /// Members that hear of a brake at once.
 static constexpr std::size_t brake_fanout = 3;
 
@@ -40,9 +43,12 @@
 
 node::state::state(const node_settings& from, std::uint64_t seed)
     : settings{from}, random{seed}, members{this->settings},
-      platform{this->settings.platform_calls_per_second, platform_burst},
-      feed{this->config, this->members, this->platform}, moves{this->config, this->cells,
-                                                               this->members},
+      platform{this->settings.platform_calls_per_second, platform_burst}, feed{this->config,
+                                                                               this->members,
+                                                                               this->platform},
+      moves{this->config, this->cells, this->members}, controller{this->settings, this->config,
+                                                                  this->members, this->moves,
+                                                                  this->platform},
       requests{entry_surroundings{this->settings, this->config, this->cells, this->members,
                                   this->owners, this->view, this->platform, this->moves},
                policy_of(this->settings)},
@@ -63,6 +69,24 @@
     context.effects.emplace_back(send_peer{to, address, std::move(made)});
 }
 
+// The heartbeats bring evidence to every node in time; the controllers get it directly, so that the
+// steps do not wait for it in a large fleet.
+void node::state::report_evidence(step_context& context)
+{
+    if (context.now < this->evidence_due || !this->moves.take_news())
+        return;
+    this->evidence_due = context.now + evidence_period;
+    std::set<node_name> told;
+    for (const auto& [route, move] : this->moves.split().all()) {
+        if (move.ended())
+            continue;
+        const node_name driver = this->controller.controller_of(move.name, context.now);
+        const member* known = this->members.find(driver);
+        if (known != nullptr && told.insert(driver).second)
+            this->send_heartbeat(driver, known->claim.peers, false, context);
+    }
+}
+
 // A brake goes to a few members at once, and from each of them to a few more: all have it after
 // about log3(n) hops. Heartbeats carry it to those that were missed.
 void node::state::spread_brakes(step_context& context)
@@ -199,7 +223,10 @@
         }
         void operator()(const cache_reported& e) { this->self.placement.cache(e); }
         void operator()(const probe_answered& e) { this->self.placement.probed(e, context); }
-        void operator()(const order_answered&) {}
+        void operator()(const order_answered& e)
+        {
+            this->self.controller.order_answered(e, context);
+        }
         void operator()(const peer_received& e)
         {
             this->self.handle_peer(e.from, e.run, e.message, context);
@@ -215,6 +242,8 @@
             (void)this->self.platform.answered(e.call);
             if (this->self.requests.claim_answered(e.call, e.result, context))
                 return;
+            if (this->self.controller.answered(e.call, e.result, context))
+                return;
             this->self.config_changed |= this->self.feed.listed(e.call, e.result, context);
         }
         void operator()(const watch_changed& e)
@@ -254,6 +283,8 @@
     }
     this->placement.tick(context);
     this->requests.tick(context);
+    this->report_evidence(context);
+    this->controller.tick(context);
     const bool over =
         this->draining && context.now >= this->drained_from && this->requests.open_count() == 0;
     if (over && !this->reported_drained) {
--- a/lib/core/node_state.hpp
+++ b/lib/core/node_state.hpp
@@ -10,6 +10,7 @@
 #include "ragwortcove/core/context.hpp"
 #include "ragwortcove/core/entry.hpp"
 #include "ragwortcove/core/membership.hpp"
+#include "ragwortcove/core/move_controller.hpp"
 #include "ragwortcove/core/move_watch.hpp"
 #include "ragwortcove/core/node.hpp"
 #include "ragwortcove/core/placement_owner.hpp"
@@ -35,6 +36,7 @@
     void send_heartbeat(const node_name& to, const endpoint& address, bool wants_answer,
                         step_context& context);
     void spread_brakes(step_context& context);
+    void report_evidence(step_context& context);
     void refresh_view(time_point now);
     void drain(step_context& context);
 
@@ -48,6 +50,7 @@
     configuration_feed feed;
     cell_view view;
     move_watch moves;
+    move_controller controller;
     entry requests;
     placement_owner placement;
 
@@ -58,7 +61,7 @@
     time_point ticked_at;
     time_point greet_seeds_at;
     time_point view_refreshed_at;
-    /// When what was seen of a move is next sent to some members.
+    /// When what was seen of moves is next sent to their controllers.
     time_point evidence_due;
     unix_millis wall_base;
     time_point wall_read_at;
--- a/lib/core/traffic_split.cpp
+++ b/lib/core/traffic_split.cpp
@@ -55,18 +55,21 @@
     return move.spec.to;
 }
 
+bool is_status_of(const move_status_spec& status, const move_spec& move)
+{
+    if (status.to != move.to)
+        return false;
+    // A move that had ended and was given another finish-by time begins anew.
+    const bool ended = status.phase == move_phase::done || status.phase == move_phase::reverted;
+    return !ended || status.finish_by == move.finish_by;
+}
+
 static move_status_spec status_of(const move_name& name, const move_spec& spec,
                                   const configuration& from)
 {
     const move_status_spec* found =
         from.find<move_status_spec>(object_kind::move_status, name.value);
-    if (found == nullptr || found->to != spec.to)
-        return {};
-    // A move that had ended and was given another finish-by time begins anew.
-    const bool ended = found->phase == move_phase::done || found->phase == move_phase::reverted;
-    if (ended && found->finish_by != spec.finish_by)
-        return {};
-    return *found;
+    return found == nullptr || !is_status_of(*found, spec) ? move_status_spec{} : *found;
 }
 
 static bool is_later(const route_move& left, const route_move& right)
