[core] slow versions are told from slow VMs by how long upstreams are slow together

Now answers are compared on the same hardware (label hardware), a version is slow only when nearly all of its upstreams judged lately are, for a time that grows as they get fewer, and the canary's whole share goes to the entries that hold a part of its bound. A brake logs what the tests stood at.

--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -107,7 +107,7 @@
     void choose_version(open_request& request, step_context& context);
     void fall_back(open_request& request);
     [[nodiscard]] bool may_use(const open_request& request, const upstream_spec& upstream,
-                               unix_millis wall) const;
+                               const step_context& context) const;
     void retry(open_request& request, refusal_reason otherwise, step_context& context);
 
     // entry_attempts.cpp: dispatch, resumption and answers.
--- a/include/ragwortcove/core/move_watch.hpp
+++ b/include/ragwortcove/core/move_watch.hpp
@@ -13,7 +13,9 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace ragwortcove::core {
@@ -45,7 +47,7 @@
     /// A request that was counted in flight is over or has left the new version.
     void left(const move_name& move);
     /// Whether nothing more may be sent to the move's new version.
-    [[nodiscard]] bool is_stopped(const move_name& move, unix_millis wall) const;
+    [[nodiscard]] bool is_stopped(const move_name& move, const step_context& context) const;
 
     /// Takes what an attempt has shown.
     void observe(const open_request& request, attempt_outcome outcome, step_context& context);
@@ -55,7 +57,7 @@
     /// Records for a heartbeat, brakes first, at most so many.
     [[nodiscard]] std::vector<version_evidence> records(std::size_t most);
 
-    [[nodiscard]] move_standing standing(const move_name& move) const;
+    [[nodiscard]] move_standing standing(const move_name& move, time_point now) const;
     [[nodiscard]] std::uint32_t pairs(const move_name& move) const;
     [[nodiscard]] const traffic_split& split() const { return this->by_route; }
     /// Sets the move's brake; it stays on.
@@ -67,8 +69,9 @@
 
 private:
     [[nodiscard]] const route_move* find(const move_name& move) const;
-    [[nodiscard]] std::uint32_t canary_quota(const route_move& move, unix_millis wall) const;
+    void share_bound(const route_move& move, unix_millis wall, split_request& request) const;
     [[nodiscard]] std::vector<std::string> entries() const;
+    void find_old_hardware();
     void judge(const move_name& move, step_context& context);
 
     const configuration& config;
@@ -78,6 +81,8 @@
     std::map<move_name, route_name> routes;
     std::map<move_name, move_evidence> evidence;
     std::map<move_name, std::uint32_t> in_flight;
+    /// Hardware that a move's old version runs on.
+    std::map<move_name, std::set<std::string>> old_hardware;
     bool brake_set = false;
     bool has_news = false;
     std::size_t next_record = 0;
--- a/include/ragwortcove/core/traffic_split.hpp
+++ b/include/ragwortcove/core/traffic_split.hpp
@@ -54,6 +54,8 @@
     std::uint32_t canaries_in_flight = 0;
     /// This entry's part of the move's bound.
     std::uint32_t canary_quota = 0;
+    /// Entries for each one that has a part of the bound: a canary's whole share is theirs.
+    double entries_for_each_holder = 1.0;
     /// Uniform in [0, 1).
     double draw = 0.0;
 };
--- a/include/ragwortcove/core/version_evidence.hpp
+++ b/include/ragwortcove/core/version_evidence.hpp
@@ -19,7 +19,8 @@
 /// How one attempt went, as the entry that made it saw it.
 struct attempt_observation {
     upstream_name upstream;
-    /// Upstreams are held against others of the same hardware only; empty when not stated.
+    /// Upstreams are held against others of the same hardware; empty when it is not known, or when
+    /// the old version does not run on it: then against all of the old version, with more slack.
     std::string hardware;
     bool on_new = false;
     bool failed = false;
@@ -46,16 +47,22 @@
 };
 
 /// Cumulative-sum test (Page, 1954) of a version's rate of bad results against the rate that is
-/// still good: a sum of log-likelihood ratios that starts again at zero.
+/// still good: a sum of log-likelihood ratios that starts again at zero and is cut off at a most.
 class cumulative_test {
 public:
+    explicit cumulative_test(double most_sum) : most{most_sum} {}
     void add(std::uint32_t bad, std::uint32_t good, double good_rate, double bad_rate);
     [[nodiscard]] double sum() const { return this->total; }
 
 private:
     double total = 0.0;
+    double most;
 };
 
+/// Most that the sums of one upstream reach, so that one that has recovered is cleared soon.
+inline constexpr double most_slow_sum = 8.0;
+inline constexpr double most_failing_sum = 14.0;
+
 enum class evidence_level { clear, suspicious, bad };
 
 /// Evidence on one move at one node: its own counts, those heard of others, and the test on them.
@@ -66,9 +73,11 @@
     /// Takes an attempt of this node's. `senders` is how many entries send to the new version now.
     void observe(const attempt_observation& seen, std::size_t senders, time_point now);
     /// Takes another node's counts; cumulative, so that a record that comes twice counts once.
-    void merge(incarnation sender, const version_evidence& record);
+    void merge(incarnation sender, const version_evidence& record, time_point now);
 
-    [[nodiscard]] evidence_level level() const;
+    [[nodiscard]] evidence_level level(time_point now) const;
+    /// What the tests stand at, for the log.
+    [[nodiscard]] std::string describe() const;
     /// This node's own records, the brake's state in each.
     [[nodiscard]] std::vector<version_evidence> own_records() const;
     [[nodiscard]] std::uint32_t passed() const { return this->new_completed; }
@@ -84,8 +93,10 @@
     struct upstream_state {
         version_evidence own;
         std::map<incarnation, version_evidence> heard;
-        cumulative_test failing;
-        cumulative_test slow;
+        cumulative_test failing{most_failing_sum};
+        cumulative_test slow{most_slow_sum};
+        std::optional<time_point> judged_at;
+        std::optional<time_point> slow_since;
         time_point next_pair;
         time_point next_connection_failure;
         [[nodiscard]] bool is_seen() const;
@@ -101,9 +112,13 @@
     void observe_old(const attempt_observation& seen, time_point now);
     void observe_new(const attempt_observation& seen, std::size_t senders, time_point now);
     void learn(const attempt_observation& seen, time_point now);
-    void pair(upstream_state& with, attempt_observation seen, std::size_t senders, time_point now);
-    void count(upstream_state& on, const version_evidence& before, const version_evidence& after);
+    void pair(upstream_state& with, const attempt_observation& seen, std::size_t senders,
+              time_point now);
+    void count(upstream_state& on, const version_evidence& before, const version_evidence& after,
+               time_point now);
     void keep_medians();
+    [[nodiscard]] evidence_level failing_level() const;
+    [[nodiscard]] evidence_level slow_level(time_point now) const;
     [[nodiscard]] double good_failure_rate() const;
     [[nodiscard]] std::size_t upstreams_seen() const;
 
--- a/lib/core/entry_placement.cpp
+++ b/lib/core/entry_placement.cpp
@@ -60,13 +60,13 @@
 }
 
 bool entry::may_use(const open_request& request, const upstream_spec& upstream,
-                    unix_millis wall) const
+                    const step_context& context) const
 {
     if (upstream.leaving)
         return false;
     if (!request.version.empty() && upstream.version != request.version)
         return false;
-    return request.canary_of.empty() || !this->env.moves.is_stopped(request.canary_of, wall);
+    return request.canary_of.empty() || !this->env.moves.is_stopped(request.canary_of, context);
 }
 
 void entry::leave_stopped_versions(step_context& context)
@@ -74,7 +74,7 @@
     std::vector<exchange_id> waiting;
     for (const auto& [exchange, request] : this->requests) {
         if (!request.canary_of.empty() && request.phase != request_phase::running &&
-            this->env.moves.is_stopped(request.canary_of, context.wall))
+            this->env.moves.is_stopped(request.canary_of, context))
             waiting.push_back(exchange);
     }
     for (const exchange_id exchange : waiting) {
@@ -203,7 +203,7 @@
     const bool wanted = request != nullptr && request->phase == request_phase::awaiting_permit &&
                         request->cell && *request->cell == message.cell;
     const upstream_spec* upstream = this->env.config.find_upstream(message.upstream);
-    if (!wanted || upstream == nullptr || !this->may_use(*request, *upstream, context.wall)) {
+    if (!wanted || upstream == nullptr || !this->may_use(*request, *upstream, context)) {
         permit_release unused;
         unused.request = message.request;
         unused.cell = message.cell;
--- a/lib/core/move_controller.cpp
+++ b/lib/core/move_controller.cpp
@@ -58,8 +58,8 @@
     if (this->config.empty())
         return;
     for (const auto& [route, move] : this->moves.split().all()) {
-        const bool braked_late =
-            move.status.phase == move_phase::done && this->moves.standing(move.name).braked;
+        const bool braked_late = move.status.phase == move_phase::done &&
+                                 this->moves.standing(move.name, context.now).braked;
         const bool wanted = (!move.ended() || braked_late) &&
                             this->controller_of(move.name, context.now) == this->settings.name;
         if (!wanted) {
@@ -77,9 +77,9 @@
 }
 
 static move_situation situation_of(const move_watch& moves, const move_name& name, bool loaded,
-                                   unix_millis wall)
+                                   const step_context& context)
 {
-    return {moves.standing(name), moves.pairs(name), loaded, wall};
+    return {moves.standing(name, context.now), moves.pairs(name), loaded, context.wall};
 }
 
 void move_controller::drive(const route_move& move, controlled_move& on, step_context& context)
@@ -104,9 +104,9 @@
     const route_spec* route = this->config.find_route(move.spec.route);
     if (route != nullptr && status.phase == move_phase::preparing)
         on.loader.tick(*route, move.spec.to, on.fencing, this->config, this->next_order, context);
-    const std::optional<move_status_spec> next = plan_next(
-        move.spec, status, situation_of(this->moves, move.name, on.loader.loaded(), context.wall),
-        on.progress);
+    const std::optional<move_status_spec> next =
+        plan_next(move.spec, status,
+                  situation_of(this->moves, move.name, on.loader.loaded(), context), on.progress);
     if (next)
         this->write_status(move, on, *next, context);
 }
--- a/lib/core/move_plan.cpp
+++ b/lib/core/move_plan.cpp
@@ -19,7 +19,7 @@
 /// Part of the time left that the soak may take.
 static constexpr std::int64_t most_soak_part = 3;
 /// Setbacks after which the version is taken back.
-static constexpr std::uint32_t most_setbacks = 3;
+static constexpr std::uint32_t most_setbacks = 4;
 
 static std::size_t step_of(std::uint32_t share)
 {
--- a/lib/core/move_watch.cpp
+++ b/lib/core/move_watch.cpp
@@ -12,9 +12,34 @@
 /// How long the same entries hold the right to send canaries, by the wall clock.
 static constexpr std::int64_t canary_turn_ms = 30'000;
 
+static std::string hardware_of(const configuration& config, const upstream_name& upstream)
+{
+    const auto found = config.objects().find(object_key{object_kind::upstream, upstream.value});
+    if (found == config.objects().end())
+        return {};
+    const auto label = found->second.labels.find(std::string(hardware_label));
+    return label == found->second.labels.end() ? std::string{} : label->second;
+}
+
+void move_watch::find_old_hardware()
+{
+    this->old_hardware.clear();
+    for (const auto& [key, value] : this->config.objects()) {
+        const upstream_spec* spec = std::get_if<upstream_spec>(&value.spec);
+        if (spec == nullptr)
+            continue;
+        const std::string hardware = hardware_of(this->config, upstream_name{key.name});
+        for (const auto& [route, move] : this->by_route.all()) {
+            if (spec->version == move.spec.from)
+                this->old_hardware[move.name].insert(hardware);
+        }
+    }
+}
+
 void move_watch::refresh()
 {
     this->by_route.rebuild(this->config);
+    this->find_old_hardware();
     this->routes.clear();
     for (const auto& [route, move] : this->by_route.all()) {
         this->routes[move.name] = route;
@@ -33,13 +58,13 @@
     return route == this->routes.end() ? nullptr : this->by_route.find(route->second);
 }
 
-move_standing move_watch::standing(const move_name& move) const
+move_standing move_watch::standing(const move_name& move, time_point now) const
 {
     const auto found = this->evidence.find(move);
     if (found == this->evidence.end())
         return {};
     const move_evidence& seen = found->second;
-    return {seen.braked, seen.level() != evidence_level::clear, seen.passed()};
+    return {seen.braked, seen.level(now) != evidence_level::clear, seen.passed()};
 }
 
 std::uint32_t move_watch::pairs(const move_name& move) const
@@ -61,36 +86,35 @@
 
 // The move's bound is for the whole system. Which entries have a part of it changes from turn to
 // turn, since the first may happen to get no request of the route.
-std::uint32_t move_watch::canary_quota(const route_move& move, unix_millis wall) const
+void move_watch::share_bound(const route_move& move, unix_millis wall, split_request& request) const
 {
     const std::vector<std::string> names = this->entries();
     const auto count = static_cast<std::uint32_t>(names.size());
-    const std::uint32_t each = move.spec.canary_in_flight / count;
     const std::uint32_t left_over = move.spec.canary_in_flight % count;
+    request.canary_quota = move.spec.canary_in_flight / count;
+    if (request.canary_quota == 0)
+        request.entries_for_each_holder = static_cast<double>(count) / left_over;
     const std::string key =
         "canary/" + move.name.value + "/" + std::to_string(wall.value / canary_turn_ms);
     const std::vector<std::size_t> order = rendezvous_order(key, names);
-    for (std::uint32_t place = 0; place < left_over; ++place) {
-        if (names[order[place]] == this->members.self().name.value)
-            return each + 1;
-    }
-    return each;
+    for (std::uint32_t place = 0; place < left_over; ++place)
+        request.canary_quota += names[order[place]] == this->members.self().name.value ? 1 : 0;
 }
 
 version_choice move_watch::choose(const route_name& route, const route_spec& spec, bool idempotent,
                                   step_context& context)
 {
     const route_move* own = this->by_route.find(route);
-    const version_name otherwise = own == nullptr                          ? spec.version
-                                   : own->status.phase != move_phase::done ? own->spec.from
-                                   : this->standing(own->name).braked      ? own->spec.from
-                                                                           : own->spec.to;
+    const version_name otherwise = own == nullptr                                  ? spec.version
+                                   : own->status.phase != move_phase::done         ? own->spec.from
+                                   : this->standing(own->name, context.now).braked ? own->spec.from
+                                                                                   : own->spec.to;
     const route_move* move = own;
     if ((own == nullptr || own->ended()) && idempotent)
         move = this->by_route.find_lent(route);
     if (move == nullptr || move->ended())
         return {otherwise, {}};
-    const move_standing seen = this->standing(move->name);
+    const move_standing seen = this->standing(move->name, context.now);
     const bool lent = move != own;
     if (lent && seen.passed >= passes_before_non_idempotent)
         return {otherwise, {}};
@@ -99,8 +123,8 @@
     split_request request;
     request.idempotent = idempotent;
     request.canaries_in_flight = this->in_flight[move->name];
-    request.canary_quota =
-        is_canary(seen) ? this->canary_quota(*move, context.wall) : move->spec.canary_in_flight;
+    if (is_canary(seen))
+        this->share_bound(*move, context.wall, request);
     request.draw = uniform(context.random);
     const bool chosen = pick_version(*move, seen, request, context.wall) == move->spec.to;
     if (!chosen || this->cells.serving(spec, move->spec.to).empty())
@@ -124,10 +148,11 @@
         this->in_flight.erase(found);
 }
 
-bool move_watch::is_stopped(const move_name& move, unix_millis wall) const
+bool move_watch::is_stopped(const move_name& move, const step_context& context) const
 {
     const route_move* found = this->find(move);
-    return found == nullptr || share_permille(*found, this->standing(move), wall) == 0;
+    return found == nullptr ||
+           share_permille(*found, this->standing(move, context.now), context.wall) == 0;
 }
 
 static attempt_observation describe(const open_request& request, attempt_outcome outcome)
@@ -162,15 +187,11 @@
     if (found == this->evidence.end())
         return;
     attempt_observation seen = describe(request, outcome);
-    const object_key key{object_kind::upstream, seen.upstream.value};
-    const auto upstream = this->config.objects().find(key);
-    if (upstream != this->config.objects().end()) {
-        const auto label = upstream->second.labels.find(std::string(hardware_label));
-        if (label != upstream->second.labels.end())
-            seen.hardware = label->second;
-    }
+    seen.hardware = hardware_of(this->config, seen.upstream);
+    if (!this->old_hardware[move->name].contains(seen.hardware))
+        seen.hardware.clear();
     const std::size_t senders =
-        is_canary(this->standing(move->name))
+        is_canary(this->standing(move->name, context.now))
             ? std::min<std::size_t>(move->spec.canary_in_flight, this->entries().size())
             : this->entries().size();
     found->second.observe(seen, senders, context.now);
@@ -181,7 +202,7 @@
 void move_watch::judge(const move_name& move, step_context& context)
 {
     const auto found = this->evidence.find(move);
-    if (found != this->evidence.end() && found->second.level() == evidence_level::bad)
+    if (found != this->evidence.end() && found->second.level(context.now) == evidence_level::bad)
         this->brake(move, context);
 }
 
@@ -192,7 +213,7 @@
         return;
     found->second.braked = true;
     this->brake_set = true;
-    context.log(decision_kind::brake_set, {}, move.value);
+    context.log(decision_kind::brake_set, {}, move.value, found->second.describe());
 }
 
 void move_watch::merge(incarnation sender, std::span<const version_evidence> records,
@@ -202,7 +223,7 @@
         const auto found = this->evidence.find(record.move);
         if (found == this->evidence.end() || found->second.due() != record.finish_by)
             continue;
-        found->second.merge(sender, record);
+        found->second.merge(sender, record, context.now);
         if (record.brake)
             this->brake(record.move, context);
         const route_move* move = this->find(record.move);
--- a/lib/core/traffic_split.cpp
+++ b/lib/core/traffic_split.cpp
@@ -41,8 +41,10 @@
 const version_name& pick_version(const route_move& move, const move_standing& standing,
                                  const split_request& request, unix_millis wall)
 {
-    const std::uint32_t share = share_permille(move, standing, wall);
-    if (request.draw * permille >= static_cast<double>(share))
+    const bool canary = is_canary(standing) && move.status.phase != move_phase::done;
+    const double share = static_cast<double>(share_permille(move, standing, wall)) *
+                         (canary ? request.entries_for_each_holder : 1.0);
+    if (request.draw * permille >= share)
         return move.spec.from;
     if (move.status.phase == move_phase::done)
         return move.spec.to;
@@ -50,7 +52,7 @@
                            standing.passed < passes_before_non_idempotent;
     if (too_early)
         return move.spec.from;
-    if (is_canary(standing) && request.canaries_in_flight >= request.canary_quota)
+    if (canary && request.canaries_in_flight >= request.canary_quota)
         return move.spec.from;
     return move.spec.to;
 }
--- a/lib/core/version_evidence.cpp
+++ b/lib/core/version_evidence.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <iomanip>
+#include <sstream>
 
 namespace ragwortcove::core {
 
@@ -11,8 +13,15 @@
 /// Step of a running median, as a share of its value, towards a sample.
 static constexpr double median_step = 0.03;
 static constexpr std::uint32_t median_least_samples = 8;
-/// An answer that took so many times the old version's median is slow.
-static constexpr double slow_factor = 1.6;
+/// An answer is slow when it took so many times the old version's median. The time to the first
+/// token varies more: it holds the wait for other prompts.
+struct slow_factors {
+    double first_token = 1.0;
+    double between_tokens = 1.0;
+};
+static constexpr slow_factors same_hardware{3.0, 2.0};
+/// The same where upstreams of unlike speed are held against each other.
+static constexpr slow_factors unlike_hardware{6.0, 3.0};
 /// Time between two pairs of one upstream, so that a short stall of one VM is one observation.
 static constexpr duration pair_period = 1s;
 /// The same where a single upstream serves the new version, which no other can bear out.
@@ -31,15 +40,49 @@
 static constexpr double most_good_failure_rate = 0.3;
 static constexpr double least_bad_failure_rate = 0.2;
 
-/// Sum over the upstreams at which the version is bad.
+/// Failures: the sum over the upstreams at which the version is bad, and suspicious, and what one
+/// upstream adds: nothing for a single failure, and never enough alone, since one VM proves
+/// nothing.
 static constexpr double bad_sum = 8.0;
-static constexpr double suspicious_sum = 3.0;
-/// What one upstream may add where several serve the version: one VM alone proves nothing.
+static constexpr double suspicious_sum = 6.0;
+static constexpr double least_addend = 3.0;
 static constexpr double most_for_bad = 5.0;
-static constexpr double most_for_suspicion = 2.5;
+static constexpr double most_for_suspicion = 3.0;
 /// What a single upstream must show by itself.
 static constexpr double lone_failing_sum = 12.0;
-static constexpr double lone_slow_sum = 16.0;
+static constexpr double lone_suspicious_sum = 4.5;
+
+/// An upstream with such a sum is slow.
+static constexpr double slow_sum = 3.0;
+/// Upstreams that were judged within this time count.
+static constexpr duration judged_lately = 60s;
+/// One in so many may be fast though the version is slow.
+static constexpr std::size_t one_fast_in = 5;
+
+namespace {
+/// What makes a version that is slow on its upstreams bad: for how long they have been slow
+/// together, and how sure it is for each.
+struct slow_rule {
+    duration together{0};
+    double sum = slow_sum;
+};
+} // namespace
+
+// Single VMs stall for a while now and then. The fewer upstreams there are, the more often all of
+// them stall together by chance, and the longer that has to last to mean something.
+static slow_rule slow_rule_for(std::size_t upstreams)
+{
+    switch (upstreams) {
+    case 0:
+    case 1:
+        return {35s, 7.0};
+    case 2:
+        return {25s, 4.5};
+    case 3:
+        return {12s, slow_sum};
+    }
+    return {6s, slow_sum};
+}
 
 void running_median::add(duration sample)
 {
@@ -64,12 +107,12 @@
 {
     const double for_bad = std::log(bad_rate / good_rate);
     const double for_good = std::log((1.0 - bad_rate) / (1.0 - good_rate));
-    this->total = std::max(0.0, this->total + bad * for_bad + good * for_good);
+    this->total = std::clamp(this->total + bad * for_bad + good * for_good, 0.0, this->most);
 }
 
 template <class Key>
-static std::optional<bool> is_over(duration sample, const std::map<Key, running_median>& usual,
-                                   const Key& key)
+static std::optional<bool> is_over(duration sample, double factor,
+                                   const std::map<Key, running_median>& usual, const Key& key)
 {
     const auto found = usual.find(key);
     if (found == usual.end() || sample.count() == 0)
@@ -77,7 +120,7 @@
     const std::optional<duration> median = found->second.value();
     if (!median)
         return std::nullopt;
-    return static_cast<double>(sample.count()) > slow_factor * static_cast<double>(median->count());
+    return static_cast<double>(sample.count()) > factor * static_cast<double>(median->count());
 }
 
 static std::pair<std::string, unsigned> first_token_key(const attempt_observation& seen)
@@ -88,10 +131,11 @@
 // Unset while too little is known of the old version to judge by.
 std::optional<bool> move_evidence::is_slow(const attempt_observation& seen) const
 {
-    const std::optional<bool> to_first =
-        is_over(seen.first_token_after, this->first_token, first_token_key(seen));
+    const slow_factors factors = seen.hardware.empty() ? unlike_hardware : same_hardware;
+    const std::optional<bool> to_first = is_over(seen.first_token_after, factors.first_token,
+                                                 this->first_token, first_token_key(seen));
     const std::optional<bool> between =
-        is_over(seen.between_tokens, this->between_tokens, seen.hardware);
+        is_over(seen.between_tokens, factors.between_tokens, this->between_tokens, seen.hardware);
     if (!to_first && !between)
         return std::nullopt;
     return to_first.value_or(false) || between.value_or(false);
@@ -150,13 +194,13 @@
     const version_evidence before = state.own;
     if (seen.failed) {
         ++state.own.old_failed;
-        this->count(state, before, state.own);
+        this->count(state, before, state.own, now);
         return;
     }
     ++state.own.old_completed;
     if (this->is_slow(seen).value_or(false))
         ++state.own.old_slow;
-    this->count(state, before, state.own);
+    this->count(state, before, state.own, now);
     this->learn(seen, now);
     if (seen.hardware.empty())
         return;
@@ -189,18 +233,15 @@
         if (seen.connection_failed)
             state.next_connection_failure = now + crash_time;
     }
-    this->count(state, before, state.own);
+    this->count(state, before, state.own, now);
 }
 
 // Slow is judged in pairs: an answer of the new version against the old version's last one on the
 // same hardware at this node. What slows both down shows in both and proves nothing. Pairs of one
 // upstream are thinned out, since answers during one stall of one VM are not independent.
-void move_evidence::pair(upstream_state& with, attempt_observation seen, std::size_t senders,
+void move_evidence::pair(upstream_state& with, const attempt_observation& seen, std::size_t senders,
                          time_point now)
 {
-    // Hardware that the old version does not run on is held against all of it.
-    if (!this->last_old.contains(seen.hardware))
-        seen.hardware.clear();
     const std::optional<bool> slow = this->is_slow(seen);
     const auto last = this->last_old.find(seen.hardware);
     if (!slow || now < with.next_pair || last == this->last_old.end())
@@ -225,7 +266,7 @@
 }
 
 void move_evidence::count(upstream_state& on, const version_evidence& before,
-                          const version_evidence& after)
+                          const version_evidence& after, time_point now)
 {
     const std::uint32_t pairs = after.pairs - before.pairs;
     const std::uint32_t slow = after.new_slow - before.new_slow;
@@ -235,7 +276,14 @@
     this->old_failed += after.old_failed - before.old_failed;
     this->new_completed += completed;
     this->new_pairs += pairs;
-    on.slow.add(slow, pairs - slow, good_slow_rate, bad_slow_rate);
+    if (pairs > 0) {
+        on.judged_at = now;
+        on.slow.add(slow, pairs - slow, good_slow_rate, bad_slow_rate);
+        if (on.slow.sum() < slow_sum)
+            on.slow_since.reset();
+        else if (!on.slow_since)
+            on.slow_since = now;
+    }
     const double good_rate = this->good_failure_rate();
     on.failing.add(failed, completed, good_rate, std::max(least_bad_failure_rate, 2 * good_rate));
 }
@@ -249,7 +297,7 @@
            record.old_slow >= last.old_slow;
 }
 
-void move_evidence::merge(incarnation sender, const version_evidence& record)
+void move_evidence::merge(incarnation sender, const version_evidence& record, time_point now)
 {
     const bool consistent = record.new_slow <= record.pairs && record.pairs <= record.new_completed;
     if (!consistent)
@@ -260,29 +308,71 @@
         return;
     const version_evidence before = last;
     last = record;
-    this->count(state, before, record);
+    this->count(state, before, record, now);
+}
+
+static double addend(double sum, double most)
+{
+    return sum < least_addend ? 0.0 : std::min(sum, most);
 }
 
-evidence_level move_evidence::level() const
+evidence_level move_evidence::failing_level() const
 {
     const bool lone = this->upstreams_seen() <= 1;
-    double failing = 0.0;
-    double slow = 0.0;
-    double failing_capped = 0.0;
-    double slow_capped = 0.0;
+    double bad = 0.0;
+    double suspicious = 0.0;
     for (const auto& [upstream, state] : this->upstreams) {
-        failing += std::min(state.failing.sum(), lone ? lone_failing_sum : most_for_bad);
-        slow += std::min(state.slow.sum(), lone ? lone_slow_sum : most_for_bad);
-        failing_capped += std::min(state.failing.sum(), lone ? suspicious_sum : most_for_suspicion);
-        slow_capped += std::min(state.slow.sum(), lone ? suspicious_sum : most_for_suspicion);
+        const double sum = state.failing.sum();
+        bad += lone ? sum : addend(sum, most_for_bad);
+        suspicious += lone ? sum : addend(sum, most_for_suspicion);
     }
-    if (failing >= (lone ? lone_failing_sum : bad_sum) || slow >= (lone ? lone_slow_sum : bad_sum))
+    if (bad >= (lone ? lone_failing_sum : bad_sum))
         return evidence_level::bad;
-    if (failing_capped >= suspicious_sum || slow_capped >= suspicious_sum)
+    if (suspicious >= (lone ? lone_suspicious_sum : suspicious_sum))
         return evidence_level::suspicious;
     return evidence_level::clear;
 }
 
+evidence_level move_evidence::slow_level(time_point now) const
+{
+    std::size_t judged = 0;
+    std::vector<const upstream_state*> slow;
+    for (const auto& [upstream, state] : this->upstreams) {
+        if (!state.judged_at || now - *state.judged_at > judged_lately)
+            continue;
+        ++judged;
+        if (state.slow_since)
+            slow.push_back(&state);
+    }
+    const std::size_t needed = judged - judged / one_fast_in;
+    if (judged == 0 || slow.size() < needed)
+        return evidence_level::clear;
+    const slow_rule rule = slow_rule_for(judged);
+    const auto proves = [&](const upstream_state* state) {
+        return state->slow.sum() >= rule.sum && now - *state->slow_since >= rule.together;
+    };
+    const auto proven = static_cast<std::size_t>(std::count_if(slow.begin(), slow.end(), proves));
+    return proven >= needed ? evidence_level::bad : evidence_level::suspicious;
+}
+
+evidence_level move_evidence::level(time_point now) const
+{
+    return std::max(this->failing_level(), this->slow_level(now));
+}
+
+std::string move_evidence::describe() const
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << "passed " << this->new_completed << ", pairs "
+         << this->new_pairs;
+    for (const auto& [upstream, state] : this->upstreams) {
+        if (state.is_seen())
+            text << "; " << upstream.value << " failing " << state.failing.sum() << " slow "
+                 << state.slow.sum();
+    }
+    return text.str();
+}
+
 std::vector<version_evidence> move_evidence::own_records() const
 {
     std::vector<version_evidence> records;
