[daemon] a daemon that has drained waits for answers still being written

A caller who reads slowly could lose the end of its answer when the process ended: the core counts a request as over once its answer is handed over.

--- a/include/ragwortcove/daemon/caller_exchanges.hpp
+++ b/include/ragwortcove/daemon/caller_exchanges.hpp
@@ -83,6 +83,8 @@
     /// Closes the connection of a caller that can't be served on.
     void abort(core::exchange_id id);
     void observe_first_byte(core::exchange_id id, core::time_point now);
+    /// Whether a finished answer still waits to be written to its caller.
+    [[nodiscard]] bool has_unsent_answers();
 
 private:
     [[nodiscard]] caller_exchange* find(core::exchange_id id);
@@ -103,6 +105,8 @@
     core::incarnation run;
     std::uint64_t last_local_request = 0;
     std::map<core::exchange_id, caller_exchange> exchanges;
+    /// Exchanges that are closed here and may have bytes to be written.
+    std::vector<core::exchange_id> finishing;
 };
 
 /// Name of a reply's kind, for metrics.
--- a/include/ragwortcove/daemon/upstream_reports.hpp
+++ b/include/ragwortcove/daemon/upstream_reports.hpp
@@ -31,7 +31,8 @@
     /// Gives the whole body of a 200 answer, or nothing.
     using answer_handler = std::function<void(std::optional<std::string>)>;
 
-    void ask(const core::endpoint& address, http::request&& message, answer_handler answered);
+    void ask(const core::endpoint& address, http::request&& message,
+             const answer_handler& answered);
 
     http::client& client;
     reporter report;
--- a/lib/daemon/caller_exchanges.cpp
+++ b/lib/daemon/caller_exchanges.cpp
@@ -14,6 +14,8 @@
 
 static constexpr std::string_view json_content_type = "application/json";
 static constexpr std::string_view event_stream_content_type = "text/event-stream";
+/// Closed exchanges that are kept before those are dropped whose bytes are written.
+static constexpr std::size_t most_finishing_kept = 1024;
 /// Request ids of calls that the core never sees; the core counts from one and stays below.
 static constexpr std::uint64_t first_local_request = 1ULL << 63U;
 
@@ -42,6 +44,19 @@
 void caller_exchanges::close(core::exchange_id id)
 {
     this->exchanges.erase(id);
+    if (this->server.unsent_bytes(id.value) == 0)
+        return;
+    this->finishing.push_back(id);
+    if (this->finishing.size() >= most_finishing_kept)
+        (void)this->has_unsent_answers();
+}
+
+bool caller_exchanges::has_unsent_answers()
+{
+    std::erase_if(this->finishing, [this](core::exchange_id id) {
+        return this->server.unsent_bytes(id.value) == 0;
+    });
+    return !this->finishing.empty();
 }
 
 const caller_exchange* caller_exchanges::find(core::exchange_id id) const
--- a/lib/daemon/metrics.cpp
+++ b/lib/daemon/metrics.cpp
@@ -176,10 +176,13 @@
 {
     render_head(page, name, "summary", help);
     for (const auto& [labels, summary] : summaries) {
-        const auto estimates = statistics::extended_p_square(summary);
-        for (std::size_t index = 0; index < quantiles.size(); ++index) {
-            const std::string quantile = label("quantile", short_number(quantiles[index]));
-            render_sample(page, name, labels + "," + quantile, std::to_string(estimates[index]));
+        auto estimate = statistics::extended_p_square(summary).begin();
+        for (const double quantile : quantiles) {
+            std::string both = labels;
+            both += ",";
+            both += label("quantile", short_number(quantile));
+            render_sample(page, name, both, std::to_string(*estimate));
+            ++estimate;
         }
         render_sample(page, name + "_sum", labels, std::to_string(statistics::sum(summary)));
         render_sample(page, name + "_count", labels, std::to_string(statistics::count(summary)));
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -14,6 +14,8 @@
 static constexpr std::string_view json_content_type = "application/json";
 static constexpr std::string_view text_content_type = "text/plain; version=0.0.4";
 static constexpr std::chrono::seconds wall_clock_period{5};
+/// How often a daemon that is about to end looks for answers that are not sent yet.
+static constexpr std::chrono::milliseconds unsent_check_period{50};
 /// Time that the operating system gets to send the last answers on.
 static constexpr std::chrono::milliseconds last_bytes_time{300};
 
@@ -253,11 +255,7 @@
 {
     const operator_proof proof = read_operator_proof(message);
     const bool is_operator = admits_operator(this->settings, proof);
-    std::visit(
-        [&](auto&& call) {
-            call_visitor{*this, id, is_operator}(std::move(call));
-        },
-        parse_caller_call(std::move(message)));
+    std::visit(call_visitor{*this, id, is_operator}, parse_caller_call(std::move(message)));
 }
 
 void runtime::take_closed(core::exchange_id id)
@@ -365,8 +363,13 @@
     this->dispatch(core::drain_requested{});
 }
 
+/// Ends once no answer waits for a caller who reads slowly.
 void runtime::await_last_bytes()
 {
+    if (this->exchanges.has_unsent_answers()) {
+        this->on.after(unsent_check_period, [this] { this->await_last_bytes(); });
+        return;
+    }
     this->on.after(last_bytes_time, [this] { this->ended(); });
 }
 
--- a/lib/daemon/upstream_reports.cpp
+++ b/lib/daemon/upstream_reports.cpp
@@ -42,7 +42,7 @@
 }
 
 void upstream_reports::ask(const core::endpoint& address, http::request&& message,
-                           answer_handler answered)
+                           const answer_handler& answered)
 {
     auto answer = std::make_shared<partial_answer>();
     http::client_request request;
