[http] a client's vhosts keep names that last

Seen under the address sanitizer in daemon_unittest: libwebsockets read a vhost's name from a stack frame that had ended (stack-buffer-overflow in strlen, called from lws_service). Cause: it keeps the address of vhost_name, and the names of the client's vhosts were strings of the constructor. lib/http's own tests did not meet the read. The names are one literal now; daemon_unittest passes under the sanitizers, leaks included.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -396,11 +396,12 @@
     info.alpn = "http/1.1";
 }
 
-static lws_vhost* create_client_vhost(client::state& self, const std::string& name)
+/// libwebsockets keeps the name's address, so it is one that lasts; names need not differ.
+static lws_vhost* create_client_vhost(client::state& self)
 {
     lws_context_creation_info info{};
     info.port = CONTEXT_PORT_NO_LISTEN;
-    info.vhost_name = name.c_str();
+    info.vhost_name = "client";
     info.protocols = client_protocols;
     info.user = &self;
     info.options = LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
@@ -412,10 +413,9 @@
 client::client(loop& on, const client_settings& settings)
     : self(std::make_unique<state>(state{on, settings, nullptr, {}, false, 0, {}}))
 {
-    this->self->single_vhost = create_client_vhost(*this->self, "client");
+    this->self->single_vhost = create_client_vhost(*this->self);
     for (std::uint32_t index = 0; index < settings.pool_size; ++index) {
-        const std::string name = "client-" + std::to_string(index);
-        this->self->pool.push_back({create_client_vhost(*this->self, name), false, {}});
+        this->self->pool.push_back({create_client_vhost(*this->self), false, {}});
     }
 }
 
