--- a/tools/ragwortcove-bench/experiment.cpp
+++ b/tools/ragwortcove-bench/experiment.cpp
@@ -137,6 +137,7 @@
                           const std::vector<experiment_case>& cases, const results_by_case& results)
 {
     std::vector<json::object> rows;
+    rows.reserve(cases.size());
     for (const experiment_case& each : cases) {
         rows.push_back(results.at(each.name()));
     }
