--- a/unittests/daemon/cluster.hpp
+++ b/unittests/daemon/cluster.hpp
@@ -11,6 +11,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
@@ -109,7 +110,9 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         address.sin_port = htons(port);
-        connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        const int connected =
+            connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        REQUIRE(connected == 0);
         std::size_t written = 0;
         while (written < bytes.size()) {
             const ssize_t count =
@@ -217,9 +220,10 @@
         http::request message;
         const std::size_t question = target.find('?');
         message.method = std::move(method);
-        message.path = target.substr(0, question);
         if (question != std::string::npos)
             message.query = target.substr(question + 1);
+        target.resize(std::min(question, target.size()));
+        message.path = std::move(target);
         message.body = std::move(body);
         message.headers = std::move(headers);
         return message;
--- a/unittests/peer/silent_relay.hpp
+++ b/unittests/peer/silent_relay.hpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
+#include <cassert>
 #include <cstdint>
 #include <list>
 #include <netinet/in.h>
@@ -22,7 +23,9 @@
     {
         this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in at = loopback(0);
-        ::bind(this->listener, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        const int bind_result =
+            ::bind(this->listener, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        assert(bind_result == 0 && "loopback has a free port");
         ::listen(this->listener, 16);
         socklen_t length = sizeof at;
         ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&at), &length);
@@ -64,7 +67,12 @@
         const int left = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
         const int right = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in at = loopback(this->target);
-        ::connect(right, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        const int connected = ::connect(right, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        if (connected != 0) {
+            ::close(left);
+            ::close(right);
+            return;
+        }
         this->pairs.push_back({left, right, ++this->accepted});
     }
 
--- a/unittests/standin/upstream_server_test.cpp
+++ b/unittests/standin/upstream_server_test.cpp
@@ -102,7 +102,7 @@
 
     SUBCASE("any path answers and its key is counted")
     {
-        CHECK(exchange(loop, client, std::move(admission)).head.status == 200);
+        CHECK(exchange(loop, client, http::client_request{admission}).head.status == 200);
         const heard counts =
             exchange(loop, client, http::test::request_to(server.port(), "GET", "/counts"));
         CHECK(count_of(counts.body, "\"k1\":1") == 1);
@@ -112,7 +112,7 @@
         exchange(loop, client,
                  http::test::request_to(server.port(), "POST", "/fault",
                                         R"({"kind":"rates","lost_answer_rate":1.0})"));
-        CHECK(exchange(loop, client, std::move(admission)).error ==
+        CHECK(exchange(loop, client, http::client_request{admission}).error ==
               http::client_error::connection_lost);
         const heard counts =
             exchange(loop, client, http::test::request_to(server.port(), "GET", "/counts"));
