[core] one refusal for keys that may have run, one constant for the nonce of a ticket

Five places refused and ended a request in the same words, and the number of random bits in a ticket's nonce stood in the file that mints it and in the file that reads it, where one changed alone would have misread every ticket's age.

--- a/include/ragwortcove/core/entry.hpp
+++ b/include/ragwortcove/core/entry.hpp
@@ -88,6 +88,7 @@
     [[nodiscard]] open_request* find_attempt(attempt_id attempt);
 
     // entry_keys.cpp: idempotency keys.
+    void refuse_key(open_request& request, refusal_reason reason, step_context& context);
     void check_key(open_request& request, step_context& context);
     void check_ticket(open_request& request, const ticket& on, step_context& context);
     void use_registered_key(open_request& request, step_context& context);
--- a/include/ragwortcove/core/key_registry.hpp
+++ b/include/ragwortcove/core/key_registry.hpp
@@ -29,6 +29,8 @@
 public:
     /// Longest time from a ticket's minting to the first use of a key built on it.
     static constexpr duration ticket_lifetime = std::chrono::minutes{10};
+    /// Bits of a ticket's nonce below the wall-clock time of its minting, in milliseconds.
+    static constexpr unsigned nonce_random_bits = 20;
 
     [[nodiscard]] bool knows(const std::string& key) const { return this->keys.contains(key); }
     [[nodiscard]] key_standing standing(const std::string& key) const;
--- a/lib/core/address_answer.cpp
+++ b/lib/core/address_answer.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/address_answer.hpp"
 
+#include "ragwortcove/core/key_registry.hpp"
+
 #include <algorithm>
 #include <set>
 #include <vector>
@@ -11,8 +13,6 @@
 /// Weight of an entry that owns a cell of the route, where others have 1: its permits need no
 /// message to another node.
 static constexpr double owner_weight = 3.0;
-/// Bits of a ticket's nonce below the wall-clock time of its minting.
-static constexpr unsigned nonce_random_bits = 20;
 
 static std::set<node_name> owners_of_route(const route_name& route, const configuration& config,
                                            const cell_map& cells, const cell_owners& owners)
@@ -68,14 +68,16 @@
     address_answer answer;
     answer.exchange = asked.exchange;
     answer.time_to_live = self.address_time_to_live;
-    const auto minted = static_cast<std::uint64_t>(context.wall.value) << nonce_random_bits;
+    const auto minted = static_cast<std::uint64_t>(context.wall.value)
+                        << key_registry::nonce_random_bits;
     for (const member_claim& claim : spread(live_members(members), context.random)) {
         offered_address offered;
         offered.address = claim.callers;
         offered.weight = preferred.contains(claim.name) ? owner_weight : 1.0;
         offered.failure_domain = claim.failure_domain;
         const std::uint64_t nonce =
-            minted | uniform_below(context.random, std::uint64_t{1} << nonce_random_bits);
+            minted |
+            uniform_below(context.random, std::uint64_t{1} << key_registry::nonce_random_bits);
         offered.proof = ticket{claim.callers, claim.run, nonce};
         answer.addresses.push_back(std::move(offered));
     }
--- a/lib/core/entry_keys.cpp
+++ b/lib/core/entry_keys.cpp
@@ -18,8 +18,6 @@
 static constexpr std::uint32_t most_claim_tries = 5;
 /// How long a claim stands in the platform.
 static constexpr std::int64_t claim_lifetime_ms = 24LL * 60 * 60 * 1000;
-/// Bits of a ticket's nonce below the wall-clock time of its minting.
-static constexpr unsigned nonce_random_bits = 20;
 
 static std::string claim_name(const std::string& key)
 {
@@ -36,6 +34,14 @@
     return "claim-" + format_request_id(request);
 }
 
+// The key's earlier request may have run, whatever became of this one.
+void entry::refuse_key(open_request& request, refusal_reason reason, step_context& context)
+{
+    context.effects.emplace_back(
+        refuse_exchange{request.exchange, request.id, {verdict::may_have_run, reason, 0s}});
+    this->end(request, true, context);
+}
+
 void entry::check_key(open_request& request, step_context& context)
 {
     // An idempotent request needs no key: running it twice does no harm.
@@ -52,7 +58,7 @@
 
 static bool is_too_old(const ticket& on, unix_millis wall)
 {
-    const auto minted = static_cast<std::int64_t>(on.nonce >> nonce_random_bits);
+    const auto minted = static_cast<std::int64_t>(on.nonce >> key_registry::nonce_random_bits);
     const auto lifetime =
         std::chrono::duration_cast<std::chrono::milliseconds>(key_registry::ticket_lifetime);
     return wall.value - minted > lifetime.count();
@@ -63,11 +69,7 @@
     const std::string& key = request.call.key->text;
     // The registry forgets old keys, so an old ticket may have been used; nothing runs on it.
     if (is_too_old(on, context.wall)) {
-        context.effects.emplace_back(
-            refuse_exchange{request.exchange,
-                            request.id,
-                            {verdict::may_have_run, refusal_reason::key_expired, 0s}});
-        this->end(request, true, context);
+        this->refuse_key(request, refusal_reason::key_expired, context);
         return;
     }
     if (on.minted_by == this->env.self.run || this->keys.knows(key)) {
@@ -76,11 +78,7 @@
     }
     const member* minter = this->env.members.find_run(on.minted_by);
     if (minter == nullptr) {
-        context.effects.emplace_back(
-            refuse_exchange{request.exchange,
-                            request.id,
-                            {verdict::may_have_run, refusal_reason::key_owner_gone, 0s}});
-        this->end(request, true, context);
+        this->refuse_key(request, refusal_reason::key_owner_gone, context);
         return;
     }
     request.phase = request_phase::asking_key;
@@ -101,9 +99,7 @@
     if (standing != key_standing::free) {
         context.log(decision_kind::refused, request.id, request.call.route.value,
                     std::string(to_string(reason_of(standing))));
-        context.effects.emplace_back(refuse_exchange{
-            request.exchange, request.id, {verdict::may_have_run, reason_of(standing), 0s}});
-        this->end(request, true, context);
+        this->refuse_key(request, reason_of(standing), context);
         return;
     }
     this->keys.begin(key, context.now);
@@ -147,9 +143,7 @@
     const refusal_reason reason = message.state == key_state::in_progress
                                       ? refusal_reason::key_in_progress
                                       : refusal_reason::key_already_used;
-    context.effects.emplace_back(
-        refuse_exchange{request->exchange, request->id, {verdict::may_have_run, reason, 0s}});
-    this->end(*request, true, context);
+    this->refuse_key(*request, reason, context);
 }
 
 void entry::claim_key(open_request& request, step_context& context)
@@ -189,11 +183,7 @@
         this->place(request, context);
         return;
     }
-    context.effects.emplace_back(
-        refuse_exchange{request.exchange,
-                        request.id,
-                        {verdict::may_have_run, refusal_reason::key_already_used, 0s}});
-    this->end(request, true, context);
+    this->refuse_key(request, refusal_reason::key_already_used, context);
 }
 
 bool entry::claim_answered(call_id call, const platform_result& result, step_context& context)
