--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,7 @@
 # Two commands do all on a fresh Debian machine: `make demo` and `make check`.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-# A compiler cache makes the second build of a file quick; ccache is among the packages.
-CMAKE_FLAGS ?= -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
+CMAKE_FLAGS ?=
 # Tests that run side by side; few, since some of them measure time limits on real sockets.
 TEST_JOBS ?= 4
 
--- /dev/null
+++ b/include/ragwortcove/core/ruleset.hpp
@@ -0,0 +1,122 @@
+/// \file
+/// Rules for HTTP traffic: routes by host and path, teams with keys and quotas, limits on callers.
+#pragma once
+
+#include "ragwortcove/core/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortcove::core {
+
+/// One of the targets among which a route's requests are split.
+struct target_weight {
+    target_name target;
+    double weight = 1.0;
+    bool operator==(const target_weight&) const = default;
+};
+
+/// A route that is chosen by host and path.
+struct http_route {
+    route_name name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    /// Never empty.
+    std::vector<target_weight> targets;
+    /// Whether the answer is a stream of events.
+    bool streams = false;
+    /// Whether a request may run more than once.
+    bool idempotent = false;
+    /// Whether a stream may be gone on with at another upstream.
+    bool resumable = false;
+    /// Whether requests need no key.
+    bool is_public = false;
+    /// Upstreams to which one request may be sent, at most.
+    std::uint32_t most_upstreams = 1;
+    /// Zero is the most urgent.
+    std::uint32_t rank = 0;
+    /// Longest time that a request is kept waiting for its answer.
+    duration timeout = std::chrono::seconds{60};
+    /// Time within which the answer, or a stream's first event, is worth its full credit.
+    duration goal = std::chrono::seconds{1};
+    bool operator==(const http_route&) const = default;
+};
+
+/// What the configuration says of the upstreams of one target.
+struct target_rule {
+    target_name name;
+    bool is_engine = false;
+    /// Requests that one engine runs side by side; zero when each upstream states it itself.
+    std::uint32_t slots = 0;
+    /// Tokens that one engine's memory holds.
+    std::uint32_t cache_tokens = 0;
+    bool operator==(const target_rule&) const = default;
+};
+
+/// A team's keys and how much it may ask for.
+struct team_rule {
+    team_name name;
+    std::vector<std::string> keys;
+    /// Goes before the route's rank, if stated.
+    std::optional<std::uint32_t> rank;
+    /// Whether requests count by their tokens; otherwise each counts as one.
+    bool counts_tokens = false;
+    /// Tokens that a request without a stated size counts as.
+    std::uint32_t plain_tokens = 1;
+    /// Units a second; zero is without limit.
+    double rate = 0.0;
+    double burst = 0.0;
+    bool operator==(const team_rule&) const = default;
+};
+
+/// What callers may send and how long they may take.
+struct caller_limits {
+    std::uint32_t header_bytes = 16U << 10U;
+    std::uint64_t body_bytes = 4U << 20U;
+    duration header_time = std::chrono::seconds{3};
+    duration idle_time = std::chrono::seconds{15};
+    bool operator==(const caller_limits&) const = default;
+};
+
+/// One version of all rules.
+struct ruleset {
+    std::uint64_t version = 0;
+    std::vector<http_route> routes;
+    std::vector<target_rule> targets;
+    std::vector<team_rule> teams;
+    caller_limits limits;
+    bool operator==(const ruleset&) const = default;
+};
+
+/// A ruleset with the look-ups that each request needs.
+class rule_index {
+public:
+    explicit rule_index(ruleset&& rules);
+    rule_index(const rule_index&) = delete;
+    rule_index& operator=(const rule_index&) = delete;
+
+    [[nodiscard]] const ruleset& rules() const { return this->all; }
+    /// Route with the longest prefix that begins the path; null when none does.
+    [[nodiscard]] const http_route* find_route(std::string_view host, std::string_view path) const;
+    /// Team that holds the key; null when none does.
+    [[nodiscard]] const team_rule* find_team_by_key(std::string_view key) const;
+    [[nodiscard]] const team_rule* find_team(const team_name& name) const;
+    [[nodiscard]] const target_rule* find_target(const target_name& name) const;
+    [[nodiscard]] bool has_teams() const { return !this->all.teams.empty(); }
+
+private:
+    ruleset all;
+    /// Routes of a host, longest prefix first.
+    std::map<std::string, std::vector<const http_route*>, std::less<>> by_host;
+    std::map<std::string, const team_rule*, std::less<>> by_key;
+};
+
+/// Units of a team's quota that a request uses; `tokens` is unset when it states no size.
+[[nodiscard]] double quota_cost(const team_rule& team, std::optional<std::uint64_t> tokens);
+
+} // namespace ragwortcove::core
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -29,6 +29,7 @@
     operator_rejected = 111,
     certificate_renewed = 112,
     certificate_rejected = 113,
+    readiness_changed = 114,
 
     request_placed = 200,
     request_queued = 201,
@@ -43,19 +44,29 @@
     call_rejected = 210,
     caller_vanished = 211,
     caller_too_slow = 212,
+    quota_exceeded = 213,
+    request_failed = 214,
 
     attempt_failed = 300,
     upstream_ejected = 301,
     upstream_restored = 302,
     report_unreadable = 303,
     order_failed = 304,
+    upstream_changed = 305,
+    upstream_unreadable = 306,
 
     member_changed = 400,
     peer_disconnected = 401,
+    peer_message_unreadable = 402,
+    owner_silent = 403,
+    peer_documents_read = 404,
+    peer_documents_failed = 405,
 
     configuration_applied = 500,
     platform_lost = 501,
     platform_regained = 502,
+    rules_applied = 503,
+    rules_rejected = 504,
 
     move_stepped = 600,
     move_ended = 601,
--- /dev/null
+++ b/include/ragwortcove/gateway/gateway_metrics.hpp
@@ -0,0 +1,45 @@
+/// \file
+/// Counters and latency histograms of a gateway, in the Prometheus text form.
+#pragma once
+
+#include "ragwortcove/core/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace ragwortcove::gateway {
+
+/// A figure that is read when it is asked for.
+struct gauge {
+    std::string name;
+    std::string help;
+    double value = 0.0;
+};
+
+class gateway_metrics {
+public:
+    void count(std::string_view counter, std::string_view label, std::string_view value);
+    void observe(std::string_view histogram, std::string_view route, core::duration took);
+    [[nodiscard]] std::string render(const std::vector<gauge>& gauges) const;
+
+private:
+    using distribution = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::extended_p_square>>;
+    using labelled = std::map<std::string, std::uint64_t, std::less<>>;
+
+    std::map<std::string, labelled, std::less<>> counters;
+    std::map<std::string, std::map<std::string, distribution>, std::less<>> distributions;
+};
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -0,0 +1,131 @@
+/// \file
+/// Places this node's requests with whichever node owns their target, and others' with this node
+/// when it is the owner. The same for quotas.
+#pragma once
+
+#include "ragwortcove/core/placement_board.hpp"
+#include "ragwortcove/core/ruleset.hpp"
+#include "ragwortcove/core/team_quota.hpp"
+#include "ragwortcove/core/types.hpp"
+#include "ragwortcove/core/upstream_directory.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string_view>
+
+namespace ragwortcove::wire {
+class PeerDatagram;
+} // namespace ragwortcove::wire
+
+namespace ragwortcove::gateway {
+
+/// What the service needs of the fleet; a test puts its own in place.
+struct placement_surroundings {
+    core::node_name self;
+    core::incarnation run;
+    std::function<core::time_point()> now;
+    std::function<core::node_name(std::string_view key)> owner_of;
+    std::function<void(const core::node_name&)> mark_unreachable;
+    std::function<void(const core::node_name&, wire::PeerDatagram&)> send;
+    /// Nodes that serve, and nodes that served until lately but cannot be reached.
+    std::function<std::size_t()> serving;
+    std::function<std::size_t()> lost;
+};
+
+/// Number of a request at this service; zero is none.
+using placement_number = std::uint64_t;
+using placement_handler =
+    std::function<void(placement_number, const core::placement_answer&)>;
+using quota_handler = std::function<void(const core::quota_answer&)>;
+
+class placement_service {
+public:
+    explicit placement_service(placement_surroundings&& around);
+    ~placement_service();
+
+    /// `rules` must outlive its use here, until the next call.
+    void set_rules(std::shared_ptr<const core::rule_index> rules);
+    void set_upstreams(std::span<const core::announced_upstream> all);
+    void forget_upstream(const core::upstream_name& name) { this->board.forget(name); }
+
+    /// Asks for an upstream; `answered` is called once, perhaps from inside this call, unless the
+    /// request is withdrawn first. The id of `ask` is filled in here.
+    placement_number place(core::placement_ask&& ask, placement_handler&& answered);
+    /// The request no longer wants an upstream, or no longer uses the one that it got.
+    void withdraw(placement_number request);
+    void started(placement_number request, core::duration after);
+    void release(placement_number request, core::placement_outcome outcome,
+                 core::duration first_part_after, core::duration between_events);
+
+    /// Takes units of a team's quota; `answered` is called once, perhaps from inside this call.
+    void take_quota(const core::team_rule& team, double cost, quota_handler&& answered);
+    /// Gives back units of a request that did not run.
+    void return_quota(const core::team_rule& team, double cost);
+
+    void received(const core::node_name& from, const wire::PeerDatagram& message);
+    void owners_changed();
+    void node_ended(core::incarnation run);
+    /// To be called every few ten milliseconds.
+    void tick();
+    [[nodiscard]] const core::placement_board& owned() const { return this->board; }
+
+private:
+    /// A request of this node on its way to, or placed by, an owner.
+    struct placed_request {
+        core::placement_ask ask;
+        placement_handler answered;
+        core::node_name owner;
+        core::time_point asked_at;
+        core::time_point heard_at;
+        core::time_point first_asked_at;
+        std::uint32_t unanswered = 0;
+        /// Set once an upstream was granted.
+        std::optional<core::placement_grant> grant;
+        bool started = false;
+    };
+    struct quota_request {
+        core::team_name team;
+        double cost = 0.0;
+        quota_handler answered;
+        core::node_name owner;
+        core::time_point asked_at;
+        core::time_point first_asked_at;
+    };
+
+    void ask_owner(placement_number number, placed_request& request);
+    void deliver(core::placement_board::answers& answers);
+    void answer_own(placement_number number, const core::placement_answer& answer);
+    void report_held(const core::node_name& owner);
+    void tick_asks(core::time_point now);
+    void tick_quotas(core::time_point now);
+    void ask_quota_owner(placement_number number, quota_request& request);
+    void answer_quota(placement_number number, const core::quota_answer& answer);
+    [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team, double cost,
+                                                  bool as_owner);
+    void take_ask(const core::node_name& from, core::incarnation run,
+                  const wire::PeerDatagram& message);
+    void take_held(const core::node_name& from, core::incarnation run,
+                   const wire::PeerDatagram& message);
+
+    placement_surroundings env;
+    std::shared_ptr<const core::rule_index> rules;
+    std::vector<core::announced_upstream> upstreams;
+    core::placement_board board;
+    core::team_quota owned_quotas;
+    /// Spent by this node alone while the owner of a team's quota cannot be reached.
+    core::team_quota own_share;
+    std::map<placement_number, placed_request> requests;
+    std::map<placement_number, quota_request> quota_requests;
+    placement_number last_number = 0;
+    core::time_point report_at;
+    std::set<core::node_name> reported_to;
+    /// Asks of other nodes that were answered "waits" lately.
+    std::map<core::placement_id, core::node_name> asked_by;
+};
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/include/ragwortcove/http/inbound.hpp
@@ -0,0 +1,94 @@
+/// \file
+/// HTTP/1.1 server that passes on every header and tells how each connection ends.
+#pragma once
+
+#include "ragwortcove/http/message_reader.hpp"
+#include "ragwortcove/http/tcp_stream.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortcove::http {
+
+/// Number of an exchange (one request and its response) on one server.
+using inbound_exchange = std::uint64_t;
+
+/// What clients may send, and how long they may take.
+struct inbound_limits {
+    message_limits message;
+    /// From the first byte of a head to its last.
+    std::chrono::milliseconds header_time{5000};
+    /// How long a kept connection may lie idle.
+    std::chrono::milliseconds idle_time{15000};
+    /// Bytes that may wait for a client that reads slowly.
+    std::size_t unsent_bytes = 4U << 20U;
+};
+
+struct inbound_request {
+    request_line_and_headers head;
+    std::string body;
+};
+
+/// Head of a response; the server adds what frames the body.
+struct inbound_response {
+    int status = 200;
+    std::vector<header> headers;
+    /// Length of the body; unset sends it in chunks, or until the end of the connection to a client
+    /// of HTTP/1.0.
+    std::optional<std::uint64_t> content_length;
+};
+
+struct inbound_handlers {
+    /// A request has been read whole.
+    std::function<void(inbound_exchange, inbound_request&&)> requested;
+    /// The client went away, or reads too slowly, before the response was finished.
+    std::function<void(inbound_exchange)> abandoned;
+    /// A client's bytes were refused with that status before they were a request.
+    std::function<void(int status)> rejected;
+};
+
+class inbound_server {
+public:
+    inbound_server(loop& on, const socket_address& at, const inbound_limits& limits,
+                   inbound_handlers&& handlers);
+    ~inbound_server();
+    inbound_server(const inbound_server&) = delete;
+    inbound_server& operator=(const inbound_server&) = delete;
+
+    [[nodiscard]] bool listening() const;
+    [[nodiscard]] std::uint16_t port() const;
+    /// Takes effect for messages that begin later.
+    void set_limits(const inbound_limits& limits);
+
+    /// Writes to an exchange that is over are dropped.
+    void start_response(inbound_exchange exchange, inbound_response&& head);
+    void write(inbound_exchange exchange, std::string_view bytes);
+    void finish(inbound_exchange exchange);
+    /// A whole response at once.
+    void respond(inbound_exchange exchange, int status, std::vector<header> headers,
+                 std::string_view body);
+    /// Resets the connection, so that the client sees a cut answer.
+    void abort(inbound_exchange exchange);
+    /// From now on every response says that its connection closes.
+    void begin_drain();
+    /// Closes the connections on which no request is open.
+    void close_idle();
+    [[nodiscard]] std::size_t connections() const;
+
+    struct state;
+
+private:
+    std::unique_ptr<state> self;
+};
+
+/// Reason phrase of a status; empty for one that is not known.
+[[nodiscard]] std::string_view reason_phrase(int status);
+
+} // namespace ragwortcove::http
--- a/include/ragwortcove/http/loop.hpp
+++ b/include/ragwortcove/http/loop.hpp
@@ -13,6 +13,16 @@
 
 /// Number of a timer; zero is none.
 using timer_id = std::uint64_t;
+/// Number of a watched descriptor; zero is none.
+using descriptor_id = std::uint64_t;
+
+/// What is done when something happens to a watched descriptor.
+struct descriptor_handlers {
+    std::function<void()> readable;
+    std::function<void()> writable;
+    /// The other end hung up; the descriptor can still be read during the call and is closed after.
+    std::function<void()> closed;
+};
 
 /// libwebsockets event loop with timers and a thread-safe way to hand it work.
 class loop {
@@ -34,6 +44,12 @@
     [[nodiscard]] std::chrono::microseconds now() const;
     /// Calls `readable` whenever a datagram socket has something to read.
     void watch_datagrams(int descriptor, std::function<void()> readable);
+    /// Watches a descriptor, which the loop owns from then on and closes; zero when it cannot.
+    descriptor_id watch(int descriptor, descriptor_handlers&& handlers);
+    /// Calls `writable` once, when the descriptor takes bytes.
+    void want_writable(descriptor_id watched);
+    /// Closes a descriptor soon; none of its handlers is called after.
+    void unwatch(descriptor_id watched);
     [[nodiscard]] lws_context* context() const;
 
     struct state;
--- /dev/null
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// TCP connections on the loop, without a protocol: bytes in, bytes out, and how they end.
+#pragma once
+
+#include "ragwortcove/http/loop.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace ragwortcove::http {
+
+/// IP address and port of a socket.
+struct socket_address {
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+enum class stream_end {
+    /// The other end sent everything and closed.
+    orderly,
+    /// The connection was reset, timed out, or could not be opened.
+    broken,
+};
+
+struct tcp_stream_handlers {
+    /// The connection is open; only for those that this end opens.
+    std::function<void()> opened;
+    std::function<void(std::string_view)> received;
+    /// Comes once and last.
+    std::function<void(stream_end)> ended;
+    /// Everything written has been handed to the network.
+    std::function<void()> drained;
+};
+
+/// One TCP connection. Handlers may close or destroy it.
+class tcp_stream {
+public:
+    /// Begins to open a connection; null when no socket could be made.
+    [[nodiscard]] static std::unique_ptr<tcp_stream> connect(loop& on, const socket_address& to,
+                                                             tcp_stream_handlers&& handlers);
+    /// Takes over an accepted connection; null when the loop cannot watch it.
+    [[nodiscard]] static std::unique_ptr<tcp_stream> adopt(loop& on, int descriptor,
+                                                           tcp_stream_handlers&& handlers);
+    /// Closes at once; bytes not yet sent are lost.
+    ~tcp_stream();
+    tcp_stream(const tcp_stream&) = delete;
+    tcp_stream& operator=(const tcp_stream&) = delete;
+
+    void write(std::string_view bytes);
+    /// Closes once everything written has gone out.
+    void close_after_writes();
+    /// Closes with a reset, so that the other end cannot take what it got for whole.
+    void reset();
+    [[nodiscard]] std::size_t unsent_bytes() const;
+    [[nodiscard]] bool is_open() const;
+
+    struct state;
+
+private:
+    explicit tcp_stream(std::shared_ptr<state> made);
+    std::shared_ptr<state> self;
+};
+
+/// Accepts connections on one address.
+class tcp_listener {
+public:
+    using accept_handler = std::function<void(int descriptor)>;
+
+    tcp_listener(loop& on, const socket_address& at, accept_handler accepted);
+    ~tcp_listener();
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    [[nodiscard]] bool listening() const { return this->watched != 0; }
+    /// The port that is listened on, also when any free one was asked for.
+    [[nodiscard]] std::uint16_t port() const { return this->bound_port; }
+
+private:
+    loop& on;
+    descriptor_id watched = 0;
+    std::uint16_t bound_port = 0;
+};
+
+} // namespace ragwortcove::http
--- /dev/null
+++ b/lib/core/upstream_directory.cpp
@@ -0,0 +1,135 @@
+#include "ragwortcove/core/upstream_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+/// Time after the store's return within which lapsed announcements are back, if their upstream
+/// lives.
+static constexpr duration announcements_return_within = 2200ms;
+
+void upstream_directory::store_disturbed(time_point now)
+{
+    this->doubtful_until = std::max(this->doubtful_until, now + announcements_return_within);
+    for (auto& [name, each] : this->entries) {
+        if (each.gone_at != time_point::max())
+            each.gone_at = this->doubtful_until;
+    }
+}
+
+void upstream_directory::miss(entry& of, revision at, time_point now, directory_changes& changes)
+{
+    of.missing_since = at;
+    // One that said it leaves is not waited for.
+    if (of.value.leaving || now >= this->doubtful_until) {
+        changes.removed.push_back(of.value.name);
+        return;
+    }
+    of.gone_at = std::min(of.gone_at, this->doubtful_until);
+}
+
+directory_changes upstream_directory::put(const announced_upstream& one, time_point now)
+{
+    directory_changes changes;
+    const auto found = this->entries.find(one.name);
+    this->newest = std::max(this->newest, one.at);
+    if (found == this->entries.end()) {
+        this->entries[one.name].value = one;
+        changes.added.push_back(one.name);
+        return changes;
+    }
+    entry& known = found->second;
+    if (one.at <= known.value.at || one.at < known.missing_since)
+        return changes;
+    (void)now;
+    known.gone_at = time_point::max();
+    if (one.started_at != known.value.started_at || one.address != known.value.address)
+        changes.restarted.push_back(one.name);
+    if (one.leaving && !known.value.leaving)
+        changes.leaving.push_back(one.name);
+    else if (!one.leaving && known.value.leaving)
+        changes.added.push_back(one.name);
+    known.value = one;
+    return changes;
+}
+
+directory_changes upstream_directory::remove(const upstream_name& name, revision at, time_point now)
+{
+    directory_changes changes;
+    this->newest = std::max(this->newest, at);
+    const auto found = this->entries.find(name);
+    if (found == this->entries.end() || at <= found->second.value.at)
+        return changes;
+    this->miss(found->second, at, now, changes);
+    if (!changes.removed.empty())
+        this->entries.erase(found);
+    return changes;
+}
+
+static void append(std::vector<upstream_name>& to, const std::vector<upstream_name>& from)
+{
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+static void merge(directory_changes& into, const directory_changes& from)
+{
+    append(into.added, from.added);
+    append(into.leaving, from.leaving);
+    append(into.removed, from.removed);
+    append(into.restarted, from.restarted);
+}
+
+directory_changes upstream_directory::replace(std::span<const announced_upstream> all, revision at,
+                                              time_point now)
+{
+    directory_changes changes;
+    if (at < this->newest)
+        return changes;
+    std::set<upstream_name> present;
+    for (const announced_upstream& one : all) {
+        present.insert(one.name);
+        merge(changes, this->put(one, now));
+    }
+    std::vector<upstream_name> missing;
+    for (const auto& [name, each] : this->entries) {
+        if (!present.contains(name))
+            missing.push_back(name);
+    }
+    for (const upstream_name& name : missing)
+        merge(changes, this->remove(name, at, now));
+    return changes;
+}
+
+directory_changes upstream_directory::tick(time_point now)
+{
+    directory_changes changes;
+    for (auto at = this->entries.begin(); at != this->entries.end();) {
+        if (at->second.gone_at > now) {
+            ++at;
+            continue;
+        }
+        changes.removed.push_back(at->first);
+        at = this->entries.erase(at);
+    }
+    return changes;
+}
+
+const announced_upstream* upstream_directory::find(const upstream_name& name) const
+{
+    const auto found = this->entries.find(name);
+    return found == this->entries.end() ? nullptr : &found->second.value;
+}
+
+std::vector<announced_upstream> upstream_directory::all() const
+{
+    std::vector<announced_upstream> made;
+    made.reserve(this->entries.size());
+    for (const auto& [name, each] : this->entries)
+        made.push_back(each.value);
+    return made;
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/lib/gateway/fleet.cpp
@@ -0,0 +1,283 @@
+#include "ragwortcove/gateway/fleet.hpp"
+
+#include "../../lib/peer/datagram_socket.hpp"
+#include "gateway.pb.h"
+#include "ragwortcove/core/rendezvous.hpp"
+#include "ragwortcove/daemon/event_log.hpp"
+#include "ragwortcove/peer/codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortcove::gateway {
+
+using namespace std::chrono_literals;
+
+/// How often membership is looked at.
+static constexpr core::duration tick_period = 100ms;
+/// Time between two greetings of seeds and of nodes that count as dead: after a partition nobody
+/// else would tell the two sides of each other.
+static constexpr core::duration greet_period = 1s;
+/// How long a node that did not answer is left alone.
+static constexpr core::duration unreachable_time = 1s;
+/// First byte of a datagram: what follows it.
+static constexpr char heartbeat_mark = 'H';
+static constexpr char message_mark = 'M';
+
+static core::node_settings make_node_settings(const gateway_settings& from, core::incarnation run)
+{
+    core::node_settings made;
+    made.name = from.name;
+    made.run = run;
+    made.callers = from.callers;
+    made.peers = from.peers;
+    made.region = from.region;
+    made.failure_domain = from.failure_domain;
+    made.seeds = from.seeds;
+    return made;
+}
+
+fleet::fleet(http::loop& loop, const gateway_settings& settings, core::incarnation run,
+             fleet_handlers&& given)
+    : on(loop), self(make_node_settings(settings, run)), handlers(std::move(given)),
+      random(run.value), members(this->self)
+{
+    this->datagrams = peer::open_datagram_socket(settings.peers);
+    if (this->datagrams < 0)
+        return;
+    http::descriptor_handlers watching;
+    watching.readable = [this] {
+        peer::receive_datagrams(this->datagrams,
+                                [this](std::string_view bytes) { this->take(bytes); });
+    };
+    watching.writable = [] {};
+    watching.closed = [] {};
+    loop.watch(this->datagrams, std::move(watching));
+    this->rebuild_owners();
+    this->tick();
+}
+
+fleet::~fleet()
+{
+    this->on.cancel(this->timer);
+}
+
+void fleet::tick()
+{
+    core::step_context context{this->now(), {}, this->random, this->effects};
+    for (const core::node_name& target : this->members.due(context)) {
+        const core::member* known = this->members.find(target);
+        if (known != nullptr)
+            this->send_heartbeat(target, known->claim.peers, true);
+    }
+    if (this->now() >= this->greet_at) {
+        this->greet_at = this->now() + greet_period;
+        this->greet_seeds();
+    }
+    std::erase_if(this->unreachable,
+                  [this](const auto& each) { return each.second <= this->now(); });
+    this->settle();
+    this->timer = this->on.after(tick_period, [this] { this->tick(); });
+}
+
+void fleet::greet_seeds()
+{
+    std::vector<core::endpoint> strangers;
+    for (const core::endpoint& seed : this->self.seeds) {
+        if (seed != this->self.peers)
+            strangers.push_back(seed);
+    }
+    for (const core::member_claim& claim : this->members.all()) {
+        if (claim.name == this->self.name)
+            continue;
+        std::erase(strangers, claim.peers);
+        if (claim.state == core::member_state::dead)
+            strangers.push_back(claim.peers);
+    }
+    constexpr std::size_t most_greeted = 3;
+    while (strangers.size() > most_greeted)
+        strangers.erase(strangers.begin() + static_cast<std::ptrdiff_t>(core::uniform_below(
+                                                this->random, strangers.size())));
+    for (const core::endpoint& stranger : strangers)
+        this->send_heartbeat({}, stranger, true);
+}
+
+void fleet::send_heartbeat(const core::node_name& to, const core::endpoint& address,
+                           bool wants_answer)
+{
+    core::step_context context{this->now(), {}, this->random, this->effects};
+    const core::heartbeat made = this->members.make_heartbeat(to, wants_answer, context);
+    const std::string bytes = heartbeat_mark + peer::encode_datagram(made);
+    // A datagram that is lost here is like one that is lost on the way.
+    static_cast<void>(peer::send_datagram(this->datagrams, address, bytes));
+}
+
+void fleet::take(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    if (bytes.front() == heartbeat_mark) {
+        this->take_heartbeat(bytes.substr(1));
+        return;
+    }
+    wire::PeerDatagram message;
+    const bool readable =
+        bytes.front() == message_mark &&
+        message.ParseFromArray(bytes.data() + 1, static_cast<int>(bytes.size() - 1));
+    if (!readable) {
+        daemon::write_log(daemon::log_event::peer_message_unreadable,
+                          {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const core::node_name from{message.sender()};
+    const bool is_for_this_run =
+        message.receiver_run() == 0 || message.receiver_run() == this->self.run.value;
+    if (is_for_this_run)
+        this->handlers.received(from, message);
+}
+
+void fleet::take_heartbeat(std::string_view bytes)
+{
+    auto decoded = peer::decode_datagram(bytes);
+    const auto* beat = decoded ? std::get_if<core::heartbeat>(&*decoded) : nullptr;
+    if (beat == nullptr) {
+        daemon::write_log(daemon::log_event::peer_message_unreadable,
+                          {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    core::step_context context{this->now(), {}, this->random, this->effects};
+    this->members.receive(*beat, context);
+    this->unreachable.erase(beat->sender.name);
+    if (beat->wants_answer) {
+        this->send_heartbeat(beat->sender.name, beat->sender.peers, false);
+        const bool is_newcomer =
+            beat->known.empty() && beat->sender.state == core::member_state::joining;
+        if (is_newcomer) {
+            for (const core::heartbeat& each : this->members.introductions()) {
+                const std::string sent = heartbeat_mark + peer::encode_datagram(each);
+                static_cast<void>(
+                    peer::send_datagram(this->datagrams, beat->sender.peers, sent));
+            }
+        }
+    }
+    this->settle();
+}
+
+// Effects of membership are log lines only; what it sends is sent here.
+void fleet::settle()
+{
+    for (const core::effect& each : this->effects) {
+        const auto* line = std::get_if<core::log_decision>(&each);
+        if (line != nullptr)
+            daemon::write_log(daemon::event_of(line->kind),
+                              {{"subject", line->subject}, {"detail", line->detail}});
+    }
+    this->effects.clear();
+    const core::membership_changes changes = this->members.take_changes();
+    for (const core::incarnation ended : changes.ended)
+        this->handlers.ended(ended);
+    const std::vector<std::string> before = this->owner_names;
+    this->rebuild_owners();
+    if (before != this->owner_names)
+        this->handlers.owners_changed();
+}
+
+void fleet::rebuild_owners()
+{
+    this->owner_names = this->members.owners(this->self.region, this->now());
+    std::erase_if(this->owner_names, [this](const std::string& name) {
+        return this->unreachable.contains(core::node_name{name});
+    });
+    if (this->owner_names.empty())
+        this->owner_names.push_back(this->self.name.value);
+    std::sort(this->owner_names.begin(), this->owner_names.end());
+}
+
+void fleet::send(const core::node_name& to, wire::PeerDatagram& message)
+{
+    const core::endpoint address = this->peer_address(to);
+    if (address.port == 0)
+        return;
+    message.set_sender(this->self.name.value);
+    message.set_run(this->self.run.value);
+    std::string bytes(1, message_mark);
+    message.AppendToString(&bytes);
+    static_cast<void>(peer::send_datagram(this->datagrams, address, bytes));
+}
+
+void fleet::send_to_all(wire::PeerDatagram& message)
+{
+    for (const core::member* other : this->members.others())
+        this->send(other->claim.name, message);
+}
+
+void fleet::become_live()
+{
+    this->members.become_live();
+    this->settle();
+}
+
+void fleet::leave()
+{
+    this->members.leave();
+    for (const core::member* other : this->members.others())
+        this->send_heartbeat(other->claim.name, other->claim.peers, false);
+    this->settle();
+}
+
+void fleet::mark_unreachable(const core::node_name& name)
+{
+    this->unreachable[name] = this->now() + unreachable_time;
+    this->settle();
+}
+
+core::node_name fleet::owner_of(std::string_view key) const
+{
+    return core::node_name{
+        this->owner_names[core::rendezvous_first(key, this->owner_names)]};
+}
+
+std::vector<core::endpoint> fleet::entries() const
+{
+    std::vector<core::endpoint> made;
+    for (const core::member_claim& claim : this->members.all()) {
+        if (claim.state == core::member_state::live)
+            made.push_back(claim.callers);
+    }
+    return made;
+}
+
+core::endpoint fleet::peer_address(const core::node_name& name) const
+{
+    const core::member* known = this->members.find(name);
+    return known == nullptr ? core::endpoint{} : known->claim.peers;
+}
+
+core::node_name fleet::any_other()
+{
+    const std::vector<const core::member*> others = this->members.others();
+    if (others.empty())
+        return {};
+    return others[core::uniform_below(this->random, others.size())]->claim.name;
+}
+
+std::size_t fleet::serving() const
+{
+    std::size_t count = 0;
+    for (const core::member_claim& claim : this->members.all()) {
+        const bool serves = claim.state == core::member_state::live ||
+                            claim.state == core::member_state::suspect;
+        count += serves ? 1 : 0;
+    }
+    return std::max<std::size_t>(count, 1);
+}
+
+std::size_t fleet::lost() const
+{
+    std::size_t count = 0;
+    for (const core::member_claim& claim : this->members.all())
+        count += claim.state == core::member_state::dead ? 1 : 0;
+    return count;
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/lib/gateway/gateway_settings.cpp
@@ -0,0 +1,243 @@
+#include "ragwortcove/gateway/gateway_settings.hpp"
+
+#include "ragwortcove/core/object_fields.hpp"
+#include "ragwortcove/daemon/daemon_settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace ragwortcove::gateway {
+
+using settings::ini_document;
+using settings::ini_entry;
+using settings::ini_section;
+using settings::located_error;
+
+namespace {
+
+using setter = bool (*)(gateway_settings& into, std::string_view text);
+
+struct known_key {
+    std::string_view section;
+    std::string_view key;
+    bool required = false;
+    std::string_view expected;
+    setter store = nullptr;
+};
+
+} // namespace
+
+static constexpr std::string_view expected_name = "1 to 63 characters";
+static constexpr std::string_view expected_endpoint =
+    "an IP address and a port, such as 192.0.2.1:8080";
+static constexpr std::string_view expected_duration = "a duration, such as 250ms or 5s";
+
+static bool store_name(std::string_view text, std::string& into)
+{
+    static constexpr std::size_t longest_name = 63;
+    into = std::string(text);
+    return !text.empty() && text.size() <= longest_name;
+}
+
+static bool store_endpoint(std::string_view text, core::endpoint& into)
+{
+    const std::optional<core::endpoint> parsed = core::parse_endpoint(text);
+    if (parsed)
+        into = *parsed;
+    return parsed.has_value();
+}
+
+static bool store_endpoints(std::string_view text, std::vector<core::endpoint>& into)
+{
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        core::endpoint one;
+        if (!store_endpoint(text.substr(0, comma), one))
+            return false;
+        into.push_back(one);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return true;
+}
+
+static bool store_duration(std::string_view text, core::duration& into)
+{
+    const std::optional<core::duration> parsed = core::parse_duration(text);
+    if (parsed)
+        into = *parsed;
+    return parsed.has_value() && *parsed > core::duration::zero();
+}
+
+static bool store_number(std::string_view text, double& into)
+{
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, into);
+    return read.ec == std::errc{} && read.ptr == end && into >= 0.0;
+}
+
+static bool store_flag(std::string_view text, bool& into)
+{
+    into = text == "true";
+    return text == "true" || text == "false";
+}
+
+static bool store_level(std::string_view text, daemon::log_level& into)
+{
+    static constexpr std::array levels{daemon::log_level::debug, daemon::log_level::info,
+                                       daemon::log_level::warning, daemon::log_level::error};
+    const auto* found = std::ranges::find(
+        levels, text, [](daemon::log_level level) { return daemon::to_string(level); });
+    if (found == levels.end())
+        return false;
+    into = *found;
+    return true;
+}
+
+static constexpr std::array known_keys{
+    known_key{"node", "name", true, expected_name,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_name(text, into.name.value);
+              }},
+    known_key{"node", "region", true, expected_name,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_name(text, into.region.value);
+              }},
+    known_key{"node", "failure_domain", true, expected_name,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_name(text, into.failure_domain.value);
+              }},
+    known_key{"gateway", "callers", true, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.callers);
+              }},
+    known_key{"gateway", "readiness", true, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.readiness);
+              }},
+    known_key{"gateway", "directory", true, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.directory);
+              }},
+    known_key{"gateway", "peers", true, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.peers);
+              }},
+    known_key{"gateway", "metrics", false, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.metrics);
+              }},
+    known_key{"gateway", "seeds", false, "IP addresses with ports, separated by commas",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoints(text, into.seeds);
+              }},
+    known_key{"gateway", "store", true, expected_endpoint,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_endpoint(text, into.store);
+              }},
+    known_key{"gateway", "address_time_to_live", false, expected_duration,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_duration(text, into.address_time_to_live);
+              }},
+    known_key{"gateway", "stop_limit", false, expected_duration,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_duration(text, into.stop_limit);
+              }},
+    known_key{"gateway", "repeat_share", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_number(text, into.repeats.share);
+              }},
+    known_key{"gateway", "repeat_allowance", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_number(text, into.repeats.allowance);
+              }},
+    known_key{"gateway", "repeat_window", false, expected_duration,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_duration(text, into.repeats.window);
+              }},
+    known_key{"gateway", "trusted_network", false, "true or false",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_flag(text, into.trusted_network);
+              }},
+    known_key{"log", "level", false, "debug, info, warning or error",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_level(text, into.log.level);
+              }},
+};
+
+bool is_gateway_document(const ini_document& document)
+{
+    return settings::find_section(document, "gateway") != nullptr;
+}
+
+namespace {
+
+/// Walks a document and gathers settings and mistakes side by side.
+struct settings_reader {
+    const ini_document& document;
+    gateway_settings settings;
+    std::vector<located_error> errors;
+    std::set<std::pair<std::string, std::string>> seen;
+
+    void report(std::size_t line, std::string_view key, std::string_view expected,
+                std::string_view found)
+    {
+        this->errors.push_back({this->document.file, line, std::string(key),
+                                std::string(expected), std::string(found)});
+    }
+
+    void read_entry(const ini_section& section, const ini_entry& entry)
+    {
+        const auto* known = std::ranges::find_if(known_keys, [&](const known_key& each) {
+            return each.section == section.name && each.key == entry.key;
+        });
+        if (known == known_keys.end()) {
+            this->report(entry.line, entry.key, "a key of [" + section.name + "]", "");
+            return;
+        }
+        if (!this->seen.emplace(section.name, entry.key).second) {
+            this->report(entry.line, entry.key, "each key once", entry.value);
+            return;
+        }
+        if (!known->store(this->settings, entry.value))
+            this->report(entry.line, entry.key, known->expected, entry.value);
+    }
+
+    void check_whole()
+    {
+        for (const known_key& known : known_keys) {
+            const bool given =
+                this->seen.contains({std::string(known.section), std::string(known.key)});
+            if (known.required && !given)
+                this->report(0, "[" + std::string(known.section) + "] " + std::string(known.key),
+                             known.expected, "");
+        }
+        const bool is_open = !daemon::is_loopback(this->settings.callers) &&
+                             this->settings.callers.port != 0;
+        if (is_open && !this->settings.trusted_network)
+            this->report(0, "[gateway] trusted_network",
+                         "true, since callers is not on loopback and connections are plain",
+                         "false");
+    }
+};
+
+} // namespace
+
+gateway_settings_outcome read_gateway_settings(const ini_document& document)
+{
+    settings_reader reader{document, {}, document.errors, {}};
+    for (const ini_section& section : document.sections) {
+        for (const ini_entry& entry : section.entries)
+            reader.read_entry(section, entry);
+    }
+    reader.check_whole();
+    std::ranges::stable_sort(reader.errors, {}, &located_error::line);
+    if (!reader.errors.empty())
+        return {std::nullopt, std::move(reader.errors)};
+    return {std::move(reader.settings), {}};
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/lib/gateway/placement_service.cpp
@@ -0,0 +1,613 @@
+#include "ragwortcove/gateway/placement_service.hpp"
+
+#include "gateway.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortcove::gateway {
+
+using namespace std::chrono_literals;
+using core::duration;
+using core::time_point;
+
+/// Time after which an owner that has not answered is asked again.
+static constexpr duration ask_again_after = 40ms;
+/// Asks without an answer after which the owner counts as unreachable.
+static constexpr std::uint32_t most_unanswered = 4;
+/// A request that waits at an owner is asked for again this often, so that both know of it.
+static constexpr duration refresh_period = 400ms;
+/// How often an owner is told of all requests that are out.
+static constexpr duration report_period = 400ms;
+/// How long the owner of a quota may take before this node spends its own share.
+static constexpr duration quota_limit = 160ms;
+/// Requests in one report: a datagram holds so many.
+static constexpr std::size_t most_reported = 120;
+
+static std::string placement_key(const core::target_name& target)
+{
+    return "placement/" + target.value;
+}
+
+static std::string quota_key(const core::team_name& team)
+{
+    return "quota/" + team.value;
+}
+
+placement_service::placement_service(placement_surroundings&& around) : env(std::move(around)) {}
+
+placement_service::~placement_service() = default;
+
+void placement_service::set_rules(std::shared_ptr<const core::rule_index> given)
+{
+    this->rules = std::move(given);
+    this->board.set_upstreams(this->upstreams, this->rules.get());
+}
+
+void placement_service::set_upstreams(std::span<const core::announced_upstream> all)
+{
+    this->upstreams.assign(all.begin(), all.end());
+    this->board.set_upstreams(this->upstreams, this->rules.get());
+    this->tick();
+}
+
+placement_number placement_service::place(core::placement_ask&& ask, placement_handler&& answered)
+{
+    const placement_number number = ++this->last_number;
+    placed_request& made = this->requests[number];
+    made.ask = std::move(ask);
+    made.ask.id = {this->env.self, this->env.run, number};
+    made.answered = std::move(answered);
+    made.first_asked_at = this->env.now();
+    made.owner = this->env.owner_of(placement_key(made.ask.target));
+    this->ask_owner(number, made);
+    return number;
+}
+
+static void write_ask(const core::placement_ask& from, wire::PlacementAsk& to)
+{
+    to.set_sequence(from.id.sequence);
+    to.set_target(from.target.value);
+    to.set_team(from.team.value);
+    to.set_rank(from.rank);
+    to.set_prompt_tokens(from.prompt_tokens);
+    to.set_output_tokens(from.output_tokens);
+    for (const core::prompt_part& part : from.parts) {
+        wire::PromptPart* added = to.add_parts();
+        added->set_id(part.id);
+        added->set_tokens(part.tokens);
+    }
+    to.set_goal_left(from.goal_left.count());
+    to.set_patience(from.patience.count());
+    to.set_failure_domain(from.failure_domain.value);
+    for (const core::upstream_name& avoided : from.avoid)
+        to.add_avoid(avoided.value);
+}
+
+static core::placement_ask read_ask(const core::placement_id& id, const wire::PlacementAsk& from)
+{
+    core::placement_ask made;
+    made.id = id;
+    made.target.value = from.target();
+    made.team.value = from.team();
+    made.rank = from.rank();
+    made.prompt_tokens = from.prompt_tokens();
+    made.output_tokens = from.output_tokens();
+    for (const wire::PromptPart& part : from.parts())
+        made.parts.push_back({part.id(), part.tokens()});
+    made.goal_left = duration{from.goal_left()};
+    made.patience = duration{from.patience()};
+    made.failure_domain.value = from.failure_domain();
+    for (const std::string& avoided : from.avoid())
+        made.avoid.push_back({avoided});
+    return made;
+}
+
+/// What is left of a span of time that began at `since`.
+static duration left_of(duration whole, time_point since, time_point now)
+{
+    return whole - (now - since);
+}
+
+void placement_service::ask_owner(placement_number number, placed_request& request)
+{
+    const time_point now = this->env.now();
+    request.asked_at = now;
+    core::placement_ask current = request.ask;
+    current.goal_left = left_of(request.ask.goal_left, request.first_asked_at, now);
+    current.patience =
+        std::max(duration{0}, left_of(request.ask.patience, request.first_asked_at, now));
+    if (request.owner == this->env.self) {
+        request.heard_at = now;
+        request.unanswered = 0;
+        core::placement_board::answers answers;
+        this->board.ask(current, now, answers);
+        this->deliver(answers);
+        return;
+    }
+    (void)number;
+    ++request.unanswered;
+    wire::PeerDatagram message;
+    write_ask(current, *message.mutable_ask());
+    this->env.send(request.owner, message);
+}
+
+// Answers to this node's own requests are handed over; the others travel.
+void placement_service::deliver(core::placement_board::answers& answers)
+{
+    for (const core::placement_answer& answer : answers) {
+        const core::placement_id id =
+            std::visit([](const auto& each) { return each.id; }, answer);
+        if (id.entry == this->env.self) {
+            if (id.run == this->env.run)
+                this->answer_own(id.sequence, answer);
+            continue;
+        }
+        wire::PeerDatagram message;
+        message.set_receiver_run(id.run.value);
+        if (const auto* grant = std::get_if<core::placement_grant>(&answer)) {
+            wire::PlacementGrant& made = *message.mutable_grant();
+            made.set_sequence(id.sequence);
+            made.set_upstream(grant->upstream.value);
+            made.set_uncached_tokens(grant->uncached_tokens);
+        }
+        if (const auto* denial = std::get_if<core::placement_denial>(&answer)) {
+            wire::PlacementDenial& made = *message.mutable_denial();
+            made.set_sequence(id.sequence);
+            made.set_reason(static_cast<std::uint32_t>(denial->reason));
+            made.set_retry_after(denial->retry_after.count());
+        }
+        this->env.send(id.entry, message);
+    }
+}
+
+void placement_service::answer_own(placement_number number, const core::placement_answer& answer)
+{
+    const auto found = this->requests.find(number);
+    if (found == this->requests.end() || found->second.grant)
+        return;
+    placed_request& request = found->second;
+    const placement_handler answered = std::move(request.answered);
+    if (const auto* grant = std::get_if<core::placement_grant>(&answer)) {
+        request.grant = *grant;
+        request.heard_at = this->env.now();
+    }
+    if (!request.grant)
+        this->requests.erase(found);
+    answered(number, answer);
+}
+
+void placement_service::withdraw(placement_number request)
+{
+    this->release(request, core::placement_outcome::cancelled, {}, {});
+}
+
+void placement_service::started(placement_number request, duration after)
+{
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end() || found->second.started)
+        return;
+    found->second.started = true;
+    if (found->second.owner == this->env.self) {
+        this->board.started(found->second.ask.id, after, this->env.now());
+        return;
+    }
+    wire::PeerDatagram message;
+    message.mutable_started()->set_sequence(request);
+    message.mutable_started()->set_after(after.count());
+    this->env.send(found->second.owner, message);
+}
+
+void placement_service::release(placement_number request, core::placement_outcome outcome,
+                                duration first_part_after, duration between_events)
+{
+    const auto found = this->requests.find(request);
+    if (found == this->requests.end())
+        return;
+    const core::placement_id id = found->second.ask.id;
+    const core::node_name owner = found->second.owner;
+    const bool granted = found->second.grant.has_value();
+    this->requests.erase(found);
+    if (owner == this->env.self) {
+        core::placement_board::answers answers;
+        if (granted)
+            this->board.release({id, outcome, first_part_after, between_events},
+                                this->env.now(), answers);
+        else
+            this->board.withdraw(id, this->env.now(), answers);
+        this->deliver(answers);
+        return;
+    }
+    wire::PeerDatagram message;
+    if (!granted) {
+        message.mutable_withdrawal()->set_sequence(request);
+        this->env.send(owner, message);
+        return;
+    }
+    wire::PlacementRelease& made = *message.mutable_release();
+    made.set_sequence(request);
+    made.set_outcome(static_cast<std::uint32_t>(outcome));
+    made.set_first_part_after(first_part_after.count());
+    made.set_between_events(between_events.count());
+    this->env.send(owner, message);
+}
+
+void placement_service::report_held(const core::node_name& owner)
+{
+    if (owner == this->env.self) {
+        std::vector<core::placement_held> all;
+        for (const auto& [number, request] : this->requests) {
+            if (request.grant && request.owner == owner)
+                all.push_back({request.ask.id, request.ask.target, request.grant->upstream,
+                               request.grant->uncached_tokens, request.started});
+        }
+        core::placement_board::answers answers;
+        this->board.held(this->env.self, this->env.run, all, this->env.now(), answers);
+        this->deliver(answers);
+        return;
+    }
+    wire::PeerDatagram message;
+    wire::PlacementHeld& made = *message.mutable_held();
+    for (const auto& [number, request] : this->requests) {
+        if (!request.grant || request.owner != owner)
+            continue;
+        if (static_cast<std::size_t>(made.requests_size()) >= most_reported)
+            return; // More than a datagram holds: the releases alone have to do.
+        wire::PlacementHeld::Request& added = *made.add_requests();
+        added.set_sequence(number);
+        added.set_target(request.ask.target.value);
+        added.set_upstream(request.grant->upstream.value);
+        added.set_uncached_tokens(request.grant->uncached_tokens);
+        added.set_started(request.started);
+    }
+    this->env.send(owner, message);
+}
+
+void placement_service::owners_changed()
+{
+    std::set<core::node_name> told;
+    std::vector<placement_number> waiting;
+    for (auto& [number, request] : this->requests) {
+        const core::node_name owner = this->env.owner_of(placement_key(request.ask.target));
+        if (owner == request.owner)
+            continue;
+        request.owner = owner;
+        request.unanswered = 0;
+        if (request.grant)
+            told.insert(owner);
+        else
+            waiting.push_back(number);
+    }
+    for (const core::node_name& owner : told)
+        this->report_held(owner);
+    for (const placement_number number : waiting) {
+        const auto found = this->requests.find(number);
+        if (found != this->requests.end() && !found->second.grant)
+            this->ask_owner(number, found->second);
+    }
+    std::vector<placement_number> quotas;
+    for (auto& [number, request] : this->quota_requests) {
+        const core::node_name owner = this->env.owner_of(quota_key(request.team));
+        if (owner == request.owner)
+            continue;
+        request.owner = owner;
+        quotas.push_back(number);
+    }
+    for (const placement_number number : quotas) {
+        const auto found = this->quota_requests.find(number);
+        if (found != this->quota_requests.end())
+            this->ask_quota_owner(number, found->second);
+    }
+}
+
+void placement_service::node_ended(core::incarnation run)
+{
+    core::placement_board::answers answers;
+    this->board.entry_gone(run, this->env.now(), answers);
+    this->deliver(answers);
+}
+
+void placement_service::tick_asks(time_point now)
+{
+    std::vector<placement_number> due;
+    std::set<core::node_name> silent;
+    for (auto& [number, request] : this->requests) {
+        if (request.grant || request.owner == this->env.self)
+            continue;
+        const duration since = now - request.asked_at;
+        if (request.unanswered >= most_unanswered && since >= ask_again_after)
+            silent.insert(request.owner);
+        else if (since >= (request.unanswered > 0 ? ask_again_after : refresh_period))
+            due.push_back(number);
+    }
+    for (const placement_number number : due) {
+        const auto found = this->requests.find(number);
+        if (found != this->requests.end() && !found->second.grant)
+            this->ask_owner(number, found->second);
+    }
+    for (const core::node_name& owner : silent)
+        this->env.mark_unreachable(owner);
+    // Own requests that wait on the own board are kept alive there.
+    std::vector<placement_number> own;
+    for (auto& [number, request] : this->requests) {
+        const bool waits = !request.grant && request.owner == this->env.self;
+        if (waits && now - request.asked_at >= refresh_period)
+            own.push_back(number);
+    }
+    for (const placement_number number : own) {
+        const auto found = this->requests.find(number);
+        if (found != this->requests.end() && !found->second.grant)
+            this->ask_owner(number, found->second);
+    }
+}
+
+void placement_service::tick()
+{
+    const time_point now = this->env.now();
+    core::placement_board::answers answers;
+    this->board.tick(now, answers);
+    this->deliver(answers);
+    this->tick_asks(now);
+    this->tick_quotas(now);
+    if (now < this->report_at)
+        return;
+    this->report_at = now + report_period;
+    std::set<core::node_name> owners;
+    for (const auto& [number, request] : this->requests)
+        owners.insert(request.owner);
+    // An owner that was told of requests hears once more when none is left.
+    std::set<core::node_name> tell = owners;
+    tell.insert(this->reported_to.begin(), this->reported_to.end());
+    this->reported_to = owners;
+    for (const core::node_name& owner : tell)
+        this->report_held(owner);
+}
+
+core::quota_answer placement_service::take_locally(const core::team_rule& team, double cost,
+                                                   bool as_owner)
+{
+    const double serving = static_cast<double>(std::max<std::size_t>(this->env.serving(), 1));
+    const double lost = static_cast<double>(this->env.lost());
+    // Nodes that cannot be reached may be spending their shares.
+    if (as_owner)
+        return this->owned_quotas.take(team, cost, serving / (serving + lost), this->env.now());
+    return this->own_share.take(team, cost, 1.0 / (serving + lost), this->env.now());
+}
+
+void placement_service::take_quota(const core::team_rule& team, double cost,
+                                   quota_handler&& answered)
+{
+    if (team.rate <= 0.0) {
+        answered({});
+        return;
+    }
+    const core::node_name owner = this->env.owner_of(quota_key(team.name));
+    if (owner == this->env.self) {
+        answered(this->take_locally(team, cost, true));
+        return;
+    }
+    const placement_number number = ++this->last_number;
+    quota_request& made = this->quota_requests[number];
+    made.team = team.name;
+    made.cost = cost;
+    made.answered = std::move(answered);
+    made.owner = owner;
+    made.first_asked_at = this->env.now();
+    this->ask_quota_owner(number, made);
+}
+
+void placement_service::ask_quota_owner(placement_number number, quota_request& request)
+{
+    request.asked_at = this->env.now();
+    if (request.owner == this->env.self) {
+        const core::team_rule* team =
+            this->rules == nullptr ? nullptr : this->rules->find_team(request.team);
+        const double cost = request.cost;
+        this->answer_quota(number, team == nullptr ? core::quota_answer{}
+                                                   : this->take_locally(*team, cost, true));
+        return;
+    }
+    wire::PeerDatagram message;
+    message.mutable_quota_ask()->set_sequence(number);
+    message.mutable_quota_ask()->set_team(request.team.value);
+    message.mutable_quota_ask()->set_cost(request.cost);
+    this->env.send(request.owner, message);
+}
+
+void placement_service::answer_quota(placement_number number, const core::quota_answer& answer)
+{
+    const auto found = this->quota_requests.find(number);
+    if (found == this->quota_requests.end())
+        return;
+    const quota_handler answered = std::move(found->second.answered);
+    this->quota_requests.erase(found);
+    answered(answer);
+}
+
+// An ask that is sent again is not told from the first: a lost answer can cost a team the units
+// twice, which errs on the side of the quota.
+void placement_service::tick_quotas(time_point now)
+{
+    std::vector<placement_number> again;
+    std::vector<placement_number> late;
+    for (auto& [number, request] : this->quota_requests) {
+        if (now - request.first_asked_at >= quota_limit)
+            late.push_back(number);
+        else if (now - request.asked_at >= ask_again_after)
+            again.push_back(number);
+    }
+    for (const placement_number number : again) {
+        const auto found = this->quota_requests.find(number);
+        if (found != this->quota_requests.end())
+            this->ask_quota_owner(number, found->second);
+    }
+    for (const placement_number number : late) {
+        const auto found = this->quota_requests.find(number);
+        if (found == this->quota_requests.end())
+            continue;
+        const core::team_rule* team =
+            this->rules == nullptr ? nullptr : this->rules->find_team(found->second.team);
+        const double cost = found->second.cost;
+        const core::node_name owner = found->second.owner;
+        this->answer_quota(number, team == nullptr ? core::quota_answer{}
+                                                   : this->take_locally(*team, cost, false));
+        this->env.mark_unreachable(owner);
+    }
+}
+
+void placement_service::return_quota(const core::team_rule& team, double cost)
+{
+    if (team.rate <= 0.0)
+        return;
+    const core::node_name owner = this->env.owner_of(quota_key(team.name));
+    if (owner == this->env.self) {
+        this->owned_quotas.give_back(team, cost);
+        return;
+    }
+    wire::PeerDatagram message;
+    message.mutable_quota_return()->set_team(team.name.value);
+    message.mutable_quota_return()->set_cost(cost);
+    this->env.send(owner, message);
+}
+
+void placement_service::take_ask(const core::node_name& from, core::incarnation run,
+                                 const wire::PeerDatagram& message)
+{
+    const core::placement_id id{from, run, message.ask().sequence()};
+    core::placement_board::answers answers;
+    this->board.ask(read_ask(id, message.ask()), this->env.now(), answers);
+    const bool answered = std::any_of(answers.begin(), answers.end(), [&](const auto& answer) {
+        return std::visit([&](const auto& each) { return each.id == id; }, answer);
+    });
+    this->deliver(answers);
+    if (answered)
+        return;
+    wire::PeerDatagram queued;
+    queued.set_receiver_run(run.value);
+    queued.mutable_queued()->set_sequence(id.sequence);
+    this->env.send(from, queued);
+}
+
+void placement_service::take_held(const core::node_name& from, core::incarnation run,
+                                  const wire::PeerDatagram& message)
+{
+    std::vector<core::placement_held> all;
+    for (const wire::PlacementHeld::Request& each : message.held().requests()) {
+        core::placement_held made;
+        made.id = {from, run, each.sequence()};
+        made.target.value = each.target();
+        made.upstream.value = each.upstream();
+        made.uncached_tokens = each.uncached_tokens();
+        made.started = each.started();
+        all.push_back(std::move(made));
+    }
+    core::placement_board::answers answers;
+    this->board.held(from, run, all, this->env.now(), answers);
+    this->deliver(answers);
+}
+
+void placement_service::received(const core::node_name& from, const wire::PeerDatagram& message)
+{
+    const core::incarnation run{message.run()};
+    const time_point now = this->env.now();
+    core::placement_board::answers answers;
+    switch (message.body_case()) {
+    case wire::PeerDatagram::kAsk:
+        this->take_ask(from, run, message);
+        return;
+    case wire::PeerDatagram::kGrant: {
+        const placement_number number = message.grant().sequence();
+        const auto found = this->requests.find(number);
+        if (found == this->requests.end()) {
+            // Granted too late: the place is given back.
+            wire::PeerDatagram unused;
+            unused.mutable_withdrawal()->set_sequence(number);
+            this->env.send(from, unused);
+            return;
+        }
+        if (found->second.grant)
+            return;
+        found->second.owner = from;
+        this->answer_own(number, core::placement_grant{found->second.ask.id,
+                                                       {message.grant().upstream()},
+                                                       message.grant().uncached_tokens()});
+        return;
+    }
+    case wire::PeerDatagram::kQueued: {
+        const auto found = this->requests.find(message.queued().sequence());
+        if (found != this->requests.end() && found->second.owner == from)
+            found->second.unanswered = 0;
+        return;
+    }
+    case wire::PeerDatagram::kDenial: {
+        const placement_number number = message.denial().sequence();
+        const auto found = this->requests.find(number);
+        if (found == this->requests.end() || found->second.owner != from)
+            return;
+        const auto reason = message.denial().reason() == 0 ? core::denial_reason::no_upstream
+                                                           : core::denial_reason::overloaded;
+        this->answer_own(number,
+                         core::placement_denial{found->second.ask.id, reason,
+                                                duration{message.denial().retry_after()}});
+        return;
+    }
+    case wire::PeerDatagram::kWithdrawal:
+        this->board.withdraw({from, run, message.withdrawal().sequence()}, now, answers);
+        break;
+    case wire::PeerDatagram::kStarted:
+        this->board.started({from, run, message.started().sequence()},
+                            duration{message.started().after()}, now);
+        break;
+    case wire::PeerDatagram::kRelease: {
+        core::placement_release made;
+        made.id = {from, run, message.release().sequence()};
+        const auto last = static_cast<std::uint32_t>(core::placement_outcome::cancelled);
+        made.outcome =
+            static_cast<core::placement_outcome>(std::min(message.release().outcome(), last));
+        made.first_part_after = duration{message.release().first_part_after()};
+        made.between_events = duration{message.release().between_events()};
+        this->board.release(made, now, answers);
+        break;
+    }
+    case wire::PeerDatagram::kHeld:
+        this->take_held(from, run, message);
+        return;
+    case wire::PeerDatagram::kQuotaAsk: {
+        const core::team_rule* team =
+            this->rules == nullptr
+                ? nullptr
+                : this->rules->find_team({message.quota_ask().team()});
+        if (team == nullptr)
+            return; // The other node's rules are newer; it goes on by itself.
+        const core::quota_answer answer =
+            this->take_locally(*team, message.quota_ask().cost(), true);
+        wire::PeerDatagram made;
+        made.set_receiver_run(run.value);
+        made.mutable_quota_answer()->set_sequence(message.quota_ask().sequence());
+        made.mutable_quota_answer()->set_granted(answer.granted);
+        made.mutable_quota_answer()->set_retry_after(answer.retry_after.count());
+        this->env.send(from, made);
+        return;
+    }
+    case wire::PeerDatagram::kQuotaAnswer:
+        this->answer_quota(message.quota_answer().sequence(),
+                           {message.quota_answer().granted(),
+                            duration{message.quota_answer().retry_after()}});
+        return;
+    case wire::PeerDatagram::kQuotaReturn: {
+        const core::team_rule* team =
+            this->rules == nullptr
+                ? nullptr
+                : this->rules->find_team({message.quota_return().team()});
+        if (team != nullptr)
+            this->owned_quotas.give_back(*team, message.quota_return().cost());
+        return;
+    }
+    case wire::PeerDatagram::kDigest:
+    case wire::PeerDatagram::BODY_NOT_SET:
+        return;
+    }
+    this->deliver(answers);
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/lib/gateway/process.cpp
@@ -0,0 +1,85 @@
+#include "ragwortcove/core/object_fields.hpp"
+#include "ragwortcove/daemon/event_log.hpp"
+#include "ragwortcove/gateway/gateway.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <random>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace ragwortcove::gateway {
+
+using daemon::log_event;
+
+/// A number that no two runs share; a later run has a greater one unless the clock was set back.
+static core::incarnation make_incarnation()
+{
+    static constexpr unsigned random_bits = 20;
+    using std::chrono::milliseconds;
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto millis = std::chrono::duration_cast<milliseconds>(since_epoch).count();
+    const std::uint64_t low = std::random_device{}() & ((1U << random_bits) - 1U);
+    return {(static_cast<std::uint64_t>(millis) << random_bits) | low};
+}
+
+/// Blocks the signals that are handled and gives a descriptor to read them from.
+static int open_signals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, SIGTERM);
+    sigaddset(&handled, SIGINT);
+    sigaddset(&handled, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static void read_settings_again(const std::string& path, gateway& running)
+{
+    const gateway_settings_outcome read = read_gateway_settings(settings::load_ini(path));
+    for (const settings::located_error& error : read.errors)
+        daemon::write_log(log_event::settings_rejected,
+                          {{"detail", settings::format_error(error)}});
+    if (read.settings)
+        running.reload(*read.settings);
+}
+
+static void take_signals(int signals, const std::string& path, gateway& running)
+{
+    signalfd_siginfo taken{};
+    while (read(signals, &taken, sizeof taken) == static_cast<ssize_t>(sizeof taken)) {
+        if (taken.ssi_signo == SIGHUP) {
+            read_settings_again(path, running);
+            continue;
+        }
+        running.drain();
+    }
+}
+
+int run_gateway(const std::string& settings_path, const gateway_settings& settings)
+{
+    const core::incarnation run = make_incarnation();
+    daemon::configure_log(settings.log);
+    const int signals = open_signals();
+    http::loop loop;
+    gateway running{loop, settings, run, [&loop] { loop.stop(); }};
+    if (!running.listening()) {
+        daemon::write_log(log_event::listen_failed,
+                          {{"callers", core::format_endpoint(settings.callers)},
+                           {"peers", core::format_endpoint(settings.peers)}});
+        return EXIT_FAILURE;
+    }
+    daemon::write_log(log_event::process_started,
+                      {{"name", settings.name.value},
+                       {"incarnation", std::to_string(run.value)},
+                       {"failure_domain", settings.failure_domain.value},
+                       {"trusted_network", settings.trusted_network ? "true" : "false"}});
+    loop.watch_datagrams(signals, [&] { take_signals(signals, settings_path, running); });
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/lib/http/inbound.cpp
@@ -0,0 +1,407 @@
+#include "ragwortcove/http/inbound.hpp"
+
+#include "loop_state.hpp"
+
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace ragwortcove::http {
+
+using std::chrono::microseconds;
+
+/// How often limits of time are looked at.
+static constexpr std::chrono::milliseconds sweep_interval{250};
+/// Reserve for a head, in bytes.
+static constexpr std::size_t usual_head_bytes = 512;
+
+enum class connection_phase {
+    /// No byte of a request has come.
+    idle,
+    reading,
+    /// A request is with the handler; its response may have begun.
+    answering,
+};
+
+namespace {
+
+struct connection {
+    std::uint64_t id = 0;
+    std::unique_ptr<tcp_stream> stream;
+    std::unique_ptr<request_reader> reader;
+    connection_phase phase = connection_phase::idle;
+    microseconds since{0};
+    inbound_request request;
+    inbound_exchange exchange = 0;
+    bool keep_alive = true;
+    bool version_1_1 = true;
+    bool is_head_request = false;
+    bool head_sent = false;
+    bool chunked = false;
+    bool closes = false;
+    /// Whether the connection's state goes at the end of the turn.
+    bool dead = false;
+};
+
+} // namespace
+
+struct inbound_server::state {
+    loop& on;
+    inbound_limits limits;
+    inbound_handlers handlers;
+    std::unique_ptr<tcp_listener> listener;
+    std::map<std::uint64_t, std::shared_ptr<connection>> connections;
+    std::map<inbound_exchange, std::uint64_t> by_exchange;
+    std::uint64_t last_connection = 0;
+    inbound_exchange last_exchange = 0;
+    timer_id sweep_timer = 0;
+    bool draining = false;
+
+    explicit state(loop& loop) : on(loop) {}
+
+    void accept(int descriptor);
+    void received(connection& from, std::string_view bytes);
+    void ended(connection& from);
+    void check(connection& from, message_fault fault);
+    void head_came(connection& from, request_line_and_headers&& head);
+    void complete(connection& from);
+    void reject(connection& from, int status);
+    void bury(connection& from);
+    void finish(connection& of);
+    void write(connection& of, std::string_view bytes);
+    void sweep();
+    [[nodiscard]] connection* find(inbound_exchange exchange);
+    void send_head(connection& of, inbound_response&& head);
+};
+
+std::string_view reason_phrase(int status)
+{
+    const auto text = boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+    return {text.data(), text.size()};
+}
+
+void inbound_server::state::accept(int descriptor)
+{
+    auto made = std::make_shared<connection>();
+    made->id = ++this->last_connection;
+    made->since = this->on.now();
+    connection* const raw = made.get();
+    request_reader::handlers reading;
+    reading.head = [this, raw](request_line_and_headers&& head) {
+        this->head_came(*raw, std::move(head));
+    };
+    reading.body = [raw](std::string_view bytes) { raw->request.body.append(bytes); };
+    reading.complete = [this, raw] { this->complete(*raw); };
+    made->reader = std::make_unique<request_reader>(this->limits.message, std::move(reading));
+    tcp_stream_handlers streaming;
+    streaming.received = [this, raw](std::string_view bytes) { this->received(*raw, bytes); };
+    streaming.ended = [this, raw](stream_end) { this->ended(*raw); };
+    made->stream = tcp_stream::adopt(this->on, descriptor, std::move(streaming));
+    if (made->stream)
+        this->connections.emplace(made->id, std::move(made));
+}
+
+// A connection may be buried from inside its own reader, so its state outlives the turn.
+void inbound_server::state::bury(connection& from)
+{
+    if (from.dead)
+        return;
+    from.dead = true;
+    if (from.exchange != 0)
+        this->by_exchange.erase(from.exchange);
+    const auto found = this->connections.find(from.id);
+    run_after_turn(this->on, [kept = found->second] { kept->stream.reset(); });
+    this->connections.erase(found);
+}
+
+void inbound_server::state::received(connection& from, std::string_view bytes)
+{
+    if (from.dead)
+        return;
+    if (from.phase == connection_phase::idle) {
+        from.phase = connection_phase::reading;
+        from.since = this->on.now();
+    }
+    this->check(from, from.reader->take(bytes));
+}
+
+static int status_of(message_fault fault)
+{
+    switch (fault) {
+    case message_fault::header_too_long:
+        return 431;
+    case message_fault::body_too_long:
+        return 413;
+    case message_fault::none:
+    case message_fault::malformed:
+    case message_fault::truncated:
+        return 400;
+    }
+    return 400;
+}
+
+void inbound_server::state::check(connection& from, message_fault fault)
+{
+    if (from.dead || fault == message_fault::none)
+        return;
+    if (from.phase == connection_phase::answering) {
+        // The response under way is delivered; what follows it cannot be read.
+        from.closes = true;
+        return;
+    }
+    this->reject(from, status_of(fault));
+}
+
+void inbound_server::state::reject(connection& from, int status)
+{
+    if (this->handlers.rejected)
+        this->handlers.rejected(status);
+    from.closes = true;
+    from.version_1_1 = true;
+    inbound_response head;
+    head.status = status;
+    head.content_length = 0;
+    this->send_head(from, std::move(head));
+    from.stream->close_after_writes();
+    this->bury(from);
+}
+
+void inbound_server::state::ended(connection& from)
+{
+    if (from.dead)
+        return;
+    const inbound_exchange open = from.exchange;
+    this->bury(from);
+    if (open != 0)
+        this->handlers.abandoned(open);
+}
+
+void inbound_server::state::head_came(connection& from, request_line_and_headers&& head)
+{
+    from.keep_alive = head.keep_alive;
+    from.version_1_1 = head.version_1_1;
+    from.is_head_request = head.method == "HEAD";
+    const auto expects = find_any_case(head.headers, "Expect");
+    if (expects && same_header_name(*expects, "100-continue"))
+        from.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    from.request.head = std::move(head);
+    from.request.body.clear();
+}
+
+void inbound_server::state::complete(connection& from)
+{
+    from.phase = connection_phase::answering;
+    from.exchange = ++this->last_exchange;
+    from.head_sent = false;
+    from.chunked = false;
+    this->by_exchange[from.exchange] = from.id;
+    this->handlers.requested(from.exchange, std::move(from.request));
+}
+
+connection* inbound_server::state::find(inbound_exchange exchange)
+{
+    const auto found = this->by_exchange.find(exchange);
+    if (found == this->by_exchange.end())
+        return nullptr;
+    return this->connections.at(found->second).get();
+}
+
+void inbound_server::state::send_head(connection& of, inbound_response&& head)
+{
+    std::string text;
+    text.reserve(usual_head_bytes);
+    text += "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text += reason_phrase(head.status);
+    text += "\r\n";
+    for (const header& each : head.headers)
+        text += each.name + ": " + each.value + "\r\n";
+    if (head.content_length)
+        text += "Content-Length: " + std::to_string(*head.content_length) + "\r\n";
+    else if (of.version_1_1)
+        text += "Transfer-Encoding: chunked\r\n";
+    of.chunked = !head.content_length && of.version_1_1;
+    if (!of.keep_alive || this->draining || (!head.content_length && !of.version_1_1))
+        of.closes = true;
+    if (of.closes)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    of.head_sent = true;
+    of.stream->write(text);
+}
+
+void inbound_server::state::write(connection& of, std::string_view bytes)
+{
+    if (bytes.empty() || of.is_head_request)
+        return;
+    if (!of.chunked) {
+        of.stream->write(bytes);
+        return;
+    }
+    std::array<char, 24> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    std::string framed;
+    framed.reserve(bytes.size() + size.size());
+    framed.append(size.data(), end);
+    framed += "\r\n";
+    framed += bytes;
+    framed += "\r\n";
+    of.stream->write(framed);
+}
+
+void inbound_server::state::finish(connection& of)
+{
+    if (of.chunked && !of.is_head_request)
+        of.stream->write("0\r\n\r\n");
+    this->by_exchange.erase(of.exchange);
+    of.exchange = 0;
+    if (of.closes) {
+        of.stream->close_after_writes();
+        this->bury(of);
+        return;
+    }
+    of.phase = connection_phase::idle;
+    of.since = this->on.now();
+    // The next request is read from the loop, not from inside the handler of this one.
+    const auto kept = this->connections.at(of.id);
+    run_after_turn(this->on, [this, kept] {
+        if (kept->dead || kept->phase != connection_phase::idle)
+            return;
+        kept->reader->set_limits(this->limits.message);
+        this->check(*kept, kept->reader->next());
+        if (!kept->dead && kept->phase == connection_phase::idle &&
+            kept->reader->inside_message()) {
+            kept->phase = connection_phase::reading;
+            kept->since = this->on.now();
+        }
+    });
+}
+
+void inbound_server::state::sweep()
+{
+    const microseconds now = this->on.now();
+    std::vector<std::shared_ptr<connection>> late;
+    for (const auto& [id, each] : this->connections) {
+        const microseconds age = now - each->since;
+        const bool slow =
+            each->phase == connection_phase::reading && age > this->limits.header_time;
+        const bool unused = each->phase == connection_phase::idle && age > this->limits.idle_time;
+        const bool clogged = each->stream->unsent_bytes() > this->limits.unsent_bytes;
+        if (slow || unused || clogged)
+            late.push_back(each);
+    }
+    for (const auto& each : late) {
+        if (each->phase == connection_phase::reading) {
+            this->reject(*each, 408);
+            continue;
+        }
+        each->stream->reset();
+        this->ended(*each);
+    }
+    this->sweep_timer = this->on.after(sweep_interval, [this] { this->sweep(); });
+}
+
+inbound_server::inbound_server(loop& on, const socket_address& at, const inbound_limits& limits,
+                               inbound_handlers&& handlers)
+    : self(std::make_unique<state>(on))
+{
+    this->self->limits = limits;
+    this->self->handlers = std::move(handlers);
+    state* const own = this->self.get();
+    own->listener = std::make_unique<tcp_listener>(
+        on, at, [own](int descriptor) { own->accept(descriptor); });
+    own->sweep();
+}
+
+inbound_server::~inbound_server()
+{
+    this->self->on.cancel(this->self->sweep_timer);
+}
+
+bool inbound_server::listening() const
+{
+    return this->self->listener->listening();
+}
+
+std::uint16_t inbound_server::port() const
+{
+    return this->self->listener->port();
+}
+
+void inbound_server::set_limits(const inbound_limits& limits)
+{
+    this->self->limits = limits;
+}
+
+void inbound_server::start_response(inbound_exchange exchange, inbound_response&& head)
+{
+    connection* const of = this->self->find(exchange);
+    if (of != nullptr && !of->head_sent)
+        this->self->send_head(*of, std::move(head));
+}
+
+void inbound_server::write(inbound_exchange exchange, std::string_view bytes)
+{
+    connection* const of = this->self->find(exchange);
+    if (of != nullptr)
+        this->self->write(*of, bytes);
+}
+
+void inbound_server::finish(inbound_exchange exchange)
+{
+    connection* const of = this->self->find(exchange);
+    if (of != nullptr)
+        this->self->finish(*of);
+}
+
+void inbound_server::respond(inbound_exchange exchange, int status, std::vector<header> headers,
+                             std::string_view body)
+{
+    connection* const of = this->self->find(exchange);
+    if (of == nullptr)
+        return;
+    inbound_response head;
+    head.status = status;
+    head.headers = std::move(headers);
+    head.content_length = body.size();
+    this->self->send_head(*of, std::move(head));
+    this->self->write(*of, body);
+    this->self->finish(*of);
+}
+
+void inbound_server::abort(inbound_exchange exchange)
+{
+    connection* const of = this->self->find(exchange);
+    if (of == nullptr)
+        return;
+    of->stream->reset();
+    this->self->bury(*of);
+}
+
+void inbound_server::begin_drain()
+{
+    this->self->draining = true;
+}
+
+void inbound_server::close_idle()
+{
+    std::vector<std::shared_ptr<connection>> idle;
+    for (const auto& [id, each] : this->self->connections) {
+        if (each->phase == connection_phase::idle)
+            idle.push_back(each);
+    }
+    for (const auto& each : idle) {
+        each->stream->close_after_writes();
+        this->self->bury(*each);
+    }
+}
+
+std::size_t inbound_server::connections() const
+{
+    return this->self->connections.size();
+}
+
+} // namespace ragwortcove::http
--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -31,8 +31,39 @@
     return 0;
 }
 
+// Handlers may unwatch the descriptor they are called for, so its state goes only with the
+// descriptor itself.
+static int handle_descriptor_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
+{
+    auto* watched = static_cast<watched_descriptor*>(lws_get_opaque_user_data(wsi));
+    if (watched == nullptr)
+        return 0;
+    const bool active = !watched->released && !watched->owner->ending;
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        if (active)
+            watched->handlers.readable();
+        return watched->released ? -1 : 0;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        if (active)
+            watched->handlers.writable();
+        return watched->released ? -1 : 0;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+        if (active) {
+            watched->released = true;
+            watched->handlers.closed();
+        }
+        lws_set_opaque_user_data(wsi, nullptr);
+        watched->owner->descriptors.erase(watched->id);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
 static const lws_protocols datagram_protocols[] = {
     {"datagram", handle_datagram_event, 0, 0, 0, nullptr, 0},
+    {"descriptor", handle_descriptor_event, 0, 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
@@ -74,6 +105,7 @@
 
 loop::~loop()
 {
+    this->self->ending = true;
     lws_context_destroy(this->self->context);
 }
 
@@ -193,6 +225,41 @@
     lws_set_opaque_user_data(wsi, this->self->datagram_watches.back().get());
 }
 
+descriptor_id loop::watch(int descriptor, descriptor_handlers&& handlers)
+{
+    auto made = std::make_unique<watched_descriptor>();
+    made->owner = this->self.get();
+    made->id = ++this->self->last_descriptor;
+    made->handlers = std::move(handlers);
+    lws_sock_file_fd_type file{};
+    file.filefd = descriptor;
+    lws* wsi = lws_adopt_descriptor_vhost(this->self->datagram_vhost, LWS_ADOPT_RAW_FILE_DESC, file,
+                                          "descriptor", nullptr);
+    if (wsi == nullptr)
+        return 0;
+    made->wsi = wsi;
+    lws_set_opaque_user_data(wsi, made.get());
+    const descriptor_id id = made->id;
+    this->self->descriptors.emplace(id, std::move(made));
+    return id;
+}
+
+void loop::want_writable(descriptor_id watched)
+{
+    const auto found = this->self->descriptors.find(watched);
+    if (found != this->self->descriptors.end() && !found->second->released)
+        lws_callback_on_writable(found->second->wsi);
+}
+
+void loop::unwatch(descriptor_id watched)
+{
+    const auto found = this->self->descriptors.find(watched);
+    if (found == this->self->descriptors.end() || found->second->released)
+        return;
+    found->second->released = true;
+    lws_set_timeout(found->second->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
 lws_context* loop::context() const
 {
     return this->self->context;
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -15,8 +15,22 @@
 
 namespace ragwortcove::http {
 
+/// One descriptor that the loop owns; libwebsockets knows it as a raw file.
+struct watched_descriptor {
+    loop::state* owner = nullptr;
+    descriptor_id id = 0;
+    lws* wsi = nullptr;
+    descriptor_handlers handlers;
+    /// Whether `unwatch` was called.
+    bool released = false;
+};
+
 struct loop::state {
     lws_context* context = nullptr;
+    /// Whether libwebsockets takes its connections down for good.
+    bool ending = false;
+    descriptor_id last_descriptor = 0;
+    std::map<descriptor_id, std::unique_ptr<watched_descriptor>> descriptors;
     lws_vhost* datagram_vhost = nullptr;
     std::atomic<bool> stopped{false};
     timer_id last_timer = 0;
--- /dev/null
+++ b/lib/http/tcp_stream.cpp
@@ -0,0 +1,319 @@
+#include "ragwortcove/http/tcp_stream.hpp"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace ragwortcove::http {
+
+/// Bytes taken from a socket in one call.
+static constexpr std::size_t read_size = 64U << 10U;
+/// Connections that may wait to be accepted.
+static constexpr int accept_backlog = 1024;
+/// Silence before the kernel probes a connection, and time between its probes.
+static constexpr int probe_after_seconds = 2;
+static constexpr int probe_interval_seconds = 1;
+static constexpr int probes_before_reset = 2;
+/// How long bytes may lie unacknowledged before the connection counts as broken.
+static constexpr unsigned int unacknowledged_limit_ms = 4000;
+
+struct tcp_stream::state {
+    loop* on = nullptr;
+    int descriptor = -1;
+    descriptor_id watched = 0;
+    tcp_stream_handlers handlers;
+    std::string unsent;
+    bool opening = false;
+    bool closing = false;
+    bool open = true;
+};
+
+using state_pointer = std::shared_ptr<tcp_stream::state>;
+
+static std::optional<sockaddr_in> to_sockaddr(const socket_address& from)
+{
+    sockaddr_in made{};
+    made.sin_family = AF_INET;
+    made.sin_port = htons(from.port);
+    if (inet_pton(AF_INET, from.address.c_str(), &made.sin_addr) != 1)
+        return std::nullopt;
+    return made;
+}
+
+static void set_option(int descriptor, int level, int name, int value)
+{
+    // A kernel that lacks one of these options still carries the connection.
+    static_cast<void>(setsockopt(descriptor, level, name, &value, sizeof value));
+}
+
+// Connections can go silent without a reset when something between the ends forgets them.
+static void set_stream_options(int descriptor)
+{
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probe_after_seconds);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_seconds);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probes_before_reset);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+static void release(tcp_stream::state& self)
+{
+    self.open = false;
+    self.on->unwatch(self.watched);
+    self.watched = 0;
+    self.descriptor = -1;
+}
+
+static void end(const state_pointer& self, stream_end how)
+{
+    if (!self->open)
+        return;
+    release(*self);
+    const auto ended = self->handlers.ended;
+    if (!self->closing && ended)
+        ended(how);
+}
+
+/// Reads what is there; ends the stream at its end.
+static void read_all(const state_pointer& self)
+{
+    static thread_local std::string buffer(read_size, '\0');
+    while (self->open) {
+        const ssize_t count = ::recv(self->descriptor, buffer.data(), buffer.size(), 0);
+        if (count > 0) {
+            if (!self->closing)
+                self->handlers.received({buffer.data(), static_cast<std::size_t>(count)});
+            if (static_cast<std::size_t>(count) < buffer.size())
+                return;
+            continue;
+        }
+        if (count == 0) {
+            end(self, stream_end::orderly);
+            return;
+        }
+        if (errno == EINTR)
+            continue;
+        if (errno != EAGAIN && errno != EWOULDBLOCK)
+            end(self, stream_end::broken);
+        return;
+    }
+}
+
+static void send_unsent(const state_pointer& self)
+{
+    std::size_t sent = 0;
+    while (sent < self->unsent.size()) {
+        const ssize_t count = ::send(self->descriptor, self->unsent.data() + sent,
+                                     self->unsent.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+            // What the other end sent before it closed may still be there to read.
+            self->unsent.clear();
+            return;
+        }
+        if (count < 0)
+            break;
+        sent += static_cast<std::size_t>(count);
+    }
+    self->unsent.erase(0, sent);
+    if (!self->unsent.empty())
+        self->on->want_writable(self->watched);
+}
+
+static bool finish_opening(const state_pointer& self)
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(self->descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        end(self, stream_end::broken);
+        return false;
+    }
+    self->opening = false;
+    if (self->handlers.opened)
+        self->handlers.opened();
+    return self->open;
+}
+
+static void take_writable(const state_pointer& self)
+{
+    if (self->opening && !finish_opening(self))
+        return;
+    send_unsent(self);
+    if (!self->unsent.empty())
+        return;
+    if (self->closing) {
+        release(*self);
+        return;
+    }
+    if (self->handlers.drained)
+        self->handlers.drained();
+}
+
+// The loop tells of a reset only by closing, so the kind of end is read once more.
+static void take_closed(const state_pointer& self)
+{
+    if (!self->open)
+        return;
+    if (!self->opening)
+        read_all(self);
+    end(self, stream_end::broken);
+}
+
+static bool watch(const state_pointer& self)
+{
+    descriptor_handlers handlers;
+    handlers.readable = [self] {
+        if (self->open && !self->opening)
+            read_all(self);
+    };
+    handlers.writable = [self] {
+        if (self->open)
+            take_writable(self);
+    };
+    handlers.closed = [self] { take_closed(self); };
+    self->watched = self->on->watch(self->descriptor, std::move(handlers));
+    return self->watched != 0;
+}
+
+static state_pointer make_state(loop& on, int descriptor, tcp_stream_handlers&& handlers)
+{
+    auto made = std::make_shared<tcp_stream::state>();
+    made->on = &on;
+    made->descriptor = descriptor;
+    made->handlers = std::move(handlers);
+    set_stream_options(descriptor);
+    return made;
+}
+
+tcp_stream::tcp_stream(std::shared_ptr<state> made) : self(std::move(made)) {}
+
+std::unique_ptr<tcp_stream> tcp_stream::connect(loop& on, const socket_address& to,
+                                                tcp_stream_handlers&& handlers)
+{
+    const std::optional<sockaddr_in> address = to_sockaddr(to);
+    if (!address)
+        return nullptr;
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return nullptr;
+    const int begun =
+        ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof *address);
+    if (begun != 0 && errno != EINPROGRESS) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    const state_pointer made = make_state(on, descriptor, std::move(handlers));
+    made->opening = true;
+    if (!watch(made)) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    on.want_writable(made->watched);
+    return std::unique_ptr<tcp_stream>(new tcp_stream(made));
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::adopt(loop& on, int descriptor,
+                                              tcp_stream_handlers&& handlers)
+{
+    const state_pointer made = make_state(on, descriptor, std::move(handlers));
+    if (!watch(made)) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    return std::unique_ptr<tcp_stream>(new tcp_stream(made));
+}
+
+tcp_stream::~tcp_stream()
+{
+    // A stream that is closing goes on by itself until its bytes are out. The handlers stay until
+    // the descriptor goes: one of them may be running now.
+    if (this->self->open && !this->self->closing)
+        release(*this->self);
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    if (!this->self->open || this->self->closing || bytes.empty())
+        return;
+    const bool idle = this->self->unsent.empty();
+    this->self->unsent.append(bytes);
+    if (idle && !this->self->opening)
+        send_unsent(this->self);
+}
+
+void tcp_stream::close_after_writes()
+{
+    if (!this->self->open || this->self->closing)
+        return;
+    this->self->closing = true;
+    if (this->self->unsent.empty())
+        release(*this->self);
+}
+
+void tcp_stream::reset()
+{
+    if (!this->self->open)
+        return;
+    const linger at_once{1, 0};
+    static_cast<void>(setsockopt(this->self->descriptor, SOL_SOCKET, SO_LINGER, &at_once,
+                                 sizeof at_once));
+    release(*this->self);
+}
+
+std::size_t tcp_stream::unsent_bytes() const
+{
+    return this->self->unsent.size();
+}
+
+bool tcp_stream::is_open() const
+{
+    return this->self->open && !this->self->closing;
+}
+
+tcp_listener::tcp_listener(loop& loop, const socket_address& at, accept_handler accepted) : on(loop)
+{
+    const std::optional<sockaddr_in> address = to_sockaddr(at);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (!address || descriptor < 0)
+        return;
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    const bool ready =
+        ::bind(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) == 0 &&
+        ::listen(descriptor, accept_backlog) == 0 &&
+        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &length) == 0;
+    if (!ready) {
+        ::close(descriptor);
+        return;
+    }
+    this->bound_port = ntohs(bound.sin_port);
+    descriptor_handlers handlers;
+    handlers.readable = [descriptor, accepted = std::move(accepted)] {
+        while (true) {
+            const int taken =
+                ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (taken < 0)
+                return;
+            accepted(taken);
+        }
+    };
+    handlers.writable = [] {};
+    handlers.closed = [] {};
+    this->watched = loop.watch(descriptor, std::move(handlers));
+}
+
+tcp_listener::~tcp_listener()
+{
+    this->on.unwatch(this->watched);
+}
+
+} // namespace ragwortcove::http
--- a/tools/ragwortcoved/main.cpp
+++ b/tools/ragwortcoved/main.cpp
@@ -1,12 +1,14 @@
 #include "ragwortcove/daemon/daemon_settings.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/daemon/process.hpp"
+#include "ragwortcove/gateway/gateway.hpp"
 
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <vector>
 
 using namespace ragwortcove;
 
@@ -19,11 +21,31 @@
     "2 when the settings file has errors.\n"
     "SIGTERM asks for a graceful shutdown, SIGHUP reads the settings file again.";
 
+static void print(const std::vector<settings::located_error>& errors)
+{
+    for (const settings::located_error& error : errors)
+        std::cerr << settings::format_error(error) << "\n";
+}
+
+static int run_gateway_with(const std::string& path, const settings::ini_document& document,
+                            bool check_only)
+{
+    const gateway::gateway_settings_outcome read = gateway::read_gateway_settings(document);
+    print(read.errors);
+    if (!read.settings)
+        return exit_bad_settings;
+    if (check_only)
+        return EXIT_SUCCESS;
+    return gateway::run_gateway(path, *read.settings);
+}
+
 static int run_with_file(const std::string& path, bool check_only)
 {
+    const settings::ini_document document = settings::load_ini(path);
+    if (gateway::is_gateway_document(document))
+        return run_gateway_with(path, document, check_only);
     const daemon::settings_outcome read = daemon::load_daemon_settings(path);
-    for (const settings::located_error& error : read.errors)
-        std::cerr << settings::format_error(error) << "\n";
+    print(read.errors);
     if (!read.settings)
         return exit_bad_settings;
     if (check_only)
