--- a/include/ragwortcove/core/team_quota.hpp
+++ b/include/ragwortcove/core/team_quota.hpp
@@ -15,9 +15,19 @@
     duration retry_after{0};
 };
 
+/// How far a team may go over its quota in any window before that counts as a breach.
+struct quota_tolerance {
+    duration window = std::chrono::seconds{8};
+    /// Part of what the quota allows in a window.
+    double overrun = 0.0;
+    /// Units beyond that.
+    double slack = 0.0;
+};
+
 /// Token buckets of the teams that this node accounts for.
 class team_quota {
 public:
+    explicit team_quota(const quota_tolerance& given) : tolerance{given} {}
     /// Takes units for a request. `share` is the part of the team's rate that this node may give
     /// out: one when it speaks for all nodes, less while some may spend on their own.
     [[nodiscard]] quota_answer take(const team_rule& team, double cost, double share,
@@ -32,6 +42,9 @@
         double available = 0.0;
         time_point filled_at;
     };
+    [[nodiscard]] double capacity(const team_rule& team) const;
+
+    quota_tolerance tolerance;
     std::map<team_name, bucket> buckets;
 };
 
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/repeat_budget.hpp"
+#include "ragwortcove/core/team_quota.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/settings/ini_document.hpp"
@@ -35,6 +36,7 @@
     /// Time from a stop's request until the process is killed.
     core::duration stop_limit = std::chrono::seconds{8};
     core::repeat_limits repeats;
+    core::quota_tolerance quotas;
     /// Plain connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -35,6 +35,7 @@
     /// Nodes that serve, and nodes that served until lately but cannot be reached.
     std::function<std::size_t()> serving;
     std::function<std::size_t()> lost;
+    core::quota_tolerance tolerance;
 };
 
 /// Number of a request at this service; zero is none.
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -9,6 +9,9 @@
 /// Part of the burst that a bucket starts with: the node that accounted before may have given out
 /// the rest just now.
 static constexpr double first_fill = 0.4;
+/// Part of the tolerance that a bucket adds to the burst. A request that fits the tolerance harms
+/// nobody while places stand free; the rest is left for a change of the accounting node.
+static constexpr double used_tolerance = 0.5;
 /// Time after which a bucket that is not asked for is full again in any case.
 static constexpr duration bucket_memory = 60s;
 
@@ -17,22 +20,29 @@
     return std::chrono::duration<double>(span).count();
 }
 
+double team_quota::capacity(const team_rule& team) const
+{
+    const double in_window = team.rate * seconds(this->tolerance.window) + team.burst;
+    const double tolerated = this->tolerance.overrun * in_window + this->tolerance.slack;
+    return team.burst + used_tolerance * tolerated;
+}
+
 quota_answer team_quota::take(const team_rule& team, double cost, double share, time_point now)
 {
     if (team.rate <= 0.0)
         return {};
     const double rate = team.rate * share;
-    const double burst = std::max(team.burst * share, 1.0);
+    const double full = std::max(this->capacity(team) * share, 1.0);
     const auto [found, is_new] = this->buckets.try_emplace(team.name);
     bucket& own = found->second;
     if (is_new) {
-        own.available = burst * first_fill;
+        own.available = team.burst * share * first_fill;
         own.filled_at = now;
     }
-    own.available = std::min(burst, own.available + rate * seconds(now - own.filled_at));
+    own.available = std::min(full, own.available + rate * seconds(now - own.filled_at));
     own.filled_at = now;
-    // A request larger than the whole burst passes when the bucket is full.
-    const double needed = std::min(cost, burst);
+    // A request larger than the whole bucket passes when the bucket is full.
+    const double needed = std::min(cost, full);
     if (own.available >= needed) {
         own.available -= cost;
         return {};
@@ -45,7 +55,7 @@
 {
     const auto found = this->buckets.find(team.name);
     if (found != this->buckets.end())
-        found->second.available = std::min(team.burst, found->second.available + cost);
+        found->second.available = std::min(this->capacity(team), found->second.available + cost);
 }
 
 void team_quota::forget_unused(time_point now)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -111,6 +111,7 @@
     };
     placing.serving = [this] { return this->nodes->serving(); };
     placing.lost = [this] { return this->nodes->lost(); };
+    placing.tolerance = given.quotas;
     this->placement = std::make_unique<placement_service>(std::move(placing));
 
     this->calls = std::make_unique<call_handler>(call_surroundings{
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -158,6 +158,18 @@
               [](gateway_settings& into, std::string_view text) {
                   return store_duration(text, into.repeats.window);
               }},
+    known_key{"gateway", "quota_window", false, expected_duration,
+              [](gateway_settings& into, std::string_view text) {
+                  return store_duration(text, into.quotas.window);
+              }},
+    known_key{"gateway", "quota_overrun", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_number(text, into.quotas.overrun);
+              }},
+    known_key{"gateway", "quota_slack", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return store_number(text, into.quotas.slack);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return store_flag(text, into.trusted_network);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -34,7 +34,10 @@
     return "quota/" + team.value;
 }
 
-placement_service::placement_service(placement_surroundings&& around) : env(std::move(around)) {}
+placement_service::placement_service(placement_surroundings&& around)
+    : env(std::move(around)), owned_quotas(this->env.tolerance), own_share(core::quota_tolerance{})
+{
+}
 
 placement_service::~placement_service() = default;
 
