--- /dev/null
+++ b/unittests/core/team_quota_test.cpp
@@ -0,0 +1,126 @@
+#include "ragwortcove/core/repeat_budget.hpp"
+#include "ragwortcove/core/team_quota.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <random>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+static team_rule make_team(double rate, double burst)
+{
+    team_rule made;
+    made.name.value = "team";
+    made.counts_tokens = true;
+    made.rate = rate;
+    made.burst = burst;
+    return made;
+}
+
+TEST_CASE("a team gets its rate and its burst, and is told when there is more")
+{
+    team_quota quota{quota_tolerance{}};
+    const team_rule team = make_team(100.0, 50.0);
+    time_point now{1h};
+
+    // The node that accounted before may have given out most of the burst.
+    CHECK(quota.take(team, 20.0, 1.0, now).granted);
+    const quota_answer refused = quota.take(team, 10.0, 1.0, now);
+    CHECK_FALSE(refused.granted);
+    CHECK(refused.retry_after == 100ms);
+    CHECK(quota.take(team, 10.0, 1.0, now + refused.retry_after).granted);
+
+    SUBCASE("what did not run is given back")
+    {
+        now += 100ms;
+        CHECK_FALSE(quota.take(team, 30.0, 1.0, now).granted);
+        quota.give_back(team, 30.0);
+        CHECK(quota.take(team, 30.0, 1.0, now).granted);
+    }
+    SUBCASE("a team without a rate has no limit")
+    {
+        CHECK(quota.take(make_team(0.0, 0.0), 1e9, 1.0, now).granted);
+    }
+    SUBCASE("a lower limit binds at once")
+    {
+        now += 10s;
+        const team_rule lower = make_team(10.0, 5.0);
+        CHECK(quota.take(lower, 5.0, 1.0, now).granted);
+        CHECK_FALSE(quota.take(lower, 5.0, 1.0, now).granted);
+    }
+    SUBCASE("a part of the rate is a part of everything")
+    {
+        team_quota part{quota_tolerance{}};
+        double granted = 0.0;
+        for (int step = 0; step < 1000; ++step) {
+            if (part.take(team, 1.0, 0.5, now + step * 10ms).granted)
+                granted += 1.0;
+        }
+        CHECK(granted <= 50.0 * 10.0 + 25.0);
+        CHECK(granted >= 50.0 * 10.0 - 25.0);
+    }
+}
+
+TEST_CASE("no window of a team's requests is over its quota and the tolerance")
+{
+    rc::check([](std::uint32_t seed) {
+        const quota_tolerance tolerance{8s, 0.1, 400.0};
+        team_quota quota{tolerance};
+        const team_rule team = make_team(1000.0, 1000.0);
+        const double most = (1000.0 * 8.0 + 1000.0) * 1.1 + 400.0;
+        std::minstd_rand random{seed};
+        std::deque<std::pair<time_point, double>> window;
+        time_point now{1h};
+        for (int step = 0; step < 4000; ++step) {
+            now += std::chrono::microseconds{random() % 20000};
+            const double cost = 1.0 + static_cast<double>(random() % 300);
+            if (!quota.take(team, cost, 1.0, now).granted)
+                continue;
+            window.emplace_back(now, cost);
+            while (now - window.front().first > 8s)
+                window.pop_front();
+            double total = 0.0;
+            for (const auto& [at, each] : window)
+                total += each;
+            RC_ASSERT(total <= most);
+        }
+    });
+}
+
+TEST_CASE("repeats stay within what the node's own requests earn")
+{
+    repeat_budget budget{repeat_limits{0.2, 12.0, 10s}};
+    const target_name target{"engines"};
+    const time_point start{1h};
+
+    SUBCASE("without requests there is a part of the allowance, shared by the nodes")
+    {
+        int spent = 0;
+        while (budget.spend(target, 4, start))
+            ++spent;
+        CHECK(spent == 2);
+    }
+    SUBCASE("requests earn repeats")
+    {
+        for (int count = 0; count < 100; ++count)
+            budget.count_request(target, start);
+        int spent = 0;
+        while (budget.spend(target, 4, start))
+            ++spent;
+        CHECK(spent >= 15);
+        CHECK(spent <= 100 * 0.2 + 3);
+    }
+    SUBCASE("what was spent is forgotten with its window")
+    {
+        while (budget.spend(target, 4, start)) {
+        }
+        CHECK_FALSE(budget.spend(target, 4, start + 9s));
+        CHECK(budget.spend(target, 4, start + 11s));
+    }
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/unittests/core/upstream_directory_test.cpp
@@ -0,0 +1,100 @@
+#include "ragwortcove/core/upstream_directory.hpp"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+static announced_upstream make_upstream(std::string name, std::uint64_t at, bool leaving = false)
+{
+    announced_upstream made;
+    made.name.value = std::move(name);
+    made.target.value = "engines";
+    made.address = {"10.0.0.1", 80};
+    made.leaving = leaving;
+    made.started_at = 7;
+    made.at.value = at;
+    return made;
+}
+
+TEST_CASE("announcements come, change and go")
+{
+    upstream_directory directory;
+    const time_point start{1h};
+    CHECK(directory.put(make_upstream("a", 5), start).added.size() == 1);
+
+    SUBCASE("an older announcement changes nothing")
+    {
+        CHECK(directory.put(make_upstream("a", 4, true), start).empty());
+        CHECK_FALSE(directory.find({"a"})->leaving);
+    }
+    SUBCASE("one that leaves is told of once")
+    {
+        CHECK(directory.put(make_upstream("a", 6, true), start).leaving.size() == 1);
+        CHECK(directory.put(make_upstream("a", 7, true), start).empty());
+        CHECK(directory.find({"a"})->leaving);
+    }
+    SUBCASE("one that starts anew under its name is told of")
+    {
+        announced_upstream anew = make_upstream("a", 6);
+        anew.started_at = 8;
+        CHECK(directory.put(anew, start).restarted.size() == 1);
+    }
+    SUBCASE("while the store is sound, what is removed is gone at once")
+    {
+        CHECK(directory.remove({"a"}, {6}, start).removed.size() == 1);
+        CHECK(directory.find({"a"}) == nullptr);
+    }
+    SUBCASE("an old removal does not take away a newer announcement")
+    {
+        CHECK(directory.remove({"a"}, {4}, start).empty());
+        CHECK(directory.find({"a"}) != nullptr);
+    }
+    SUBCASE("an older list changes nothing")
+    {
+        CHECK(directory.replace({}, {4}, start).empty());
+        CHECK(directory.find({"a"}) != nullptr);
+    }
+}
+
+TEST_CASE("after an outage of the store absence means nothing for a while")
+{
+    upstream_directory directory;
+    const time_point start{1h};
+    directory.put(make_upstream("a", 5), start);
+    directory.put(make_upstream("b", 5, true), start);
+    directory.store_disturbed(start);
+
+    SUBCASE("an upstream that is missing is kept, and gone when it does not come back")
+    {
+        CHECK(directory.remove({"a"}, {6}, start + 100ms).empty());
+        CHECK(directory.find({"a"}) != nullptr);
+        CHECK(directory.tick(start + 1s).empty());
+        CHECK(directory.tick(start + 3s).removed.size() == 1);
+        CHECK(directory.find({"a"}) == nullptr);
+    }
+    SUBCASE("one that comes back in time stays")
+    {
+        const std::vector<announced_upstream> none;
+        CHECK(directory.replace(none, {6}, start + 100ms).removed.size() == 1);
+        CHECK(directory.put(make_upstream("a", 8), start + 1s).empty());
+        CHECK(directory.tick(start + 3s).empty());
+        CHECK(directory.find({"a"}) != nullptr);
+    }
+    SUBCASE("one that said it leaves is not waited for")
+    {
+        CHECK(directory.remove({"b"}, {6}, start + 100ms).removed.size() == 1);
+    }
+    SUBCASE("the wait begins when the store answers again")
+    {
+        directory.remove({"a"}, {6}, start + 100ms);
+        directory.store_disturbed(start + 2s);
+        CHECK(directory.tick(start + 3s).empty());
+        CHECK(directory.tick(start + 5s).removed.size() == 1);
+    }
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/unittests/gateway/event_splitter_test.cpp
@@ -0,0 +1,34 @@
+#include "ragwortcove/gateway/event_splitter.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ragwortcove::gateway {
+
+TEST_CASE("events come out whole, whatever the pieces they came in")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        event_splitter splitter;
+        std::vector<std::string> events;
+        for (std::size_t at = 0; at < stream.size(); at += piece) {
+            for (std::string& event : splitter.take(std::string_view(stream).substr(at, piece)))
+                events.push_back(std::move(event));
+        }
+        REQUIRE(events.size() == 3);
+        CHECK(events[0] + events[1] + events[2] == stream);
+        CHECK(events[1] == "id: 2\r\ndata: b\r\n\r\n");
+        CHECK_FALSE(splitter.inside_event());
+    }
+}
+
+TEST_CASE("an event that is not whole is kept back")
+{
+    event_splitter splitter;
+    CHECK(splitter.take("id: 1\ndata: a\n\nid: 2\ndat").size() == 1);
+    CHECK(splitter.inside_event());
+    CHECK(splitter.take("a: b\n").empty());
+    CHECK(splitter.take("\n").size() == 1);
+    CHECK_FALSE(splitter.inside_event());
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/unittests/http/inbound_test.cpp
@@ -0,0 +1,239 @@
+#include "loopback.hpp"
+#include "ragwortcove/http/inbound.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+namespace ragwortcove::http::test {
+
+namespace {
+
+/// A server that keeps what it heard, and answers "/wait" only when told to.
+struct listening_server {
+    loop on;
+    std::vector<inbound_request> requests;
+    std::vector<inbound_exchange> waiting;
+    std::vector<inbound_exchange> abandoned;
+    std::vector<int> rejected;
+    std::unique_ptr<inbound_server> server;
+
+    explicit listening_server(const inbound_limits& limits = {})
+    {
+        inbound_handlers handlers;
+        handlers.requested = [this](inbound_exchange exchange, inbound_request&& request) {
+            this->requests.push_back(request);
+            if (request.head.target.substr(0, 5) == "/wait") {
+                this->waiting.push_back(exchange);
+                return;
+            }
+            this->server->respond(exchange, 200, {{"X-Seen", request.head.target}}, request.body);
+        };
+        handlers.abandoned = [this](inbound_exchange exchange) {
+            this->abandoned.push_back(exchange);
+        };
+        handlers.rejected = [this](int status) { this->rejected.push_back(status); };
+        this->server = std::make_unique<inbound_server>(this->on, socket_address{"127.0.0.1", 0},
+                                                        limits, std::move(handlers));
+        REQUIRE(this->server->listening());
+    }
+
+    /// Sends bytes on one connection and gives all that comes back until the server closes.
+    std::string ask(std::string bytes)
+    {
+        std::string answer;
+        raw_client caller(this->server->port(), [&](raw_connection& connection) {
+            connection.send(bytes);
+            answer = connection.receive_all();
+        });
+        REQUIRE(run_until(this->on, [&] { return caller.done(); }));
+        return answer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a server takes requests as callers may send them")
+{
+    SUBCASE("every header comes through in its own case, known to any library or not")
+    {
+        listening_server serving;
+        const std::string answer = serving.ask("GET /a?b=c HTTP/1.1\r\nHost: h\r\nX-Odd-One: v 1\r\n"
+                                               "Connection: close\r\n\r\n");
+        REQUIRE(serving.requests.size() == 1);
+        CHECK(serving.requests[0].head.target == "/a?b=c");
+        CHECK(find_any_case(serving.requests[0].head.headers, "x-odd-one") == "v 1");
+        CHECK(serving.requests[0].head.headers[1].name == "X-Odd-One");
+        CHECK(answer.find("HTTP/1.1 200 OK\r\n") == 0);
+        CHECK(answer.find("X-Seen: /a?b=c\r\n") != std::string::npos);
+    }
+    SUBCASE("a body in chunks is the same as one with a length")
+    {
+        listening_server serving;
+        const std::string answer =
+            serving.ask("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                        "Connection: close\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+        REQUIRE(serving.requests.size() == 1);
+        CHECK(serving.requests[0].body == "abcdefg");
+        CHECK(answer.find("Content-Length: 7\r\n") != std::string::npos);
+    }
+    SUBCASE("requests that are sent at once are answered one after another, in order")
+    {
+        listening_server serving;
+        const std::string answer = serving.ask("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                               "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                               "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::size_t first = answer.find("X-Seen: /1");
+        const std::size_t second = answer.find("X-Seen: /2");
+        const std::size_t third = answer.find("X-Seen: /3");
+        CHECK(first < second);
+        CHECK(second < third);
+        CHECK(third != std::string::npos);
+    }
+    SUBCASE("a caller that asks for leave to send its body gets it")
+    {
+        listening_server serving;
+        std::string leave;
+        std::string answer;
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                            "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+            leave = connection.receive_until("\r\n\r\n");
+            connection.send("ok");
+            answer = connection.receive_all();
+        });
+        REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+        CHECK(leave.find("HTTP/1.1 100") == 0);
+        CHECK(answer.find("HTTP/1.1 200") == 0);
+    }
+}
+
+TEST_CASE("a server refuses what callers may not send, and closes")
+{
+    inbound_limits limits;
+    limits.message.header_bytes = 1024;
+    limits.message.body_bytes = 100;
+    limits.header_time = std::chrono::milliseconds(300);
+    listening_server serving(limits);
+
+    SUBCASE("headers over the limit get 431")
+    {
+        const std::string answer =
+            serving.ask("GET / HTTP/1.1\r\nHost: h\r\nX-Big: " + std::string(2000, 'x') + "\r\n\r\n");
+        CHECK(answer.find("HTTP/1.1 431") == 0);
+        CHECK(serving.rejected == std::vector<int>{431});
+    }
+    SUBCASE("a body over the limit gets 413, with a length or in chunks")
+    {
+        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
+                  .find("HTTP/1.1 413") == 0);
+        const std::string chunk = "65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n";
+        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+                  .find("HTTP/1.1 413") == 0);
+    }
+    SUBCASE("a head that is not whole in time gets 408")
+    {
+        CHECK(serving.ask("GET / HTTP/1.1\r\nHost:").find("HTTP/1.1 408") == 0);
+    }
+    SUBCASE("two lengths, or a length beside chunks, could hide a second request: 400")
+    {
+        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n")
+                  .find("HTTP/1.1 400") == 0);
+        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                          "Content-Length: 5\r\n\r\nabcde")
+                  .find("HTTP/1.1 400") == 0);
+    }
+    SUBCASE("bad chunks get 400")
+    {
+        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")
+                  .find("HTTP/1.1 400") == 0);
+    }
+    CHECK(serving.requests.empty());
+}
+
+TEST_CASE("a server tells when a caller leaves")
+{
+    listening_server serving;
+
+    SUBCASE("while it waits for the answer")
+    {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.abandoned.empty(); }));
+        CHECK(serving.abandoned == serving.waiting);
+    }
+    SUBCASE("in the middle of an answer")
+    {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            CHECK(connection.receive_until("first").find("first") != std::string::npos);
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->start_response(serving.waiting[0], {});
+        serving.server->write(serving.waiting[0], "first");
+        REQUIRE(run_until(serving.on, [&] { return !serving.abandoned.empty(); }));
+        // What is written after that goes nowhere, and harms nothing.
+        serving.server->write(serving.waiting[0], "second");
+        serving.server->finish(serving.waiting[0]);
+        CHECK(serving.server->connections() == 0);
+    }
+}
+
+TEST_CASE("an answer that is cut looks cut")
+{
+    listening_server serving;
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+        answer = connection.receive_all();
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->start_response(serving.waiting[0], {});
+    serving.server->write(serving.waiting[0], "part");
+    serving.server->abort(serving.waiting[0]);
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller that does not read is cut off before it fills the memory")
+{
+    inbound_limits limits;
+    limits.unsent_bytes = 64U << 10U;
+    listening_server serving(limits);
+    std::atomic<bool> enough{false};
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (!enough)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->start_response(serving.waiting[0], {});
+    serving.server->write(serving.waiting[0], std::string(32U << 20U, 'x'));
+    const bool cut_off = run_until(serving.on, [&] { return !serving.abandoned.empty(); });
+    enough = true;
+    CHECK(cut_off);
+}
+
+TEST_CASE("a server that drains says so on every answer and closes only idle connections")
+{
+    listening_server serving;
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+        answer = connection.receive_all();
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->begin_drain();
+    serving.server->close_idle();
+    CHECK(serving.server->connections() == 1);
+    serving.server->respond(serving.waiting[0], 200, {}, "whole");
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(answer.find("whole") != std::string::npos);
+}
+
+} // namespace ragwortcove::http::test
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Closes with a reset.
+    void reset()
+    {
+        const linger at_once{1, 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        this->close();
+    }
+
     void close()
     {
         if (this->descriptor >= 0)
