[core] engines are chosen by what they can still serve in time

Cause: a third of the engines are four times slower; long prompts placed there missed their goal and held up all streams beside them. Under overload the oldest-first order brought each request just past its goal. Ruled out: prompt parts kept by engines (17,000 of 4 million tokens are found kept).

--- a/include/ragwortcove/core/placement_board.hpp
+++ b/include/ragwortcove/core/placement_board.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -46,6 +47,8 @@
     duration goal_left{0};
     /// Longest time that the request may wait to be placed.
     duration patience{0};
+    /// Longest pause between two events that is still in time; zero when any is.
+    duration longest_pause{0};
     failure_domain_name failure_domain;
     std::vector<upstream_name> avoid;
     bool operator==(const placement_ask&) const = default;
@@ -121,6 +124,7 @@
     bool ejected = false;
     duration between_events{0};
     double prefill_us_per_token = 0.0;
+    double first_event_us = 0.0;
 };
 
 class placement_board {
@@ -137,6 +141,10 @@
     /// The first part of an answer has come.
     void started(const placement_id& id, duration after, time_point now);
     void release(const placement_release& message, time_point now, answers& out);
+    /// What this node saw of an upstream with a request that another owner placed: it knows the
+    /// upstream's speed then, should it become the owner.
+    void observe_start(const upstream_name& name, std::uint32_t computed_tokens, duration after);
+    void observe_end(const upstream_name& name, const placement_release& message);
     /// All that an entry has out under one owner; the entry's other requests are over.
     void held(const node_name& entry, incarnation run, std::span<const placement_held> all,
               time_point now, answers& out);
@@ -153,6 +161,8 @@
     struct outstanding {
         upstream_name upstream;
         std::uint32_t uncached_tokens = 0;
+        /// Prompt tokens that others had to have computed when it was granted.
+        std::uint64_t ahead_tokens = 0;
         bool started = false;
         time_point granted;
     };
@@ -164,10 +174,13 @@
         announced_upstream info;
         std::uint32_t slots = 1;
         std::uint32_t cache_tokens = 0;
+        std::uint32_t event_tokens = 1;
         bool is_engine = false;
         std::size_t in_flight = 0;
         std::uint64_t backlog_tokens = 0;
+        /// Learned; zero until something was seen.
         double prefill_us_per_token = 0.0;
+        double first_event_us = 0.0;
         double event_us = 0.0;
         double service_us = 0.0;
         double good = 0.0;
@@ -178,6 +191,13 @@
         std::map<std::uint64_t, cached_part> cache;
         std::uint64_t cached_tokens = 0;
     };
+    /// What an upstream is thought to need; a plain service has only the last.
+    struct engine_figures {
+        double prefill_us_per_token = 0.0;
+        double first_event_us = 0.0;
+        double event_us = 0.0;
+        double service_us = 0.0;
+    };
     struct waiting_ask {
         placement_ask ask;
         time_point arrived;
@@ -185,8 +205,14 @@
         time_point expires;
         time_point refreshed;
     };
+    /// An upstream as a placement under way looks at it.
+    struct candidate {
+        upstream_state* state = nullptr;
+        engine_figures figures;
+        bool has_room = false;
+    };
     struct cell {
-        std::vector<waiting_ask> queue;
+        std::vector<std::unique_ptr<waiting_ask>> queue;
         std::vector<upstream_name> members;
         /// Grants a second, over the last seconds.
         double grant_rate = 0.0;
@@ -195,11 +221,16 @@
         bool in_use = false;
     };
 
-    [[nodiscard]] upstream_state* choose(cell& of, const placement_ask& ask, time_point now);
-    [[nodiscard]] bool may_use(const upstream_state& state, const placement_ask& ask,
-                               bool last_resort, time_point now) const;
-    [[nodiscard]] double estimated_us(const upstream_state& state, const cell& of,
-                                      const placement_ask& ask) const;
+    [[nodiscard]] std::vector<candidate> list_candidates(const cell& of, time_point now);
+    [[nodiscard]] upstream_state* choose(std::span<candidate> among, const waiting_ask& waiting,
+                                         time_point now) const;
+    [[nodiscard]] bool keeps_pace(const candidate& by, const placement_ask& ask,
+                                  std::uint64_t ahead) const;
+    [[nodiscard]] double first_event_us(const candidate& by, const placement_ask& ask,
+                                        std::uint64_t ahead) const;
+    [[nodiscard]] double whole_us(const candidate& by, const placement_ask& ask) const;
+    [[nodiscard]] static bool may_use(const upstream_state& state, const placement_ask& ask);
+    [[nodiscard]] engine_figures usual_figures(const cell& of) const;
     [[nodiscard]] std::uint32_t uncached(const upstream_state& state,
                                          const placement_ask& ask) const;
     void remember_prompt(upstream_state& state, const placement_ask& ask);
@@ -209,8 +240,8 @@
     void expire(cell& of, time_point now, answers& out);
     void take_back(const placement_id& id);
     void judge(upstream_state& state, const cell& of, placement_outcome outcome, time_point now);
-    void learn(upstream_state& state, const outstanding& was, const placement_release& message);
-    [[nodiscard]] bool has_usable(const cell& of, const placement_ask& ask, time_point now) const;
+    static void learn_start(upstream_state& state, std::uint64_t computed_tokens, duration after);
+    static void learn_end(upstream_state& state, const placement_release& message);
     [[nodiscard]] duration estimated_wait(const cell& of, const placement_ask& ask) const;
     [[nodiscard]] double typical(const cell& of, double upstream_state::*figure,
                                  double otherwise) const;
--- a/include/ragwortcove/core/ruleset.hpp
+++ b/include/ragwortcove/core/ruleset.hpp
@@ -44,6 +44,8 @@
     duration timeout = std::chrono::seconds{60};
     /// Time within which the answer, or a stream's first event, is worth its full credit.
     duration goal = std::chrono::seconds{1};
+    /// Longest pause between two events of a stream that is still in time; zero when any is.
+    duration longest_pause{0};
     bool operator==(const http_route&) const = default;
 };
 
@@ -55,6 +57,8 @@
     std::uint32_t slots = 0;
     /// Tokens that one engine's memory holds.
     std::uint32_t cache_tokens = 0;
+    /// Tokens in one event of a stream.
+    std::uint32_t event_tokens = 1;
     bool operator==(const target_rule&) const = default;
 };
 
--- a/include/ragwortcove/core/team_quota.hpp
+++ b/include/ragwortcove/core/team_quota.hpp
@@ -42,7 +42,7 @@
         double available = 0.0;
         time_point filled_at;
     };
-    [[nodiscard]] double capacity(const team_rule& team) const;
+    [[nodiscard]] double fill_rate(const team_rule& team) const;
 
     quota_tolerance tolerance;
     std::map<team_name, bucket> buckets;
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -4,6 +4,7 @@
 
 #include "platform/headers.hpp"
 #include "ragwortcove/core/call_policy.hpp"
+#include "ragwortcove/core/caller_times.hpp"
 #include "ragwortcove/core/context.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/ruleset.hpp"
@@ -83,6 +84,8 @@
         core::time_point arrived;
         core::time_point deadline;
         core::time_point placing_since;
+        /// Time that the caller has spent on earlier attempts.
+        core::duration earlier{0};
         http::timer_id deadline_timer = 0;
         http::timer_id silence_timer = 0;
         placement_number placement = 0;
@@ -133,6 +136,7 @@
     std::map<http::inbound_exchange, open_call> calls;
     /// Upstreams that this node could not connect to lately.
     std::map<core::upstream_name, core::time_point> unreachable;
+    core::caller_times callers_times;
     core::random_engine random;
     bool refusing = false;
 };
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -9,8 +9,8 @@
 /// Part of the burst that a bucket starts with: the node that accounted before may have given out
 /// the rest just now.
 static constexpr double first_fill = 0.4;
-/// Part of the tolerance that a bucket adds to the burst. A request that fits the tolerance harms
-/// nobody while places stand free; the rest is left for a change of the accounting node.
+/// Part of the tolerance that is given out. A request that fits the tolerance harms nobody while
+/// places stand free; the rest is left for a change of the accounting node.
 static constexpr double used_tolerance = 0.5;
 /// Time after which a bucket that is not asked for is full again in any case.
 static constexpr duration bucket_memory = 60s;
@@ -20,23 +20,26 @@
     return std::chrono::duration<double>(span).count();
 }
 
-double team_quota::capacity(const team_rule& team) const
+// A quota is what a team may use in any window. A bucket that holds the burst and is filled a
+// little faster than the rate spreads the part of the tolerance over the window.
+double team_quota::fill_rate(const team_rule& team) const
 {
-    const double in_window = team.rate * seconds(this->tolerance.window) + team.burst;
+    const double window = seconds(this->tolerance.window);
+    const double in_window = team.rate * window + team.burst;
     const double tolerated = this->tolerance.overrun * in_window + this->tolerance.slack;
-    return team.burst + used_tolerance * tolerated;
+    return team.rate + used_tolerance * tolerated / window;
 }
 
 quota_answer team_quota::take(const team_rule& team, double cost, double share, time_point now)
 {
     if (team.rate <= 0.0)
         return {};
-    const double rate = team.rate * share;
-    const double full = std::max(this->capacity(team) * share, 1.0);
+    const double rate = this->fill_rate(team) * share;
+    const double full = std::max(team.burst * share, 1.0);
     const auto [found, is_new] = this->buckets.try_emplace(team.name);
     bucket& own = found->second;
     if (is_new) {
-        own.available = team.burst * share * first_fill;
+        own.available = full * first_fill;
         own.filled_at = now;
     }
     own.available = std::min(full, own.available + rate * seconds(now - own.filled_at));
@@ -55,7 +58,7 @@
 {
     const auto found = this->buckets.find(team.name);
     if (found != this->buckets.end())
-        found->second.available = std::min(this->capacity(team), found->second.available + cost);
+        found->second.available = std::min(std::max(team.burst, 1.0), found->second.available + cost);
 }
 
 void team_quota::forget_unused(time_point now)
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -68,6 +68,7 @@
     call.deadline = call.arrived + time_left;
     call.deadline_timer =
         this->env.on.after(time_left, [this, exchange] { this->time_up(exchange); });
+    call.earlier = this->callers_times.earlier(*call.route, asked, call.arrived);
     this->choose_target(call);
     this->env.repeats.count_request(call.target, call.arrived);
     this->env.figures.count("requests", "route", call.route->name.value);
@@ -178,8 +179,9 @@
     if (most > 0)
         ask.output_tokens = std::min(ask.output_tokens, most);
     ask.parts = call.facts.parts;
-    ask.goal_left = call.arrived + call.route->goal - at;
+    ask.goal_left = call.arrived + call.route->goal - at - call.earlier;
     ask.patience = core::placement_patience(*call.route, call.deadline - at);
+    ask.longest_pause = call.route->longest_pause;
     ask.failure_domain = this->env.failure_domain;
     ask.avoid = call.avoid;
     std::erase_if(this->unreachable, [at](const auto& each) { return each.second <= at; });
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -82,6 +82,7 @@
     }
     to.set_goal_left(from.goal_left.count());
     to.set_patience(from.patience.count());
+    to.set_longest_pause(from.longest_pause.count());
     to.set_failure_domain(from.failure_domain.value);
     for (const core::upstream_name& avoided : from.avoid)
         to.add_avoid(avoided.value);
@@ -100,6 +101,7 @@
         made.parts.push_back({part.id(), part.tokens()});
     made.goal_left = duration{from.goal_left()};
     made.patience = duration{from.patience()};
+    made.longest_pause = duration{from.longest_pause()};
     made.failure_domain.value = from.failure_domain();
     for (const std::string& avoided : from.avoid())
         made.avoid.push_back({avoided});
@@ -195,6 +197,9 @@
         this->board.started(found->second.ask.id, after, this->env.now());
         return;
     }
+    if (found->second.grant)
+        this->board.observe_start(found->second.grant->upstream,
+                                  found->second.grant->uncached_tokens, after);
     wire::PeerDatagram message;
     message.mutable_started()->set_sequence(request);
     message.mutable_started()->set_after(after.count());
@@ -209,7 +214,7 @@
         return;
     const core::placement_id id = found->second.ask.id;
     const core::node_name owner = found->second.owner;
-    const bool granted = found->second.grant.has_value();
+    const std::optional<core::placement_grant> granted = found->second.grant;
     this->requests.erase(found);
     if (owner == this->env.self) {
         core::placement_board::answers answers;
@@ -227,6 +232,7 @@
         this->env.send(owner, message);
         return;
     }
+    this->board.observe_end(granted->upstream, {id, outcome, first_part_after, between_events});
     wire::PlacementRelease& made = *message.mutable_release();
     made.set_sequence(request);
     made.set_outcome(static_cast<std::uint32_t>(outcome));
--- /dev/null
+++ b/unittests/core/caller_times_test.cpp
@@ -0,0 +1,32 @@
+#include "ragwortcove/core/caller_times.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a caller that gives less time than its like has been here before")
+{
+    caller_times times;
+    http_route route;
+    route.name.value = "r";
+    const time_point start{1h};
+    CHECK(times.earlier(route, 15s, start) == 0s);
+    CHECK(times.earlier(route, 14s, start) == 1s);
+    CHECK(times.earlier(route, 14990ms, start) == 0s);
+    SUBCASE("routes have their own callers")
+    {
+        http_route other;
+        other.name.value = "other";
+        CHECK(times.earlier(other, 3s, start) == 0s);
+    }
+    SUBCASE("callers that have changed their ways are believed in time")
+    {
+        CHECK(times.earlier(route, 3s, start + 59s) == 12s);
+        CHECK(times.earlier(route, 3s, start + 61s) == 0s);
+        CHECK(times.earlier(route, 3s, start + 62s) == 0s);
+    }
+}
+
+} // namespace ragwortcove::core
