[core] quotas are handed over between nodes and spread clumps

Ruled out: the bucket's own arithmetic (a property test over random requests holds). Change: a node that starts waits to meet another that serves; buckets are handed over, or begin with a part of the burst; only a node's known end makes another the owner; what a node spends alone is told to the owner. Small clumps wait for their units instead of being refused.

--- a/include/ragwortcove/core/call_policy.hpp
+++ b/include/ragwortcove/core/call_policy.hpp
@@ -62,6 +62,8 @@
 
 /// Longest time that a request waits for a place.
 [[nodiscard]] duration placement_patience(const http_route& route, duration time_left);
+/// Longest time that a request waits for units of its team's quota.
+[[nodiscard]] duration quota_patience(const http_route& route, duration time_left);
 /// Longest silence of an upstream before a request that may be repeated is sent to another one.
 [[nodiscard]] duration silence_limit(const http_route& route);
 
--- a/include/ragwortcove/core/placement_board.hpp
+++ b/include/ragwortcove/core/placement_board.hpp
@@ -165,6 +165,8 @@
         std::uint64_t ahead_tokens = 0;
         bool started = false;
         time_point granted;
+        /// When the entry last told that it has the request out.
+        time_point reported;
     };
     struct cached_part {
         std::uint32_t tokens = 0;
--- a/include/ragwortcove/core/team_quota.hpp
+++ b/include/ragwortcove/core/team_quota.hpp
@@ -9,10 +9,11 @@
 
 namespace ragwortcove::core {
 
-/// Whether a request fits the quota, and if not, when it would.
+/// Whether a request fits the quota.
 struct quota_answer {
     bool granted = true;
-    duration retry_after{0};
+    /// How long to wait before the request may run; or, when it was refused, until it would fit.
+    duration wait{0};
 };
 
 /// How far a team may go over its quota in any window before that counts as a breach.
@@ -28,12 +29,19 @@
 class team_quota {
 public:
     explicit team_quota(const quota_tolerance& given) : tolerance{given} {}
-    /// Takes units for a request. `share` is the part of the team's rate that this node may give
-    /// out: one when it speaks for all nodes, less while some may spend on their own.
+    /// This node accounts for a team from now on. Its bucket begins with what the node before hands
+    /// over. Until that comes, or if that node has ended, it holds a part of the burst.
+    void begin(const team_rule& team, time_point now);
+    /// Another node accounts for the team; this one may still spend its own share. Gives the units
+    /// that are left for the other to hand out.
+    [[nodiscard]] double end(const team_name& team);
+    /// Takes units for a request that can wait for them up to `most_wait`. `share` is the part of the
+    /// team's rate that this node may give out: one when it speaks for all nodes, less while some may
+    /// spend on their own.
     [[nodiscard]] quota_answer take(const team_rule& team, double cost, double share,
-                                    time_point now);
-    /// Gives back units of a request that did not run.
-    void give_back(const team_rule& team, double cost);
+                                    duration most_wait, time_point now);
+    /// Gives back units of a request that did not run; negative units were spent elsewhere.
+    void give_back(const team_rule& team, double cost, time_point now);
     /// Drops buckets that nobody has asked for a while.
     void forget_unused(time_point now);
 
@@ -41,6 +49,12 @@
     struct bucket {
         double available = 0.0;
         time_point filled_at;
+        bool accounts = false;
+        /// Units handed over before this node knew that it accounts, and when.
+        double handed_over = 0.0;
+        time_point handed_at;
+        /// Units assumed at the beginning, in place of what may still be handed over.
+        double assumed = 0.0;
     };
     [[nodiscard]] double fill_rate(const team_rule& team) const;
 
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -46,6 +46,7 @@
     caller_too_slow = 212,
     quota_exceeded = 213,
     request_failed = 214,
+    quota_awaited = 215,
 
     attempt_failed = 300,
     upstream_ejected = 301,
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -52,6 +52,11 @@
 
     /// Owner of a key among the nodes that can own something; this node when it knows no other.
     [[nodiscard]] core::node_name owner_of(std::string_view key) const;
+    /// The same for what two nodes must not own at once: only a node's known end, or its word that it
+    /// leaves, makes another one the owner.
+    [[nodiscard]] core::node_name settled_owner_of(std::string_view key) const;
+    /// Whether another node that serves has been heard of, or there was time enough to.
+    [[nodiscard]] bool has_met_others() const;
     /// Addresses for callers of all nodes that serve.
     [[nodiscard]] std::vector<core::endpoint> entries() const;
     /// Address of a node for other nodes; port zero when it is not known.
@@ -74,6 +79,7 @@
     void greet_seeds();
     void settle();
     void rebuild_owners();
+    void tell_all();
 
     http::loop& on;
     core::node_settings self;
@@ -85,6 +91,9 @@
     http::timer_id timer = 0;
     core::time_point greet_at;
     std::vector<std::string> owner_names;
+    /// Names of all nodes that serve.
+    std::vector<std::string> serving_names;
+    core::time_point began;
     std::map<core::node_name, core::time_point> unreachable;
 };
 
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -30,6 +30,10 @@
     core::incarnation run;
     std::function<core::time_point()> now;
     std::function<core::node_name(std::string_view key)> owner_of;
+    /// The same for quotas, for which two nodes must not account at once.
+    std::function<core::node_name(std::string_view key)> quota_owner_of;
+    /// Whether this node has met others, or has waited for them long enough.
+    std::function<bool()> has_met_others;
     std::function<void(const core::node_name&)> mark_unreachable;
     std::function<void(const core::node_name&, wire::PeerDatagram&)> send;
     /// Nodes that serve, and nodes that served until lately but cannot be reached.
@@ -63,8 +67,10 @@
     void release(placement_number request, core::placement_outcome outcome,
                  core::duration first_part_after, core::duration between_events);
 
-    /// Takes units of a team's quota; `answered` is called once, perhaps from inside this call.
-    void take_quota(const core::team_rule& team, double cost, quota_handler&& answered);
+    /// Takes units of a team's quota for a request that can wait for them up to `most_wait`;
+    /// `answered` is called once, perhaps from inside this call.
+    void take_quota(const core::team_rule& team, double cost, core::duration most_wait,
+                    quota_handler&& answered);
     /// Gives back units of a request that did not run.
     void return_quota(const core::team_rule& team, double cost);
 
@@ -92,6 +98,7 @@
     struct quota_request {
         core::team_name team;
         double cost = 0.0;
+        core::duration most_wait{0};
         quota_handler answered;
         core::node_name owner;
         core::time_point asked_at;
@@ -104,10 +111,13 @@
     void report_held(const core::node_name& owner);
     void tick_asks(core::time_point now);
     void tick_quotas(core::time_point now);
+    void change_at_owner(const core::team_rule& team, double units);
     void ask_quota_owner(placement_number number, quota_request& request);
+    void take_quota_ask(const core::node_name& from, const wire::PeerDatagram& message);
+    void refresh_owned_quotas();
     void answer_quota(placement_number number, const core::quota_answer& answer);
     [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team, double cost,
-                                                  bool as_owner);
+                                                  core::duration most_wait, bool as_owner);
     void take_ask(const core::node_name& from, core::incarnation run,
                   const wire::PeerDatagram& message);
     void take_held(const core::node_name& from, core::incarnation run,
@@ -117,16 +127,20 @@
     std::shared_ptr<const core::rule_index> rules;
     std::vector<core::announced_upstream> upstreams;
     core::placement_board board;
-    core::team_quota owned_quotas;
-    /// Spent by this node alone while the owner of a team's quota cannot be reached.
-    core::team_quota own_share;
+    core::team_quota quotas;
+    /// Owners of quotas that did not answer: until then this node spends its own share at once.
+    std::map<core::node_name, core::time_point> silent_until;
     std::map<placement_number, placed_request> requests;
     std::map<placement_number, quota_request> quota_requests;
     placement_number last_number = 0;
     core::time_point report_at;
     std::set<core::node_name> reported_to;
-    /// Asks of other nodes that were answered "waits" lately.
-    std::map<core::placement_id, core::node_name> asked_by;
+    /// Answers to quota asks of other nodes, for asks that come again.
+    struct given_answer {
+        core::quota_answer answer;
+        core::time_point at;
+    };
+    std::map<core::placement_id, given_answer> given_quotas;
 };
 
 } // namespace ragwortcove::gateway
--- a/lib/core/call_policy.cpp
+++ b/lib/core/call_policy.cpp
@@ -14,6 +14,9 @@
 static constexpr std::int64_t plain_patience_goals = 4;
 /// Share of the time left that waiting for a place may take.
 static constexpr double most_waiting_share = 0.6;
+/// A request waits for its quota no longer than this part of its goal: enough for a clump to spread,
+/// too little for a team that always asks for more to have all its requests late.
+static constexpr std::int64_t quota_parts_of_goal = 6;
 /// Silence of a plain upstream, in goals, and its bounds.
 static constexpr std::int64_t silence_goals = 3;
 static constexpr duration shortest_silence = 250ms;
@@ -88,6 +91,11 @@
     return std::min(most, share);
 }
 
+duration quota_patience(const http_route& route, duration time_left)
+{
+    return std::min(route.goal / quota_parts_of_goal, time_left / quota_parts_of_goal);
+}
+
 duration silence_limit(const http_route& route)
 {
     if (route.streams)
--- a/lib/core/placement_board.cpp
+++ b/lib/core/placement_board.cpp
@@ -43,6 +43,8 @@
 static constexpr duration refresh_limit = 1500ms;
 /// A grant that no report mentions may still be on its way to the entry for this long.
 static constexpr duration report_grace = 600ms;
+/// A request that its entry has not reported for this long is over.
+static constexpr duration report_limit = 3s;
 /// How long the end of a request is remembered.
 static constexpr duration over_memory = 3s;
 /// Shortest and longest time after which a refused caller is told to come back.
@@ -411,6 +413,7 @@
     made.upstream = state.info.name;
     made.uncached_tokens = state.is_engine ? this->uncached(state, ask) : 0;
     made.granted = now;
+    made.reported = now;
     made.ahead_tokens = state.backlog_tokens;
     state.backlog_tokens += made.uncached_tokens;
     ++state.in_flight;
@@ -583,12 +586,15 @@
     std::set<placement_id> named;
     for (const placement_held& each : all) {
         named.insert(each.id);
-        if (this->over.contains(each.id) || this->out_by_id.contains(each.id))
+        const auto known = this->out_by_id.find(each.id);
+        if (known != this->out_by_id.end())
+            known->second.reported = now;
+        if (this->over.contains(each.id) || known != this->out_by_id.end())
             continue;
         const auto state = this->upstreams.find(each.upstream);
         if (state == this->upstreams.end())
             continue;
-        outstanding made{each.upstream, each.uncached_tokens, 0, each.started, now};
+        outstanding made{each.upstream, each.uncached_tokens, 0, each.started, now, now};
         ++state->second.in_flight;
         if (!each.started)
             state->second.backlog_tokens += each.uncached_tokens;
@@ -640,6 +646,13 @@
         this->grant_waiting(of, now, out);
     }
     std::erase_if(this->over, [now](const auto& each) { return each.second <= now; });
+    std::vector<placement_id> forgotten;
+    for (const auto& [id, each] : this->out_by_id) {
+        if (now - each.reported > report_limit)
+            forgotten.push_back(id);
+    }
+    for (const placement_id& id : forgotten)
+        this->release({id, placement_outcome::cancelled, {}, {}}, now, out);
 }
 
 std::size_t placement_board::waiting() const
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -1,17 +1,23 @@
 #include "ragwortcove/core/team_quota.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortcove::core {
 
 using namespace std::chrono_literals;
 
-/// Part of the burst that a bucket starts with: the node that accounted before may have given out
-/// the rest just now.
-static constexpr double first_fill = 0.4;
+/// Part of the burst that a bucket begins with when nothing is known of the time before.
+static constexpr double first_fill = 0.3;
 /// Part of the tolerance that is given out. A request that fits the tolerance harms nobody while
 /// places stand free; the rest is left for a change of the accounting node.
 static constexpr double used_tolerance = 0.5;
+/// Part of the burst up to which a request counts as small.
+static constexpr double small_share = 0.005;
+/// Debt, as a part of the burst, up to which small requests pass without waiting.
+static constexpr double most_overdraft = 0.2;
+/// How long units that were handed over wait for this node to know that it accounts.
+static constexpr duration handover_memory = 1s;
 /// Time after which a bucket that is not asked for is full again in any case.
 static constexpr duration bucket_memory = 60s;
 
@@ -30,7 +36,35 @@
     return team.rate + used_tolerance * tolerated / window;
 }
 
-quota_answer team_quota::take(const team_rule& team, double cost, double share, time_point now)
+void team_quota::begin(const team_rule& team, time_point now)
+{
+    bucket& own = this->buckets[team.name];
+    if (own.accounts)
+        return;
+    const bool was_handed = now - own.handed_at < handover_memory;
+    bucket made;
+    made.filled_at = now;
+    made.accounts = true;
+    made.assumed = was_handed ? 0.0 : team.burst * first_fill;
+    made.handed_at = now;
+    made.available =
+        std::min(own.available, 0.0) + (was_handed ? own.handed_over : made.assumed);
+    own = made;
+}
+
+double team_quota::end(const team_name& team)
+{
+    const auto found = this->buckets.find(team);
+    if (found == this->buckets.end() || !found->second.accounts)
+        return 0.0;
+    found->second.accounts = false;
+    return std::exchange(found->second.available, 0.0);
+}
+
+// A bucket may run into debt for requests that wait until it is paid: a clump of requests within the
+// rate is spread, not refused.
+quota_answer team_quota::take(const team_rule& team, double cost, double share, duration most_wait,
+                              time_point now)
 {
     if (team.rate <= 0.0)
         return {};
@@ -50,21 +84,40 @@
         own.available -= cost;
         return {};
     }
-    const double wait = rate > 0.0 ? (needed - own.available) / rate : seconds(bucket_memory);
-    return {false, std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait))};
+    // A team's large requests must not shut out its small ones, which hardly count.
+    const bool is_small = cost <= full * small_share;
+    if (is_small && own.available - cost >= -full * most_overdraft) {
+        own.available -= cost;
+        return {};
+    }
+    const double lacking = rate > 0.0 ? (needed - own.available) / rate : seconds(bucket_memory);
+    const auto wait =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(lacking));
+    if (wait > most_wait)
+        return {false, wait};
+    own.available -= cost;
+    return {true, wait};
 }
 
-void team_quota::give_back(const team_rule& team, double cost)
+void team_quota::give_back(const team_rule& team, double cost, time_point now)
 {
-    const auto found = this->buckets.find(team.name);
-    if (found != this->buckets.end())
-        found->second.available = std::min(std::max(team.burst, 1.0), found->second.available + cost);
+    bucket& own = this->buckets[team.name];
+    if (own.accounts) {
+        const bool is_handover = own.assumed > 0.0 && now - own.handed_at < handover_memory;
+        const double assumed = is_handover ? std::exchange(own.assumed, 0.0) : 0.0;
+        own.available = std::min(std::max(team.burst, 1.0), own.available + cost - assumed);
+        return;
+    }
+    if (now - own.handed_at >= handover_memory)
+        own.handed_over = 0.0;
+    own.handed_over = std::min(std::max(team.burst, 1.0), own.handed_over + cost);
+    own.handed_at = now;
 }
 
 void team_quota::forget_unused(time_point now)
 {
     std::erase_if(this->buckets, [now](const auto& each) {
-        return now - each.second.filled_at > bucket_memory;
+        return !each.second.accounts && now - each.second.filled_at > bucket_memory;
     });
 }
 
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -89,6 +89,9 @@
                     "a request ended with an error of this node; `verdict` says whether it may have "
                     "run",
                     "look for `attempt_failed` lines of the same request"},
+    log_event_entry{log_event::quota_awaited, "quota_awaited", log_level::info,
+                    "a request waits a moment since its team sends faster than its quota",
+                    "none; many of them mean that the team is near its quota"},
 
     log_event_entry{log_event::attempt_failed, "attempt_failed", log_level::warning,
                     "an upstream did not complete a request; `detail` says how",
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -136,6 +136,7 @@
     call.quota_cost = core::quota_cost(*call.team, tokens);
     this->env.placement.take_quota(
         *call.team, call.quota_cost,
+        core::quota_patience(*call.route, call.deadline - call.arrived),
         [this, exchange = call.exchange](const core::quota_answer& answer) {
             this->quota_answered(exchange, answer);
         });
@@ -152,13 +153,24 @@
                           {{"request", call->facts.attempt},
                            {"team", call->team->name.value},
                            {"cost", std::to_string(static_cast<long>(call->quota_cost))},
-                           {"retry_after_ms", to_ms(answer.retry_after)},
+                           {"retry_after_ms", to_ms(answer.wait)},
                            {"rules", std::to_string(call->rules->rules().version)}});
-        this->refuse(*call, status_too_many, "over the team's quota", answer.retry_after);
+        this->refuse(*call, status_too_many, "over the team's quota", answer.wait);
         return;
     }
     call->quota_taken = call->team->rate > 0.0;
-    this->place(*call);
+    if (answer.wait <= duration::zero()) {
+        this->place(*call);
+        return;
+    }
+    daemon::write_log(log_event::quota_awaited, {{"request", call->facts.attempt},
+                                                 {"team", call->team->name.value},
+                                                 {"wait_ms", to_ms(answer.wait)}});
+    this->env.on.after(answer.wait, [this, exchange] {
+        open_call* const waiting = this->find(exchange);
+        if (waiting != nullptr)
+            this->place(*waiting);
+    });
 }
 
 core::placement_ask call_handler::make_ask(const open_call& call)
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -20,6 +20,10 @@
 static constexpr core::duration greet_period = 1s;
 /// How long a node that did not answer is left alone.
 static constexpr core::duration unreachable_time = 1s;
+/// How long a node that starts waits to hear of others.
+static constexpr core::duration meeting_time = 1s;
+/// Nodes that are told at once when this one begins or stops to serve; the rest hear from them.
+static constexpr std::size_t most_told = 32;
 /// First byte of a datagram: what follows it.
 static constexpr char heartbeat_mark = 'H';
 static constexpr char message_mark = 'M';
@@ -37,6 +41,12 @@
     return made;
 }
 
+/// A suspect may well be serving; only its end, or its word that it leaves, takes it out.
+static bool serves(const core::member_claim& claim)
+{
+    return claim.state == core::member_state::live || claim.state == core::member_state::suspect;
+}
+
 fleet::fleet(http::loop& loop, const gateway_settings& settings, core::incarnation run,
              fleet_handlers&& given)
     : on(loop), self(make_node_settings(settings, run)), handlers(std::move(given)),
@@ -53,6 +63,7 @@
     watching.writable = [] {};
     watching.closed = [] {};
     loop.watch(this->datagrams, std::move(watching));
+    this->began = this->now();
     this->rebuild_owners();
     this->tick();
 }
@@ -176,9 +187,9 @@
     const core::membership_changes changes = this->members.take_changes();
     for (const core::incarnation ended : changes.ended)
         this->handlers.ended(ended);
-    const std::vector<std::string> before = this->owner_names;
+    const auto before = std::pair(this->owner_names, this->serving_names);
     this->rebuild_owners();
-    if (before != this->owner_names)
+    if (before != std::pair(this->owner_names, this->serving_names))
         this->handlers.owners_changed();
 }
 
@@ -191,6 +202,14 @@
     if (this->owner_names.empty())
         this->owner_names.push_back(this->self.name.value);
     std::sort(this->owner_names.begin(), this->owner_names.end());
+    this->serving_names.clear();
+    for (const core::member_claim& claim : this->members.all()) {
+        if (serves(claim))
+            this->serving_names.push_back(claim.name.value);
+    }
+    if (this->serving_names.empty())
+        this->serving_names.push_back(this->self.name.value);
+    std::sort(this->serving_names.begin(), this->serving_names.end());
 }
 
 void fleet::send(const core::node_name& to, wire::PeerDatagram& message)
@@ -214,14 +233,24 @@
 void fleet::become_live()
 {
     this->members.become_live();
+    this->tell_all();
     this->settle();
 }
 
+void fleet::tell_all()
+{
+    std::vector<const core::member*> others = this->members.others();
+    while (others.size() > most_told)
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(
+                                          core::uniform_below(this->random, others.size())));
+    for (const core::member* other : others)
+        this->send_heartbeat(other->claim.name, other->claim.peers, false);
+}
+
 void fleet::leave()
 {
     this->members.leave();
-    for (const core::member* other : this->members.others())
-        this->send_heartbeat(other->claim.name, other->claim.peers, false);
+    this->tell_all();
     this->settle();
 }
 
@@ -237,6 +266,19 @@
         this->owner_names[core::rendezvous_first(key, this->owner_names)]};
 }
 
+core::node_name fleet::settled_owner_of(std::string_view key) const
+{
+    return core::node_name{
+        this->serving_names[core::rendezvous_first(key, this->serving_names)]};
+}
+
+bool fleet::has_met_others() const
+{
+    const bool knows_another =
+        this->serving_names.size() > 1 || this->serving_names.front() != this->self.name.value;
+    return knows_another || this->now() - this->began >= meeting_time;
+}
+
 std::vector<core::endpoint> fleet::entries() const
 {
     std::vector<core::endpoint> made;
@@ -263,13 +305,7 @@
 
 std::size_t fleet::serving() const
 {
-    std::size_t count = 0;
-    for (const core::member_claim& claim : this->members.all()) {
-        const bool serves = claim.state == core::member_state::live ||
-                            claim.state == core::member_state::suspect;
-        count += serves ? 1 : 0;
-    }
-    return std::max<std::size_t>(count, 1);
+    return this->serving_names.size();
 }
 
 std::size_t fleet::lost() const
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -102,6 +102,10 @@
     placing.run = run;
     placing.now = [this] { return this->now(); };
     placing.owner_of = [this](std::string_view key) { return this->nodes->owner_of(key); };
+    placing.quota_owner_of = [this](std::string_view key) {
+        return this->nodes->settled_owner_of(key);
+    };
+    placing.has_met_others = [this] { return this->nodes->has_met_others(); };
     placing.mark_unreachable = [this](const core::node_name& name) {
         daemon::write_log(log_event::owner_silent, {{"node", name.value}});
         this->nodes->mark_unreachable(name);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -21,6 +21,10 @@
 static constexpr duration report_period = 400ms;
 /// How long the owner of a quota may take before this node spends its own share.
 static constexpr duration quota_limit = 160ms;
+/// How long this node goes by itself after the owner of a quota did not answer.
+static constexpr duration silence_memory = 300ms;
+/// How long answers are kept for asks that come again.
+static constexpr duration answer_memory = 1s;
 /// Requests in one report: a datagram holds so many.
 static constexpr std::size_t most_reported = 120;
 
@@ -35,7 +39,7 @@
 }
 
 placement_service::placement_service(placement_surroundings&& around)
-    : env(std::move(around)), owned_quotas(this->env.tolerance), own_share(core::quota_tolerance{})
+    : env(std::move(around)), quotas(this->env.tolerance)
 {
 }
 
@@ -45,6 +49,22 @@
 {
     this->rules = std::move(given);
     this->board.set_upstreams(this->upstreams, this->rules.get());
+    this->refresh_owned_quotas();
+}
+
+void placement_service::refresh_owned_quotas()
+{
+    if (this->rules == nullptr || !this->env.has_met_others())
+        return;
+    for (const core::team_rule& team : this->rules->rules().teams) {
+        if (this->env.quota_owner_of(quota_key(team.name)) == this->env.self) {
+            this->quotas.begin(team, this->env.now());
+            continue;
+        }
+        const double left = this->quotas.end(team.name);
+        if (left != 0.0)
+            this->change_at_owner(team, left);
+    }
 }
 
 void placement_service::set_upstreams(std::span<const core::announced_upstream> all)
@@ -294,15 +314,16 @@
         if (found != this->requests.end() && !found->second.grant)
             this->ask_owner(number, found->second);
     }
-    std::vector<placement_number> quotas;
+    this->refresh_owned_quotas();
+    std::vector<placement_number> asking;
     for (auto& [number, request] : this->quota_requests) {
-        const core::node_name owner = this->env.owner_of(quota_key(request.team));
+        const core::node_name owner = this->env.quota_owner_of(quota_key(request.team));
         if (owner == request.owner)
             continue;
         request.owner = owner;
-        quotas.push_back(number);
+        asking.push_back(number);
     }
-    for (const placement_number number : quotas) {
+    for (const placement_number number : asking) {
         const auto found = this->quota_requests.find(number);
         if (found != this->quota_requests.end())
             this->ask_quota_owner(number, found->second);
@@ -358,6 +379,8 @@
     this->deliver(answers);
     this->tick_asks(now);
     this->tick_quotas(now);
+    std::erase_if(this->given_quotas,
+                  [now](const auto& each) { return now - each.second.at > answer_memory; });
     if (now < this->report_at)
         return;
     this->report_at = now + report_period;
@@ -373,32 +396,54 @@
 }
 
 core::quota_answer placement_service::take_locally(const core::team_rule& team, double cost,
-                                                   bool as_owner)
+                                                   duration most_wait, bool as_owner)
 {
     const double serving = static_cast<double>(std::max<std::size_t>(this->env.serving(), 1));
     const double lost = static_cast<double>(this->env.lost());
     // Nodes that cannot be reached may be spending their shares.
-    if (as_owner)
-        return this->owned_quotas.take(team, cost, serving / (serving + lost), this->env.now());
-    return this->own_share.take(team, cost, 1.0 / (serving + lost), this->env.now());
+    const double share = as_owner ? serving / (serving + lost) : 1.0 / (serving + lost);
+    const core::quota_answer answer = this->quotas.take(team, cost, share, most_wait, this->env.now());
+    // An owner that only this node cannot hear from counts what is spent here.
+    if (answer.granted && !as_owner)
+        this->change_at_owner(team, -cost);
+    return answer;
+}
+
+void placement_service::change_at_owner(const core::team_rule& team, double units)
+{
+    const core::node_name owner = this->env.quota_owner_of(quota_key(team.name));
+    if (owner == this->env.self) {
+        this->quotas.give_back(team, units, this->env.now());
+        return;
+    }
+    wire::PeerDatagram message;
+    message.mutable_quota_return()->set_team(team.name.value);
+    message.mutable_quota_return()->set_cost(units);
+    this->env.send(owner, message);
 }
 
-void placement_service::take_quota(const core::team_rule& team, double cost,
+void placement_service::take_quota(const core::team_rule& team, double cost, duration most_wait,
                                    quota_handler&& answered)
 {
     if (team.rate <= 0.0) {
         answered({});
         return;
     }
-    const core::node_name owner = this->env.owner_of(quota_key(team.name));
-    if (owner == this->env.self) {
-        answered(this->take_locally(team, cost, true));
+    const core::node_name owner = this->env.quota_owner_of(quota_key(team.name));
+    if (owner == this->env.self && this->env.has_met_others()) {
+        answered(this->take_locally(team, cost, most_wait, true));
+        return;
+    }
+    const auto silent = this->silent_until.find(owner);
+    if (silent != this->silent_until.end() && this->env.now() < silent->second) {
+        answered(this->take_locally(team, cost, most_wait, false));
         return;
     }
     const placement_number number = ++this->last_number;
     quota_request& made = this->quota_requests[number];
     made.team = team.name;
     made.cost = cost;
+    made.most_wait = most_wait;
     made.answered = std::move(answered);
     made.owner = owner;
     made.first_asked_at = this->env.now();
@@ -408,18 +453,24 @@
 void placement_service::ask_quota_owner(placement_number number, quota_request& request)
 {
     request.asked_at = this->env.now();
+    // Nodes that start together would each take themselves for the only one.
+    if (!this->env.has_met_others())
+        return;
     if (request.owner == this->env.self) {
         const core::team_rule* team =
             this->rules == nullptr ? nullptr : this->rules->find_team(request.team);
         const double cost = request.cost;
-        this->answer_quota(number, team == nullptr ? core::quota_answer{}
-                                                   : this->take_locally(*team, cost, true));
+        const duration most_wait = request.most_wait;
+        this->answer_quota(number, team == nullptr
+                                       ? core::quota_answer{}
+                                       : this->take_locally(*team, cost, most_wait, true));
         return;
     }
     wire::PeerDatagram message;
     message.mutable_quota_ask()->set_sequence(number);
     message.mutable_quota_ask()->set_team(request.team.value);
     message.mutable_quota_ask()->set_cost(request.cost);
+    message.mutable_quota_ask()->set_most_wait(request.most_wait.count());
     this->env.send(request.owner, message);
 }
 
@@ -433,22 +484,24 @@
     answered(answer);
 }
 
-// An ask that is sent again is not told from the first: a lost answer can cost a team the units
-// twice, which errs on the side of the quota.
 void placement_service::tick_quotas(time_point now)
 {
     std::vector<placement_number> again;
     std::vector<placement_number> late;
     for (auto& [number, request] : this->quota_requests) {
-        if (now - request.first_asked_at >= quota_limit)
+        const bool waits_for_others = !this->env.has_met_others();
+        if (!waits_for_others && now - request.first_asked_at >= quota_limit &&
+            now - request.asked_at >= ask_again_after)
             late.push_back(number);
         else if (now - request.asked_at >= ask_again_after)
             again.push_back(number);
     }
     for (const placement_number number : again) {
         const auto found = this->quota_requests.find(number);
-        if (found != this->quota_requests.end())
-            this->ask_quota_owner(number, found->second);
+        if (found == this->quota_requests.end())
+            continue;
+        found->second.owner = this->env.quota_owner_of(quota_key(found->second.team));
+        this->ask_quota_owner(number, found->second);
     }
     for (const placement_number number : late) {
         const auto found = this->quota_requests.find(number);
@@ -457,26 +510,20 @@
         const core::team_rule* team =
             this->rules == nullptr ? nullptr : this->rules->find_team(found->second.team);
         const double cost = found->second.cost;
-        const core::node_name owner = found->second.owner;
-        this->answer_quota(number, team == nullptr ? core::quota_answer{}
-                                                   : this->take_locally(*team, cost, false));
-        this->env.mark_unreachable(owner);
+        const duration most_wait = found->second.most_wait;
+        // Another node takes over only when this one is known to have ended: two that account for
+        // a team at once would give out twice its quota.
+        this->silent_until[found->second.owner] = now + silence_memory;
+        this->answer_quota(number, team == nullptr
+                                       ? core::quota_answer{}
+                                       : this->take_locally(*team, cost, most_wait, false));
     }
 }
 
 void placement_service::return_quota(const core::team_rule& team, double cost)
 {
-    if (team.rate <= 0.0)
-        return;
-    const core::node_name owner = this->env.owner_of(quota_key(team.name));
-    if (owner == this->env.self) {
-        this->owned_quotas.give_back(team, cost);
-        return;
-    }
-    wire::PeerDatagram message;
-    message.mutable_quota_return()->set_team(team.name.value);
-    message.mutable_quota_return()->set_cost(cost);
-    this->env.send(owner, message);
+    if (team.rate > 0.0)
+        this->change_at_owner(team, cost);
 }
 
 void placement_service::take_ask(const core::node_name& from, core::incarnation run,
@@ -497,6 +544,31 @@
     this->env.send(from, queued);
 }
 
+void placement_service::take_quota_ask(const core::node_name& from,
+                                       const wire::PeerDatagram& message)
+{
+    const core::incarnation run{message.run()};
+    const core::placement_id id{from, run, message.quota_ask().sequence()};
+    const core::team_rule* team =
+        this->rules == nullptr ? nullptr : this->rules->find_team({message.quota_ask().team()});
+    if (team == nullptr || !this->env.has_met_others())
+        return; // The other node goes on by itself.
+    // An ask that comes again must not take the units twice.
+    const auto known = this->given_quotas.find(id);
+    const core::quota_answer answer =
+        known != this->given_quotas.end()
+            ? known->second.answer
+            : this->take_locally(*team, message.quota_ask().cost(),
+                                 duration{message.quota_ask().most_wait()}, true);
+    this->given_quotas[id] = {answer, this->env.now()};
+    wire::PeerDatagram made;
+    made.set_receiver_run(run.value);
+    made.mutable_quota_answer()->set_sequence(id.sequence);
+    made.mutable_quota_answer()->set_granted(answer.granted);
+    made.mutable_quota_answer()->set_wait(answer.wait.count());
+    this->env.send(from, made);
+}
+
 void placement_service::take_held(const core::node_name& from, core::incarnation run,
                                   const wire::PeerDatagram& message)
 {
@@ -581,27 +653,13 @@
     case wire::PeerDatagram::kHeld:
         this->take_held(from, run, message);
         return;
-    case wire::PeerDatagram::kQuotaAsk: {
-        const core::team_rule* team =
-            this->rules == nullptr
-                ? nullptr
-                : this->rules->find_team({message.quota_ask().team()});
-        if (team == nullptr)
-            return; // The other node's rules are newer; it goes on by itself.
-        const core::quota_answer answer =
-            this->take_locally(*team, message.quota_ask().cost(), true);
-        wire::PeerDatagram made;
-        made.set_receiver_run(run.value);
-        made.mutable_quota_answer()->set_sequence(message.quota_ask().sequence());
-        made.mutable_quota_answer()->set_granted(answer.granted);
-        made.mutable_quota_answer()->set_retry_after(answer.retry_after.count());
-        this->env.send(from, made);
+    case wire::PeerDatagram::kQuotaAsk:
+        this->take_quota_ask(from, message);
         return;
-    }
     case wire::PeerDatagram::kQuotaAnswer:
         this->answer_quota(message.quota_answer().sequence(),
                            {message.quota_answer().granted(),
-                            duration{message.quota_answer().retry_after()}});
+                            duration{message.quota_answer().wait()}});
         return;
     case wire::PeerDatagram::kQuotaReturn: {
         const core::team_rule* team =
@@ -609,7 +667,7 @@
                 ? nullptr
                 : this->rules->find_team({message.quota_return().team()});
         if (team != nullptr)
-            this->owned_quotas.give_back(*team, message.quota_return().cost());
+            this->quotas.give_back(*team, message.quota_return().cost(), now);
         return;
     }
     case wire::PeerDatagram::kDigest:
