--- a/include/ragwortcove/core/team_quota.hpp
+++ b/include/ragwortcove/core/team_quota.hpp
@@ -16,6 +16,18 @@
     duration wait{0};
 };
 
+/// What a request asks of its team's quota.
+struct quota_request {
+    double cost = 0.0;
+    /// Part of the team's rate that this node may give out: one when it speaks for all nodes, less
+    /// while some may spend on their own.
+    double share = 1.0;
+    /// How long the request can wait for its units.
+    duration most_wait{0};
+    /// Whether places stand free, so that what the quota tolerates harms nobody.
+    bool has_room = false;
+};
+
 /// How far a team may go over its quota in any window before that counts as a breach.
 struct quota_tolerance {
     duration window = std::chrono::seconds{8};
@@ -35,11 +47,9 @@
     /// Another node accounts for the team; this one may still spend its own share. Gives the units
     /// that are left for the other to hand out.
     [[nodiscard]] double end(const team_name& team);
-    /// Takes units for a request that can wait for them up to `most_wait`. `share` is the part of the
-    /// team's rate that this node may give out: one when it speaks for all nodes, less while some may
-    /// spend on their own.
-    [[nodiscard]] quota_answer take(const team_rule& team, double cost, double share,
-                                    duration most_wait, time_point now);
+    /// Takes units for a request.
+    [[nodiscard]] quota_answer take(const team_rule& team, const quota_request& request,
+                                    time_point now);
     /// Gives back units of a request that did not run; negative units were spent elsewhere.
     void give_back(const team_rule& team, double cost, time_point now);
     /// Drops buckets that nobody has asked for a while.
@@ -48,6 +58,8 @@
 private:
     struct bucket {
         double available = 0.0;
+        /// Units of the tolerance, for requests that find free places.
+        double tolerated = 0.0;
         time_point filled_at;
         bool accounts = false;
         /// Units handed over before this node knew that it accounts, and when.
@@ -56,7 +68,8 @@
         /// Units assumed at the beginning, in place of what may still be handed over.
         double assumed = 0.0;
     };
-    [[nodiscard]] double fill_rate(const team_rule& team) const;
+    [[nodiscard]] double tolerated_units(const team_rule& team) const;
+    void fill(bucket& of, const team_rule& team, double share, time_point now) const;
 
     quota_tolerance tolerance;
     std::map<team_name, bucket> buckets;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -67,10 +67,10 @@
     void release(placement_number request, core::placement_outcome outcome,
                  core::duration first_part_after, core::duration between_events);
 
-    /// Takes units of a team's quota for a request that can wait for them up to `most_wait`;
-    /// `answered` is called once, perhaps from inside this call.
-    void take_quota(const core::team_rule& team, double cost, core::duration most_wait,
-                    quota_handler&& answered);
+    /// Takes units of a team's quota for a request to a target, which can wait for them up to
+    /// `most_wait`; `answered` is called once, perhaps from inside this call.
+    void take_quota(const core::team_rule& team, const core::target_name& target, double cost,
+                    core::duration most_wait, quota_handler&& answered);
     /// Gives back units of a request that did not run.
     void return_quota(const core::team_rule& team, double cost);
 
@@ -95,10 +95,9 @@
         std::optional<core::placement_grant> grant;
         bool started = false;
     };
-    struct quota_request {
+    struct quota_question {
         core::team_name team;
-        double cost = 0.0;
-        core::duration most_wait{0};
+        core::quota_request wanted;
         quota_handler answered;
         core::node_name owner;
         core::time_point asked_at;
@@ -112,12 +111,16 @@
     void tick_asks(core::time_point now);
     void tick_quotas(core::time_point now);
     void change_at_owner(const core::team_rule& team, double units);
-    void ask_quota_owner(placement_number number, quota_request& request);
+    void ask_quota_owner(placement_number number, quota_question& request);
     void take_quota_ask(const core::node_name& from, const wire::PeerDatagram& message);
     void refresh_owned_quotas();
+    void answer_quota_alone(placement_number number, bool as_owner);
     void answer_quota(placement_number number, const core::quota_answer& answer);
-    [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team, double cost,
-                                                  core::duration most_wait, bool as_owner);
+    [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team,
+                                                  const core::quota_request& wanted,
+                                                  bool as_owner);
+    /// Whether requests to a target have found places at once lately.
+    [[nodiscard]] bool has_room(const core::target_name& target) const;
     void take_ask(const core::node_name& from, core::incarnation run,
                   const wire::PeerDatagram& message);
     void take_held(const core::node_name& from, core::incarnation run,
@@ -131,7 +134,9 @@
     /// Owners of quotas that did not answer: until then this node spends its own share at once.
     std::map<core::node_name, core::time_point> silent_until;
     std::map<placement_number, placed_request> requests;
-    std::map<placement_number, quota_request> quota_requests;
+    std::map<placement_number, quota_question> quota_requests;
+    /// Targets whose requests had to wait for a place, and until when that is remembered.
+    std::map<core::target_name, core::time_point> crowded_until;
     placement_number last_number = 0;
     core::time_point report_at;
     std::set<core::node_name> reported_to;
--- a/lib/core/call_policy.cpp
+++ b/lib/core/call_policy.cpp
@@ -16,7 +16,7 @@
 static constexpr double most_waiting_share = 0.6;
 /// A request waits for its quota no longer than this part of its goal: enough for a clump to spread,
 /// too little for a team that always asks for more to have all its requests late.
-static constexpr std::int64_t quota_parts_of_goal = 6;
+static constexpr std::int64_t quota_parts_of_goal = 4;
 /// Silence of a plain upstream, in goals, and its bounds.
 static constexpr std::int64_t silence_goals = 3;
 static constexpr duration shortest_silence = 250ms;
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -7,6 +7,8 @@
 
 using namespace std::chrono_literals;
 
+/// Part of the tolerance's units in a window that its bucket holds; the rest flows in.
+static constexpr double tolerance_held = 0.25;
 /// Part of the burst that a bucket begins with when nothing is known of the time before.
 static constexpr double first_fill = 0.3;
 /// Part of the tolerance that is given out. A request that fits the tolerance harms nobody while
@@ -26,14 +28,23 @@
     return std::chrono::duration<double>(span).count();
 }
 
-// A quota is what a team may use in any window. A bucket that holds the burst and is filled a
-// little faster than the rate spreads the part of the tolerance over the window.
-double team_quota::fill_rate(const team_rule& team) const
+/// Units beyond the quota that this node gives out in a window, at most.
+double team_quota::tolerated_units(const team_rule& team) const
 {
-    const double window = seconds(this->tolerance.window);
-    const double in_window = team.rate * window + team.burst;
-    const double tolerated = this->tolerance.overrun * in_window + this->tolerance.slack;
-    return team.rate + used_tolerance * tolerated / window;
+    const double in_window = team.rate * seconds(this->tolerance.window) + team.burst;
+    return used_tolerance * (this->tolerance.overrun * in_window + this->tolerance.slack);
+}
+
+// What the bucket of the tolerance holds and what flows into it in a window make up its units.
+void team_quota::fill(bucket& of, const team_rule& team, double share, time_point now) const
+{
+    const double passed = seconds(now - of.filled_at);
+    of.filled_at = now;
+    of.available = std::min(std::max(team.burst * share, 1.0), of.available + team.rate * share * passed);
+    const double units = this->tolerated_units(team) * share;
+    const double held = units * tolerance_held;
+    const double flow = (units - held) / seconds(this->tolerance.window);
+    of.tolerated = std::min(held, of.tolerated + flow * passed);
 }
 
 void team_quota::begin(const team_rule& team, time_point now)
@@ -63,39 +74,42 @@
 
 // A bucket may run into debt for requests that wait until it is paid: a clump of requests within the
 // rate is spread, not refused.
-quota_answer team_quota::take(const team_rule& team, double cost, double share, duration most_wait,
-                              time_point now)
+quota_answer team_quota::take(const team_rule& team, const quota_request& request, time_point now)
 {
     if (team.rate <= 0.0)
         return {};
-    const double rate = this->fill_rate(team) * share;
-    const double full = std::max(team.burst * share, 1.0);
+    const double full = std::max(team.burst * request.share, 1.0);
     const auto [found, is_new] = this->buckets.try_emplace(team.name);
     bucket& own = found->second;
     if (is_new) {
         own.available = full * first_fill;
         own.filled_at = now;
     }
-    own.available = std::min(full, own.available + rate * seconds(now - own.filled_at));
-    own.filled_at = now;
+    this->fill(own, team, request.share, now);
     // A request larger than the whole bucket passes when the bucket is full.
-    const double needed = std::min(cost, full);
+    const double needed = std::min(request.cost, full);
     if (own.available >= needed) {
-        own.available -= cost;
+        own.available -= request.cost;
         return {};
     }
     // A team's large requests must not shut out its small ones, which hardly count.
-    const bool is_small = cost <= full * small_share;
-    if (is_small && own.available - cost >= -full * most_overdraft) {
-        own.available -= cost;
+    const bool is_small = request.cost <= full * small_share;
+    if (is_small && own.available - request.cost >= -full * most_overdraft) {
+        own.available -= request.cost;
         return {};
     }
-    const double lacking = rate > 0.0 ? (needed - own.available) / rate : seconds(bucket_memory);
+    const double lacking = (needed - own.available) / (team.rate * request.share);
     const auto wait =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(lacking));
-    if (wait > most_wait)
+    if (!request.has_room)
+        return {false, wait};
+    if (own.tolerated >= needed) {
+        own.tolerated -= request.cost;
+        return {};
+    }
+    if (wait > request.most_wait)
         return {false, wait};
-    own.available -= cost;
+    own.available -= request.cost;
     return {true, wait};
 }
 
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -135,7 +135,7 @@
                  call.facts.most_output_tokens.value_or(0);
     call.quota_cost = core::quota_cost(*call.team, tokens);
     this->env.placement.take_quota(
-        *call.team, call.quota_cost,
+        *call.team, call.target, call.quota_cost,
         core::quota_patience(*call.route, call.deadline - call.arrived),
         [this, exchange = call.exchange](const core::quota_answer& answer) {
             this->quota_answered(exchange, answer);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -21,6 +21,10 @@
 static constexpr duration report_period = 400ms;
 /// How long the owner of a quota may take before this node spends its own share.
 static constexpr duration quota_limit = 160ms;
+/// A request that is placed within this time has found a free place.
+static constexpr duration prompt_answer = 40ms;
+/// How long it is remembered that places were scarce.
+static constexpr duration crowding_memory = 500ms;
 /// How long this node goes by itself after the owner of a quota did not answer.
 static constexpr duration silence_memory = 300ms;
 /// How long answers are kept for asks that come again.
@@ -193,6 +197,9 @@
         return;
     placed_request& request = found->second;
     const placement_handler answered = std::move(request.answered);
+    const bool had_to_wait = this->env.now() - request.first_asked_at > prompt_answer;
+    if (had_to_wait || std::holds_alternative<core::placement_denial>(answer))
+        this->crowded_until[request.ask.target] = this->env.now() + crowding_memory;
     if (const auto* grant = std::get_if<core::placement_grant>(&answer)) {
         request.grant = *grant;
         request.heard_at = this->env.now();
@@ -395,20 +402,28 @@
         this->report_held(owner);
 }
 
-core::quota_answer placement_service::take_locally(const core::team_rule& team, double cost,
-                                                   duration most_wait, bool as_owner)
+core::quota_answer placement_service::take_locally(const core::team_rule& team,
+                                                   const core::quota_request& wanted,
+                                                   bool as_owner)
 {
     const double serving = static_cast<double>(std::max<std::size_t>(this->env.serving(), 1));
     const double lost = static_cast<double>(this->env.lost());
+    core::quota_request request = wanted;
     // Nodes that cannot be reached may be spending their shares.
-    const double share = as_owner ? serving / (serving + lost) : 1.0 / (serving + lost);
-    const core::quota_answer answer = this->quotas.take(team, cost, share, most_wait, this->env.now());
+    request.share = as_owner ? serving / (serving + lost) : 1.0 / (serving + lost);
+    const core::quota_answer answer = this->quotas.take(team, request, this->env.now());
     // An owner that only this node cannot hear from counts what is spent here.
     if (answer.granted && !as_owner)
-        this->change_at_owner(team, -cost);
+        this->change_at_owner(team, -request.cost);
     return answer;
 }
 
+bool placement_service::has_room(const core::target_name& target) const
+{
+    const auto found = this->crowded_until.find(target);
+    return found == this->crowded_until.end() || found->second <= this->env.now();
+}
+
 void placement_service::change_at_owner(const core::team_rule& team, double units)
 {
     const core::node_name owner = this->env.quota_owner_of(quota_key(team.name));
@@ -422,58 +437,64 @@
     this->env.send(owner, message);
 }
 
-void placement_service::take_quota(const core::team_rule& team, double cost, duration most_wait,
-                                   quota_handler&& answered)
+void placement_service::take_quota(const core::team_rule& team, const core::target_name& target,
+                                   double cost, duration most_wait, quota_handler&& answered)
 {
     if (team.rate <= 0.0) {
         answered({});
         return;
     }
+    const core::quota_request wanted{cost, 1.0, most_wait, this->has_room(target)};
     const core::node_name owner = this->env.quota_owner_of(quota_key(team.name));
     if (owner == this->env.self && this->env.has_met_others()) {
-        answered(this->take_locally(team, cost, most_wait, true));
+        answered(this->take_locally(team, wanted, true));
         return;
     }
     const auto silent = this->silent_until.find(owner);
     if (silent != this->silent_until.end() && this->env.now() < silent->second) {
-        answered(this->take_locally(team, cost, most_wait, false));
+        answered(this->take_locally(team, wanted, false));
         return;
     }
     const placement_number number = ++this->last_number;
-    quota_request& made = this->quota_requests[number];
+    quota_question& made = this->quota_requests[number];
     made.team = team.name;
-    made.cost = cost;
-    made.most_wait = most_wait;
+    made.wanted = wanted;
     made.answered = std::move(answered);
     made.owner = owner;
     made.first_asked_at = this->env.now();
     this->ask_quota_owner(number, made);
 }
 
-void placement_service::ask_quota_owner(placement_number number, quota_request& request)
+void placement_service::ask_quota_owner(placement_number number, quota_question& request)
 {
     request.asked_at = this->env.now();
     // Nodes that start together would each take themselves for the only one.
     if (!this->env.has_met_others())
         return;
     if (request.owner == this->env.self) {
-        const core::team_rule* team =
-            this->rules == nullptr ? nullptr : this->rules->find_team(request.team);
-        const double cost = request.cost;
-        const duration most_wait = request.most_wait;
-        this->answer_quota(number, team == nullptr
-                                       ? core::quota_answer{}
-                                       : this->take_locally(*team, cost, most_wait, true));
+        this->answer_quota_alone(number, true);
         return;
     }
     wire::PeerDatagram message;
-    message.mutable_quota_ask()->set_sequence(number);
-    message.mutable_quota_ask()->set_team(request.team.value);
-    message.mutable_quota_ask()->set_cost(request.cost);
-    message.mutable_quota_ask()->set_most_wait(request.most_wait.count());
+    wire::QuotaAsk& ask = *message.mutable_quota_ask();
+    ask.set_sequence(number);
+    ask.set_team(request.team.value);
+    ask.set_cost(request.wanted.cost);
+    ask.set_most_wait(request.wanted.most_wait.count());
+    ask.set_has_room(request.wanted.has_room);
     this->env.send(request.owner, message);
 }
 
+void placement_service::answer_quota_alone(placement_number number, bool as_owner)
+{
+    const quota_question& question = this->quota_requests.at(number);
+    const core::team_rule* team =
+        this->rules == nullptr ? nullptr : this->rules->find_team(question.team);
+    this->answer_quota(number, team == nullptr
+                                   ? core::quota_answer{}
+                                   : this->take_locally(*team, question.wanted, as_owner));
+}
+
 void placement_service::answer_quota(placement_number number, const core::quota_answer& answer)
 {
     const auto found = this->quota_requests.find(number);
@@ -507,16 +528,10 @@
         const auto found = this->quota_requests.find(number);
         if (found == this->quota_requests.end())
             continue;
-        const core::team_rule* team =
-            this->rules == nullptr ? nullptr : this->rules->find_team(found->second.team);
-        const double cost = found->second.cost;
-        const duration most_wait = found->second.most_wait;
         // Another node takes over only when this one is known to have ended: two that account for
         // a team at once would give out twice its quota.
         this->silent_until[found->second.owner] = now + silence_memory;
-        this->answer_quota(number, team == nullptr
-                                       ? core::quota_answer{}
-                                       : this->take_locally(*team, cost, most_wait, false));
+        this->answer_quota_alone(number, false);
     }
 }
 
@@ -558,8 +573,11 @@
     const core::quota_answer answer =
         known != this->given_quotas.end()
             ? known->second.answer
-            : this->take_locally(*team, message.quota_ask().cost(),
-                                 duration{message.quota_ask().most_wait()}, true);
+            : this->take_locally(*team,
+                                 {message.quota_ask().cost(), 1.0,
+                                  duration{message.quota_ask().most_wait()},
+                                  message.quota_ask().has_room()},
+                                 true);
     this->given_quotas[id] = {answer, this->env.now()};
     wire::PeerDatagram made;
     made.set_receiver_run(run.value);
--- a/unittests/core/team_quota_test.cpp
+++ b/unittests/core/team_quota_test.cpp
@@ -28,54 +28,54 @@
     time_point now{1h};
 
     // The node that accounted before may have given out most of the burst.
-    CHECK(quota.take(team, 15.0, 1.0, 0s, now).granted);
-    const quota_answer refused = quota.take(team, 10.0, 1.0, 0s, now);
+    CHECK(quota.take(team, {15.0, 1.0, 0s, true}, now).granted);
+    const quota_answer refused = quota.take(team, {10.0, 1.0, 0s, true}, now);
     CHECK_FALSE(refused.granted);
     CHECK(refused.wait == 100ms);
-    CHECK(quota.take(team, 10.0, 1.0, 0s, now + refused.wait).granted);
+    CHECK(quota.take(team, {10.0, 1.0, 0s, true}, now + refused.wait).granted);
 
     SUBCASE("what did not run is given back")
     {
         now += 100ms;
-        CHECK_FALSE(quota.take(team, 30.0, 1.0, 0s, now).granted);
+        CHECK_FALSE(quota.take(team, {30.0, 1.0, 0s, true}, now).granted);
         quota.begin(team, now);
         quota.give_back(team, 30.0, now);
-        CHECK(quota.take(team, 30.0, 1.0, 0s, now).granted);
+        CHECK(quota.take(team, {30.0, 1.0, 0s, true}, now).granted);
     }
     SUBCASE("one that can wait is granted later, and those after it later still")
     {
         now += 100ms;
-        CHECK(quota.take(team, 10.0, 1.0, 150ms, now).wait == 100ms);
-        const quota_answer second = quota.take(team, 10.0, 1.0, 150ms, now);
+        CHECK(quota.take(team, {10.0, 1.0, 150ms, true}, now).wait == 100ms);
+        const quota_answer second = quota.take(team, {10.0, 1.0, 150ms, true}, now);
         CHECK_FALSE(second.granted);
         CHECK(second.wait == 200ms);
-        CHECK(quota.take(team, 10.0, 1.0, 200ms, now).wait == 200ms);
+        CHECK(quota.take(team, {10.0, 1.0, 200ms, true}, now).wait == 200ms);
     }
     SUBCASE("a small request passes while the debt is small")
     {
         now += 100ms;
-        CHECK_FALSE(quota.take(team, 5.0, 1.0, 0s, now).granted);
+        CHECK_FALSE(quota.take(team, {5.0, 1.0, 0s, true}, now).granted);
         for (int count = 0; count < 40; ++count)
-            CHECK(quota.take(team, 0.25, 1.0, 0s, now).granted);
-        CHECK_FALSE(quota.take(team, 0.25, 1.0, 0s, now).granted);
+            CHECK(quota.take(team, {0.25, 1.0, 0s, true}, now).granted);
+        CHECK_FALSE(quota.take(team, {0.25, 1.0, 0s, true}, now).granted);
     }
     SUBCASE("a team without a rate has no limit")
     {
-        CHECK(quota.take(make_team(0.0, 0.0), 1e9, 1.0, 0s, now).granted);
+        CHECK(quota.take(make_team(0.0, 0.0), {1e9, 1.0, 0s, true}, now).granted);
     }
     SUBCASE("a lower limit binds at once")
     {
         now += 10s;
         const team_rule lower = make_team(10.0, 5.0);
-        CHECK(quota.take(lower, 5.0, 1.0, 0s, now).granted);
-        CHECK_FALSE(quota.take(lower, 5.0, 1.0, 0s, now).granted);
+        CHECK(quota.take(lower, {5.0, 1.0, 0s, true}, now).granted);
+        CHECK_FALSE(quota.take(lower, {5.0, 1.0, 0s, true}, now).granted);
     }
     SUBCASE("a part of the rate is a part of everything")
     {
         team_quota part{quota_tolerance{}};
         double granted = 0.0;
         for (int step = 0; step < 1000; ++step) {
-            if (part.take(team, 1.0, 0.5, 0s, now + step * 10ms).granted)
+            if (part.take(team, {1.0, 0.5, 0s, true}, now + step * 10ms).granted)
                 granted += 1.0;
         }
         CHECK(granted <= 50.0 * 10.0 + 25.0);
@@ -83,6 +83,32 @@
     }
 }
 
+TEST_CASE("what a quota tolerates is given out only where places stand free")
+{
+    team_quota quota{quota_tolerance{8s, 0.1, 100.0}};
+    const team_rule team = make_team(100.0, 50.0);
+    const auto granted_in_ten_seconds = [&](bool has_room) {
+        double granted = 0.0;
+        for (int step = 0; step < 2000; ++step) {
+            const time_point now = time_point{1h} + step * 5ms;
+            if (quota.take(team, {2.0, 1.0, 0s, has_room}, now).granted)
+                granted += 2.0;
+        }
+        return granted;
+    };
+    const double quota_alone = 100.0 * 10.0 + 50.0;
+    SUBCASE("not where requests wait for places")
+    {
+        CHECK(granted_in_ten_seconds(false) <= quota_alone);
+    }
+    SUBCASE("elsewhere")
+    {
+        const double granted = granted_in_ten_seconds(true);
+        CHECK(granted > quota_alone);
+        CHECK(granted <= quota_alone + 0.5 * (0.1 * 850.0 + 100.0) * 10.0 / 8.0 + 25.0);
+    }
+}
+
 TEST_CASE("a node that begins to account for a team has what it was handed, and no more")
 {
     team_quota before{quota_tolerance{}};
@@ -90,7 +116,7 @@
     const team_rule team = make_team(100.0, 50.0);
     const time_point now{1h};
     before.begin(team, now - 10s);
-    CHECK(before.take(team, 10.0, 1.0, 0s, now).granted);
+    CHECK(before.take(team, {10.0, 1.0, 0s, true}, now).granted);
     const double left = before.end(team.name);
     CHECK(left == doctest::Approx(40.0));
     CHECK(before.end(team.name) == doctest::Approx(0.0));
@@ -98,9 +124,9 @@
     SUBCASE("without a handover it has a part of the burst")
     {
         after.begin(team, now);
-        CHECK(after.take(team, 15.0, 1.0, 0s, now).granted);
-        CHECK_FALSE(after.take(team, 1.0, 1.0, 0s, now).granted);
-        CHECK(after.take(team, 1.0, 1.0, 0s, now + 10ms).granted);
+        CHECK(after.take(team, {15.0, 1.0, 0s, true}, now).granted);
+        CHECK_FALSE(after.take(team, {1.0, 1.0, 0s, true}, now).granted);
+        CHECK(after.take(team, {1.0, 1.0, 0s, true}, now + 10ms).granted);
     }
     SUBCASE("the handover may come before it knows that it accounts, or after")
     {
@@ -118,15 +144,15 @@
         after.begin(team, now);
         if (!early)
             after.give_back(team, left, now);
-        CHECK(after.take(team, 40.0, 1.0, 0s, now).granted);
-        CHECK_FALSE(after.take(team, 1.0, 1.0, 0s, now).granted);
+        CHECK(after.take(team, {40.0, 1.0, 0s, true}, now).granted);
+        CHECK_FALSE(after.take(team, {1.0, 1.0, 0s, true}, now).granted);
     }
     SUBCASE("one that is long past counts for nothing")
     {
         after.give_back(team, left, now - 2s);
         after.begin(team, now);
-        CHECK(after.take(team, 15.0, 1.0, 0s, now).granted);
-        CHECK_FALSE(after.take(team, 1.0, 1.0, 0s, now).granted);
+        CHECK(after.take(team, {15.0, 1.0, 0s, true}, now).granted);
+        CHECK_FALSE(after.take(team, {1.0, 1.0, 0s, true}, now).granted);
     }
 }
 
@@ -143,7 +169,7 @@
         for (int step = 0; step < 4000; ++step) {
             now += std::chrono::microseconds{random() % 20000};
             const double cost = 1.0 + static_cast<double>(random() % 300);
-            if (!quota.take(team, cost, 1.0, 0s, now).granted)
+            if (!quota.take(team, {cost, 1.0, 0s, true}, now).granted)
                 continue;
             window.emplace_back(now, cost);
             while (now - window.front().first > 8s)
--- a/unittests/gateway/placement_service_test.cpp
+++ b/unittests/gateway/placement_service_test.cpp
@@ -262,7 +262,7 @@
     const core::team_rule& team = on.rules->rules().teams.front();
     for (const time_point end = on.now + time; on.now < end;) {
         for (const auto& each : on.nodes) {
-            each->service->take_quota(team, 20.0, 0s, [&](const core::quota_answer& answer) {
+            each->service->take_quota(team, {"engines"}, 20.0, 0s, [&](const core::quota_answer& answer) {
                 granted += answer.granted ? 20.0 : 0.0;
             });
         }
