--- a/include/ragwortcove/core/membership.hpp
+++ b/include/ragwortcove/core/membership.hpp
@@ -53,6 +53,10 @@
     void hint(std::span<const member_claim> members, step_context& context);
     void disconnected(const node_name& peer, step_context& context);
     void leave();
+    /// A later run of this node that others know of, if there is one: its clock has been set back.
+    [[nodiscard]] std::optional<incarnation> later_run() const { return this->outrun_by; }
+    /// Takes a run that is later than any that others know of.
+    void raise_run();
     /// Makes this node known as live once it can serve.
     void become_live();
 
@@ -90,6 +94,7 @@
     };
     std::optional<probe> pending;
     time_point next_period;
+    std::optional<incarnation> outrun_by;
     membership_changes changes;
 };
 
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -30,6 +30,9 @@
     certificate_renewed = 112,
     certificate_rejected = 113,
     readiness_changed = 114,
+    metrics_listening = 115,
+    lines_left_out = 116,
+    incarnation_raised = 117,
 
     request_placed = 200,
     request_queued = 201,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -10,8 +10,8 @@
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
-#include "ragwortcove/gateway/event_splitter.hpp"
 #include "ragwortcove/gateway/gateway_metrics.hpp"
+#include "ragwortcove/gateway/open_call.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
 #include "ragwortcove/http/inbound.hpp"
 #include "ragwortcove/http/loop.hpp"
@@ -56,47 +56,6 @@
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
 
 private:
-    /// One request on its way through one upstream.
-    struct dispatch {
-        core::upstream_name upstream;
-        http::outbound_exchange exchange = 0;
-        core::time_point sent_at;
-        core::time_point first_event_at;
-        core::time_point last_event_at;
-        std::uint32_t events = 0;
-        std::optional<http::status_line_and_headers> head;
-        adapter::answer_facts facts;
-        std::string body;
-        event_splitter splitter;
-    };
-    struct open_call {
-        http::inbound_exchange exchange = 0;
-        http::inbound_request request;
-        adapter::caller_call facts;
-        /// Keeps the route and the team alive while a newer ruleset is in force.
-        std::shared_ptr<const core::rule_index> rules;
-        const core::http_route* route = nullptr;
-        const core::team_rule* team = nullptr;
-        core::target_name target;
-        double quota_cost = 0.0;
-        /// Whether the cost was taken from the quota, and is given back if nothing runs.
-        bool quota_taken = false;
-        core::time_point arrived;
-        core::time_point deadline;
-        core::time_point placing_since;
-        /// Time that the caller has spent on earlier attempts.
-        core::duration earlier{0};
-        http::timer_id deadline_timer = 0;
-        http::timer_id silence_timer = 0;
-        placement_number placement = 0;
-        std::uint32_t uncached_tokens = 0;
-        std::uint32_t stale_grants = 0;
-        core::call_history history;
-        std::vector<core::upstream_name> avoid;
-        std::optional<dispatch> running;
-        std::optional<std::uint64_t> last_event;
-    };
-
     [[nodiscard]] core::time_point now() const { return core::time_point{this->env.on.now()}; }
     [[nodiscard]] open_call* find(http::inbound_exchange exchange);
     [[nodiscard]] bool admit(open_call& call);
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -48,9 +48,12 @@
     void directory_changed(const core::directory_changes& changes);
     void announce(const core::node_name& to, adapter::document_kind kind, core::revision at);
     void peer_message(const core::node_name& from, const wire::PeerDatagram& message);
-    void answer_directory(http::inbound_exchange exchange, http::inbound_request&& request);
-    void answer_readiness(http::inbound_exchange exchange, http::inbound_request&& request);
-    void answer_peer(http::inbound_exchange exchange, http::inbound_request&& request);
+    void answer_directory(http::inbound_server& by, http::inbound_exchange exchange,
+                      http::inbound_request&& request);
+    void answer_readiness(http::inbound_server& by, http::inbound_exchange exchange,
+                      http::inbound_request&& request);
+    void answer_peer(http::inbound_server& by, http::inbound_exchange exchange,
+                      http::inbound_request&& request);
     void refresh_readiness();
     [[nodiscard]] std::string render_metrics() const;
 
--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -80,6 +80,8 @@
 // A node that hears itself called suspect or dead answers with a greater version of its own state.
 void membership::refute(const member_claim& claim)
 {
+    if (claim.run > this->own.run && (!this->outrun_by || claim.run > *this->outrun_by))
+        this->outrun_by = claim.run;
     if (claim.run != this->own.run || claim.version < this->own.version)
         return;
     if (claim.state != member_state::suspect && claim.state != member_state::dead)
@@ -150,6 +152,15 @@
     this->changes.owners_changed = true;
 }
 
+void membership::raise_run()
+{
+    if (!this->outrun_by)
+        return;
+    this->own.run.value = this->outrun_by->value + 1;
+    this->outrun_by.reset();
+    this->changes.was_taken_for_dead = true;
+}
+
 void membership::leave()
 {
     this->own.state = member_state::leaving;
--- a/lib/core/placement_board.cpp
+++ b/lib/core/placement_board.cpp
@@ -22,6 +22,8 @@
 static constexpr std::uint32_t most_tokens_for_base = 256;
 /// Prompt tokens that engines compute between two tokens of the requests beside.
 static constexpr std::uint64_t usual_chunk_tokens = 4096;
+/// Tenths of an engine's memory in which parts are counted on to stay.
+static constexpr std::uint64_t usable_cache_tenths = 8;
 /// Part of a limit that an estimate may reach.
 static constexpr double safe_share = 0.9;
 /// Extra time to an upstream in another failure domain.
@@ -144,7 +146,7 @@
         known.used = ++this->use_counter;
     }
     // Running requests use part of the memory too.
-    const std::uint64_t room = state.cache_tokens / 10 * 8;
+    const std::uint64_t room = std::uint64_t{state.cache_tokens} * usable_cache_tenths / 10;
     while (state.cached_tokens > room && !state.cache.empty()) {
         const auto oldest = std::min_element(state.cache.begin(), state.cache.end(),
                                              [](const auto& one, const auto& other) {
--- a/lib/daemon/event_log.cpp
+++ b/lib/daemon/event_log.cpp
@@ -1,5 +1,8 @@
 #include "ragwortcove/daemon/event_log.hpp"
 
+#include "ragwortcove/daemon/bounded_output.hpp"
+#include "ragwortcove/daemon/log_sampler.hpp"
+
 #include <boost/json.hpp>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -8,6 +11,8 @@
 #include <log4cplus/logger.h>
 
 #include <memory>
+#include <sstream>
+#include <unistd.h>
 
 namespace ragwortcove::daemon {
 
@@ -17,11 +22,37 @@
 
 namespace {
 
+/// The process's standard output, of which there is one.
+bounded_output& shared_output()
+{
+    static bounded_output output{STDOUT_FILENO};
+    return output;
+}
+
+/// Writes to standard output and never waits for its reader.
+class bounded_appender : public log4cplus::Appender {
+public:
+    bounded_appender() = default;
+    ~bounded_appender() override { this->destructorImpl(); }
+    bounded_appender(const bounded_appender&) = delete;
+    bounded_appender& operator=(const bounded_appender&) = delete;
+    void close() override { shared_output().flush(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        std::ostringstream line;
+        this->layout->formatAndAppend(line, event);
+        shared_output().write(line.str());
+    }
+};
+
 /// What the process's one log writes with.
 struct log_state {
     log4cplus::Initializer library;
     log4cplus::Logger logger = log4cplus::Logger::getInstance(logger_name);
     log_format format = log_format::text;
+    log_sampler sampler;
 };
 
 } // namespace
@@ -49,6 +80,8 @@
 
 static log4cplus::SharedAppenderPtr make_appender(const log_settings& settings)
 {
+    if (settings.file == standard_output)
+        return log4cplus::SharedAppenderPtr{new bounded_appender};
     if (settings.file.empty())
         return log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{true, true}};
     return log4cplus::SharedAppenderPtr{
@@ -122,7 +155,22 @@
     const log4cplus::LogLevel level = to_library_level(describe(event).level);
     if (!log.logger.isEnabledFor(level))
         return;
-    log.logger.forcedLog(level, render_log_line(log.format, event, fields));
+    const auto now = std::chrono::steady_clock::now();
+    for (const left_out_lines& each : log.sampler.take_left_out(now)) {
+        const std::string count = std::to_string(each.count);
+        log.logger.forcedLog(log4cplus::WARN_LOG_LEVEL,
+                             render_log_line(log.format, log_event::lines_left_out,
+                                             {{"reason", "too_many"},
+                                              {"of", describe(each.event).name},
+                                              {"count", count}}));
+    }
+    if (log.sampler.admit(event, now))
+        log.logger.forcedLog(level, render_log_line(log.format, event, fields));
+}
+
+void flush_log()
+{
+    shared_output().flush();
 }
 
 } // namespace ragwortcove::daemon
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -48,6 +48,15 @@
                     "check that `[tls] certificate` and `private_key` belong together"},
     log_event_entry{log_event::readiness_changed, "readiness_changed", log_level::info,
                     "this node became ready to serve, or is no more", "none"},
+    log_event_entry{log_event::metrics_listening, "metrics_listening", log_level::info,
+                    "counters and histograms are served at `address`", "none"},
+    log_event_entry{log_event::lines_left_out, "lines_left_out", log_level::warning,
+                    "lines of an event were too many, or the log's reader stalled; `count` is how "
+                    "many are missing",
+                    "use the counters for totals; look at the log's reader when it stalls"},
+    log_event_entry{log_event::incarnation_raised, "incarnation_raised", log_level::info,
+                    "others know a later run of this node than its clock gave; it takes a later one",
+                    "check the VM's clock when it repeats"},
 
     log_event_entry{log_event::request_placed, "request_placed", log_level::info,
                     "a request goes to an upstream", "none"},
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -47,7 +47,7 @@
 
 call_handler::~call_handler() = default;
 
-call_handler::open_call* call_handler::find(http::inbound_exchange exchange)
+open_call* call_handler::find(http::inbound_exchange exchange)
 {
     const auto found = this->calls.find(exchange);
     return found == this->calls.end() ? nullptr : &found->second;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -159,6 +159,13 @@
     core::step_context context{this->now(), {}, this->random, this->effects};
     this->members.receive(*beat, context);
     this->unreachable.erase(beat->sender.name);
+    if (this->members.later_run()) {
+        // A clock that was set back before this start must not make the node look like its own past.
+        this->members.raise_run();
+        daemon::write_log(daemon::log_event::incarnation_raised,
+                          {{"incarnation", std::to_string(this->members.self().run.value)}});
+        this->tell_all();
+    }
     if (beat->wants_answer) {
         this->send_heartbeat(beat->sender.name, beat->sender.peers, false);
         const bool is_newcomer =
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -67,21 +67,22 @@
     const http::inbound_limits limits = make_limits({});
     this->callers = std::make_unique<http::inbound_server>(
         loop, to_socket_address(given.callers), limits, std::move(calling));
-    const auto serve = [&](const core::endpoint& at, auto answer) {
+    const auto serve = [&](const core::endpoint& at, std::unique_ptr<http::inbound_server>& by,
+                           auto answer) {
         http::inbound_handlers handlers;
-        handlers.requested = [this, answer](http::inbound_exchange id,
-                                            http::inbound_request&& request) {
-            (this->*answer)(id, std::move(request));
+        handlers.requested = [this, &by, answer](http::inbound_exchange id,
+                                                 http::inbound_request&& request) {
+            (this->*answer)(*by, id, std::move(request));
         };
         handlers.abandoned = [](http::inbound_exchange) {};
-        return std::make_unique<http::inbound_server>(loop, to_socket_address(at), limits,
-                                                      std::move(handlers));
+        by = std::make_unique<http::inbound_server>(loop, to_socket_address(at), limits,
+                                                    std::move(handlers));
     };
-    this->readiness = serve(given.readiness, &gateway::answer_readiness);
-    this->addresses = serve(given.directory, &gateway::answer_directory);
-    this->peers = serve(given.peers, &gateway::answer_peer);
+    serve(given.readiness, this->readiness, &gateway::answer_readiness);
+    serve(given.directory, this->addresses, &gateway::answer_directory);
+    serve(given.peers, this->peers, &gateway::answer_peer);
     if (given.metrics.port != 0)
-        this->metrics_server = serve(given.metrics, &gateway::answer_peer);
+        serve(given.metrics, this->metrics_server, &gateway::answer_peer);
 
     fleet_handlers meeting;
     meeting.received = [this](const core::node_name& from, const wire::PeerDatagram& message) {
@@ -171,6 +172,7 @@
 
 void gateway::tick()
 {
+    daemon::flush_log();
     this->placement->tick();
     this->directory_changed(this->directory.tick(this->now()));
     this->refresh_readiness();
@@ -307,38 +309,40 @@
     this->placement->set_upstreams(this->directory.all());
 }
 
-void gateway::answer_directory(http::inbound_exchange exchange, http::inbound_request&& request)
+void gateway::answer_directory(http::inbound_server& by, http::inbound_exchange exchange,
+                               http::inbound_request&& request)
 {
     if (!adapter::asks_for_addresses(request.head.target)) {
-        this->addresses->respond(exchange, 404, {}, "");
+        by.respond(exchange, 404, {}, "");
         return;
     }
     const std::vector<core::endpoint> entries = this->nodes->entries();
     if (entries.empty()) {
-        this->addresses->respond(exchange, 503, {}, "");
+        by.respond(exchange, 503, {}, "");
         return;
     }
-    this->addresses->respond(
+    by.respond(
         exchange, 200, {{"Content-Type", "application/json"}},
         adapter::write_address_answer(entries, this->settings.address_time_to_live));
 }
 
-void gateway::answer_readiness(http::inbound_exchange exchange, http::inbound_request&& request)
+void gateway::answer_readiness(http::inbound_server& by, http::inbound_exchange exchange,
+                               http::inbound_request&& request)
 {
     if (!adapter::asks_for_readiness(request.head.target)) {
-        this->readiness->respond(exchange, 404, {}, "");
+        by.respond(exchange, 404, {}, "");
         return;
     }
     this->refresh_readiness();
-    this->readiness->respond(exchange, this->ready() ? 200 : 503, {}, "");
+    by.respond(exchange, this->ready() ? 200 : 503, {}, "");
 }
 
-void gateway::answer_peer(http::inbound_exchange exchange, http::inbound_request&& request)
+void gateway::answer_peer(http::inbound_server& by, http::inbound_exchange exchange,
+                               http::inbound_request&& request)
 {
-    // The metrics address and the address for peers answer alike.
     const auto respond = [&](int status, std::string_view type, std::string_view body) {
         const std::vector<http::header> headers{{"Content-Type", std::string(type)}};
-        this->peers->respond(exchange, status, headers, body);
+        by.respond(exchange, status, headers, body);
     };
     const std::string path = request.head.target.substr(0, request.head.target.find('?'));
     if (const auto kind = adapter::read_peer_path(path)) {
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -241,6 +241,7 @@
 gateway_settings_outcome read_gateway_settings(const ini_document& document)
 {
     settings_reader reader{document, {}, document.errors, {}};
+    reader.settings.log.file = daemon::standard_output;
     for (const ini_section& section : document.sections) {
         for (const ini_entry& entry : section.entries)
             reader.read_entry(section, entry);
--- a/lib/gateway/process.cpp
+++ b/lib/gateway/process.cpp
@@ -70,6 +70,7 @@
         daemon::write_log(log_event::listen_failed,
                           {{"callers", core::format_endpoint(settings.callers)},
                            {"peers", core::format_endpoint(settings.peers)}});
+        daemon::flush_log();
         return EXIT_FAILURE;
     }
     daemon::write_log(log_event::process_started,
@@ -78,7 +79,11 @@
                        {"failure_domain", settings.failure_domain.value},
                        {"trusted_network", settings.trusted_network ? "true" : "false"}});
     loop.watch_datagrams(signals, [&] { take_signals(signals, settings_path, running); });
+    if (settings.metrics.port != 0)
+        daemon::write_log(log_event::metrics_listening,
+                          {{"address", core::format_endpoint(settings.metrics)}});
     loop.run();
+    daemon::flush_log();
     return EXIT_SUCCESS;
 }
 
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -14,9 +14,9 @@
 
 /// How often kept connections are looked through.
 static constexpr std::chrono::milliseconds sweep_interval{500};
-/// Share of the other end's stated idle time for which a connection is kept: it must not close it
+/// Tenths of the other end's stated idle time for which a connection is kept: it must not close it
 /// while a request is on its way.
-static constexpr double used_share_of_idle_time = 0.6;
+static constexpr int used_tenths_of_idle_time = 6;
 /// Kept connections to one identity.
 static constexpr std::size_t most_kept_per_identity = 32;
 
@@ -158,9 +158,7 @@
     from.reusable = head.keep_alive && !head.ends_with_connection;
     from.keep_for = this->keep_time;
     if (const auto stated = stated_idle_time(head.headers)) {
-        const auto usable = std::chrono::duration_cast<microseconds>(
-            std::chrono::duration<double, std::micro>(stated->count() * used_share_of_idle_time));
-        from.keep_for = std::min(from.keep_for, usable);
+        from.keep_for = std::min(from.keep_for, *stated * used_tenths_of_idle_time / 10);
     }
     from.handlers.head(std::move(head));
 }
