[http] a kept connection that has ended is never written to, and one that took no byte proves it

Ruled out: the upstream's own failure (it had not read the request). Change: a kept connection is looked at before it is used; a write that the network took no byte of is not sent, and the request is placed again. Test: a connection reset while the loop stands still.

--- a/include/ragwortcove/http/tcp_stream.hpp
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -56,6 +56,10 @@
     /// Closes with a reset, so that the other end cannot take what it got for whole.
     void reset();
     [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Bytes handed to the network since the connection opened.
+    [[nodiscard]] std::uint64_t sent_bytes() const;
+    /// Whether nothing has come that was not read yet: no byte, no end, no reset.
+    [[nodiscard]] bool is_quiet() const;
     [[nodiscard]] bool is_open() const;
 
     struct state;
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -31,6 +31,8 @@
     timer_id connect_timer = 0;
     bool opened = false;
     bool reusable = true;
+    /// Bytes that the connection had sent before the exchange under way.
+    std::uint64_t sent_before = 0;
     microseconds idle_since{0};
     microseconds keep_for{0};
     bool dead = false;
@@ -127,7 +129,9 @@
         this->bury(from);
         return;
     }
-    if (!from.opened) {
+    // A kept connection that was reset before we wrote has taken no byte of the request.
+    const bool nothing_sent = from.stream->sent_bytes() == from.sent_before;
+    if (!from.opened || nothing_sent) {
         this->fail(from, outbound_failure::not_sent);
         return;
     }
@@ -206,7 +210,9 @@
     while (!found->second.empty()) {
         link_pointer newest = found->second.back();
         found->second.pop_back();
+        // An end or a reset may have come that the loop has not told of yet.
         const bool usable = !newest->dead && newest->stream->is_open() &&
+                            newest->stream->is_quiet() &&
                             !newest->reader->has_surplus() &&
                             now - newest->idle_since < newest->keep_for;
         if (usable) {
@@ -271,6 +277,7 @@
     };
     raw->reader =
         std::make_unique<response_reader>(request.method == "HEAD", std::move(reading));
+    raw->sent_before = raw->stream->sent_bytes();
     raw->stream->write(render(request));
 }
 
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -28,6 +28,7 @@
     descriptor_id watched = 0;
     tcp_stream_handlers handlers;
     std::string unsent;
+    std::uint64_t sent = 0;
     bool opening = false;
     bool closing = false;
     bool open = true;
@@ -121,6 +122,7 @@
         if (count < 0)
             break;
         sent += static_cast<std::size_t>(count);
+        self->sent += static_cast<std::uint64_t>(count);
     }
     self->unsent.erase(0, sent);
     if (!self->unsent.empty())
@@ -273,6 +275,20 @@
     return this->self->unsent.size();
 }
 
+std::uint64_t tcp_stream::sent_bytes() const
+{
+    return this->self->sent;
+}
+
+bool tcp_stream::is_quiet() const
+{
+    if (!this->self->open)
+        return false;
+    char byte = 0;
+    const ssize_t count = ::recv(this->self->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool tcp_stream::is_open() const
 {
     return this->self->open && !this->self->closing;
--- a/unittests/http/outbound_test.cpp
+++ b/unittests/http/outbound_test.cpp
@@ -173,6 +173,23 @@
         const outcome got = calling.ask(upstream.port());
         CHECK(got.failure.has_value());
     }
+    SUBCASE("a kept connection that was closed before the next request is not used for it")
+    {
+        std::atomic<bool> closed{false};
+        raw_server upstream([&](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            if (!closed)
+                connection.reset();
+            closed = true;
+        });
+        CHECK(calling.ask(upstream.port()).complete);
+        // The loop stands still meanwhile, as it does while it handles something else.
+        while (!closed)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(calling.ask(upstream.port()).complete);
+        CHECK(upstream.accepted() == 2);
+    }
     SUBCASE("a kept connection is closed as the next request is written")
     {
         raw_server upstream([](raw_connection& connection) {
