--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 # The known failures are printed, so that nobody takes a green run for more than it is.
 check: format-check build lint sanitize
+	scripts/check-platform-names
 	cat KNOWN-RED.txt
 	cd $(BUILD)-sanitize && ctest --output-on-failure -j $(TEST_JOBS) --timeout 300
 	cd $(BUILD) && ctest --output-on-failure -j $(TEST_JOBS) --timeout 300
--- a/include/ragwortcove/daemon/bounded_output.hpp
+++ b/include/ragwortcove/daemon/bounded_output.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Output that never blocks its writer: a bounded buffer before a descriptor whose reader may stall.
+/// Output that never blocks its writer: a bounded buffer before a descriptor whose reader may
+/// stall.
 #pragma once
 
 #include <cstddef>
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -84,8 +84,7 @@
 
     void release(open_call& call, core::placement_outcome outcome);
     void pass_answer(open_call& call);
-    void refuse(open_call& call, int status, std::string_view reason,
-                core::duration retry_after);
+    void refuse(open_call& call, int status, std::string_view reason, core::duration retry_after);
     void fail(open_call& call, int status, std::string_view reason);
     void cut(open_call& call, std::string_view reason);
     void end(open_call& call);
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -52,8 +52,8 @@
 
     /// Owner of a key among the nodes that can own something; this node when it knows no other.
     [[nodiscard]] core::node_name owner_of(std::string_view key) const;
-    /// The same for what two nodes must not own at once: only a node's known end, or its word that it
-    /// leaves, makes another one the owner.
+    /// The same for what two nodes must not own at once: only a node's known end, or its word that
+    /// it leaves, makes another one the owner.
     [[nodiscard]] core::node_name settled_owner_of(std::string_view key) const;
     /// Whether another node that serves has been heard of, or there was time enough to.
     [[nodiscard]] bool has_met_others() const;
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -49,11 +49,11 @@
     void announce(const core::node_name& to, adapter::document_kind kind, core::revision at);
     void peer_message(const core::node_name& from, const wire::PeerDatagram& message);
     void answer_directory(http::inbound_server& by, http::inbound_exchange exchange,
-                      http::inbound_request&& request);
+                          http::inbound_request&& request);
     void answer_readiness(http::inbound_server& by, http::inbound_exchange exchange,
-                      http::inbound_request&& request);
+                          http::inbound_request&& request);
     void answer_peer(http::inbound_server& by, http::inbound_exchange exchange,
-                      http::inbound_request&& request);
+                     http::inbound_request&& request);
     void refresh_readiness();
     [[nodiscard]] std::string render_metrics() const;
 
--- a/include/ragwortcove/gateway/gateway_metrics.hpp
+++ b/include/ragwortcove/gateway/gateway_metrics.hpp
@@ -4,18 +4,18 @@
 
 #include "ragwortcove/core/types.hpp"
 
-#include <cstdint>
-#include <map>
-#include <string>
-#include <string_view>
-#include <vector>
-
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
 namespace ragwortcove::gateway {
 
 /// A figure that is read when it is asked for.
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -44,8 +44,7 @@
 
 /// Number of a request at this service; zero is none.
 using placement_number = std::uint64_t;
-using placement_handler =
-    std::function<void(placement_number, const core::placement_answer&)>;
+using placement_handler = std::function<void(placement_number, const core::placement_answer&)>;
 using quota_handler = std::function<void(const core::quota_answer&)>;
 
 class placement_service {
@@ -117,8 +116,7 @@
     void answer_quota_alone(placement_number number, bool as_owner);
     void answer_quota(placement_number number, const core::quota_answer& answer);
     [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team,
-                                                  const core::quota_request& wanted,
-                                                  bool as_owner);
+                                                  const core::quota_request& wanted, bool as_owner);
     /// Whether requests to a target have found places at once lately.
     [[nodiscard]] bool has_room(const core::target_name& target) const;
     void take_ask(const core::node_name& from, core::incarnation run,
--- a/lib/core/call_policy.cpp
+++ b/lib/core/call_policy.cpp
@@ -14,8 +14,8 @@
 static constexpr std::int64_t plain_patience_goals = 4;
 /// Share of the time left that waiting for a place may take.
 static constexpr double most_waiting_share = 0.6;
-/// A request waits for its quota no longer than this part of its goal: enough for a clump to spread,
-/// too little for a team that always asks for more to have all its requests late.
+/// A request waits for its quota no longer than this part of its goal: enough for a clump to
+/// spread, too little for a team that always asks for more to have all its requests late.
 static constexpr std::int64_t quota_parts_of_goal = 4;
 /// Silence of a plain upstream, in goals, and its bounds.
 static constexpr std::int64_t silence_goals = 3;
@@ -85,9 +85,9 @@
 duration placement_patience(const http_route& route, duration time_left)
 {
     const duration most = route.streams ? stream_patience : route.goal * plain_patience_goals;
-    const auto share = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::micro>(static_cast<double>(time_left.count()) *
-                                                  most_waiting_share));
+    const auto share =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::micro>(
+            static_cast<double>(time_left.count()) * most_waiting_share));
     return std::min(most, share);
 }
 
--- a/lib/core/placement_board.cpp
+++ b/lib/core/placement_board.cpp
@@ -148,10 +148,9 @@
     // Running requests use part of the memory too.
     const std::uint64_t room = std::uint64_t{state.cache_tokens} * usable_cache_tenths / 10;
     while (state.cached_tokens > room && !state.cache.empty()) {
-        const auto oldest = std::min_element(state.cache.begin(), state.cache.end(),
-                                             [](const auto& one, const auto& other) {
-                                                 return one.second.used < other.second.used;
-                                             });
+        const auto oldest = std::min_element(
+            state.cache.begin(), state.cache.end(),
+            [](const auto& one, const auto& other) { return one.second.used < other.second.used; });
         state.cached_tokens -= oldest->second.tokens;
         state.cache.erase(oldest);
     }
@@ -210,8 +209,7 @@
                        own(state.first_event_us, usual.first_event_us),
                        own(state.event_us, usual.event_us),
                        state.service_us > 0.0 ? state.service_us : usual.service_us};
-        const std::uint32_t most =
-            all_ejected ? 1 : most_in_flight(state.is_engine, state.slots);
+        const std::uint32_t most = all_ejected ? 1 : most_in_flight(state.is_engine, state.slots);
         one.has_room = state.in_flight < most;
         made.push_back(one);
     }
@@ -254,9 +252,8 @@
 {
     if (!by.state->is_engine || ask.longest_pause <= 0s)
         return true;
-    const std::uint64_t tokens =
-        std::min<std::uint64_t>(ahead + this->uncached(*by.state, ask),
-                                by.state->event_tokens * usual_chunk_tokens);
+    const std::uint64_t tokens = std::min<std::uint64_t>(
+        ahead + this->uncached(*by.state, ask), by.state->event_tokens * usual_chunk_tokens);
     const double pause =
         by.figures.event_us + static_cast<double>(tokens) * by.figures.prefill_us_per_token;
     return pause <= to_us(ask.longest_pause) * safe_share;
@@ -329,8 +326,8 @@
         each->refreshed = now;
         return;
     }
-    const bool any = std::any_of(
-        of.members.begin(), of.members.end(), [&](const upstream_name& name) {
+    const bool any =
+        std::any_of(of.members.begin(), of.members.end(), [&](const upstream_name& name) {
             const upstream_state& state = this->upstreams.at(name);
             return !state.info.leaving && may_use(state, message);
         });
@@ -344,8 +341,7 @@
     }
     const duration wait = this->estimated_wait(of, message);
     if (wait > message.patience) {
-        out.emplace_back(
-            placement_denial{message.id, denial_reason::overloaded, retry_hint(wait)});
+        out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait)});
         return;
     }
     of.queue.push_back(std::make_unique<waiting_ask>(
@@ -388,9 +384,8 @@
             rank = waiting.ask.rank;
             passed_over = 0;
         }
-        upstream_state* chosen = passed_over < most_passed_over
-                                     ? this->choose(candidates, waiting, now)
-                                     : nullptr;
+        upstream_state* chosen =
+            passed_over < most_passed_over ? this->choose(candidates, waiting, now) : nullptr;
         if (chosen == nullptr) {
             ++passed_over;
             ++at;
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -40,7 +40,8 @@
 {
     const double passed = seconds(now - of.filled_at);
     of.filled_at = now;
-    of.available = std::min(std::max(team.burst * share, 1.0), of.available + team.rate * share * passed);
+    of.available =
+        std::min(std::max(team.burst * share, 1.0), of.available + team.rate * share * passed);
     const double units = this->tolerated_units(team) * share;
     const double held = units * tolerance_held;
     const double flow = (units - held) / seconds(this->tolerance.window);
@@ -58,8 +59,7 @@
     made.accounts = true;
     made.assumed = was_handed ? 0.0 : team.burst * first_fill;
     made.handed_at = now;
-    made.available =
-        std::min(own.available, 0.0) + (was_handed ? own.handed_over : made.assumed);
+    made.available = std::min(own.available, 0.0) + (was_handed ? own.handed_over : made.assumed);
     own = made;
 }
 
@@ -72,8 +72,8 @@
     return std::exchange(found->second.available, 0.0);
 }
 
-// A bucket may run into debt for requests that wait until it is paid: a clump of requests within the
-// rate is spread, not refused.
+// A bucket may run into debt for requests that wait until it is paid: a clump of requests within
+// the rate is spread, not refused.
 quota_answer team_quota::take(const team_rule& team, const quota_request& request, time_point now)
 {
     if (team.rate <= 0.0)
@@ -99,8 +99,7 @@
         return {};
     }
     const double lacking = (needed - own.available) / (team.rate * request.share);
-    const auto wait =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double>(lacking));
+    const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(lacking));
     if (!request.has_room)
         return {false, wait};
     if (own.tolerated >= needed) {
--- a/lib/daemon/bounded_output.cpp
+++ b/lib/daemon/bounded_output.cpp
@@ -29,8 +29,8 @@
         this->flush();
 }
 
-// A pipe that polls as writable takes as many bytes as it writes atomically. The descriptor itself is
-// left as it is: it may be shared with other processes.
+// A pipe that polls as writable takes as many bytes as it writes atomically. The descriptor itself
+// is left as it is: it may be shared with other processes.
 void bounded_output::flush()
 {
     std::size_t sent = 0;
--- a/lib/daemon/event_log.cpp
+++ b/lib/daemon/event_log.cpp
@@ -158,11 +158,11 @@
     const auto now = std::chrono::steady_clock::now();
     for (const left_out_lines& each : log.sampler.take_left_out(now)) {
         const std::string count = std::to_string(each.count);
-        log.logger.forcedLog(log4cplus::WARN_LOG_LEVEL,
-                             render_log_line(log.format, log_event::lines_left_out,
-                                             {{"reason", "too_many"},
-                                              {"of", describe(each.event).name},
-                                              {"count", count}}));
+        log.logger.forcedLog(
+            log4cplus::WARN_LOG_LEVEL,
+            render_log_line(
+                log.format, log_event::lines_left_out,
+                {{"reason", "too_many"}, {"of", describe(each.event).name}, {"count", count}}));
     }
     if (log.sampler.admit(event, now))
         log.logger.forcedLog(level, render_log_line(log.format, event, fields));
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -54,9 +54,10 @@
                     "lines of an event were too many, or the log's reader stalled; `count` is how "
                     "many are missing",
                     "use the counters for totals; look at the log's reader when it stalls"},
-    log_event_entry{log_event::incarnation_raised, "incarnation_raised", log_level::info,
-                    "others know a later run of this node than its clock gave; it takes a later one",
-                    "check the VM's clock when it repeats"},
+    log_event_entry{
+        log_event::incarnation_raised, "incarnation_raised", log_level::info,
+        "others know a later run of this node than its clock gave; it takes a later one",
+        "check the VM's clock when it repeats"},
 
     log_event_entry{log_event::request_placed, "request_placed", log_level::info,
                     "a request goes to an upstream", "none"},
@@ -94,10 +95,11 @@
     log_event_entry{log_event::quota_exceeded, "quota_exceeded", log_level::info,
                     "a request was refused since its team has used up its quota",
                     "raise the team's quota if it is to send that much"},
-    log_event_entry{log_event::request_failed, "request_failed", log_level::info,
-                    "a request ended with an error of this node; `verdict` says whether it may have "
-                    "run",
-                    "look for `attempt_failed` lines of the same request"},
+    log_event_entry{
+        log_event::request_failed, "request_failed", log_level::info,
+        "a request ended with an error of this node; `verdict` says whether it may have "
+        "run",
+        "look for `attempt_failed` lines of the same request"},
     log_event_entry{log_event::quota_awaited, "quota_awaited", log_level::info,
                     "a request waits a moment since its team sends faster than its quota",
                     "none; many of them mean that the team is near its quota"},
@@ -131,9 +133,10 @@
     log_event_entry{log_event::peer_message_unreadable, "peer_message_unreadable",
                     log_level::warning, "a datagram from another instance cannot be read",
                     "check that all instances run the same release"},
-    log_event_entry{log_event::owner_silent, "owner_silent", log_level::warning,
-                    "the instance that owns a target or a quota did not answer; another one is used",
-                    "look at the instance or the network when it repeats"},
+    log_event_entry{
+        log_event::owner_silent, "owner_silent", log_level::warning,
+        "the instance that owns a target or a quota did not answer; another one is used",
+        "look at the instance or the network when it repeats"},
     log_event_entry{log_event::peer_documents_read, "peer_documents_read", log_level::info,
                     "newer documents came from another instance before the platform brought them",
                     "none; many of them mean that this instance cannot reach the platform"},
@@ -150,9 +153,10 @@
                     "the platform answers again", "none"},
     log_event_entry{log_event::rules_applied, "rules_applied", log_level::info,
                     "a version of the traffic rules is in force on this node", "none"},
-    log_event_entry{log_event::rules_rejected, "rules_rejected", log_level::error,
-                    "a version of the traffic rules cannot be read; the last good one stays in force",
-                    "correct the configuration at `place`"},
+    log_event_entry{
+        log_event::rules_rejected, "rules_rejected", log_level::error,
+        "a version of the traffic rules cannot be read; the last good one stays in force",
+        "correct the configuration at `place`"},
 
     log_event_entry{log_event::move_stepped, "move_stepped", log_level::info,
                     "a move changed its phase or its share", "none"},
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -92,8 +92,7 @@
         return false;
     }
     if (call.rules->has_teams() && !call.route->is_public) {
-        call.team =
-            call.facts.key ? call.rules->find_team_by_key(*call.facts.key) : nullptr;
+        call.team = call.facts.key ? call.rules->find_team_by_key(*call.facts.key) : nullptr;
         if (call.team == nullptr) {
             this->fail(call, status_unauthorized, "unknown key");
             return false;
@@ -131,8 +130,8 @@
     }
     std::optional<std::uint64_t> tokens;
     if (call.facts.prompt_tokens)
-        tokens = std::uint64_t{*call.facts.prompt_tokens} +
-                 call.facts.most_output_tokens.value_or(0);
+        tokens =
+            std::uint64_t{*call.facts.prompt_tokens} + call.facts.most_output_tokens.value_or(0);
     call.quota_cost = core::quota_cost(*call.team, tokens);
     this->env.placement.take_quota(
         *call.team, call.target, call.quota_cost,
@@ -142,8 +141,7 @@
         });
 }
 
-void call_handler::quota_answered(http::inbound_exchange exchange,
-                                  const core::quota_answer& answer)
+void call_handler::quota_answered(http::inbound_exchange exchange, const core::quota_answer& answer)
 {
     open_call* const call = this->find(exchange);
     if (call == nullptr)
@@ -180,8 +178,7 @@
     ask.target = call.target;
     if (call.team != nullptr)
         ask.team = call.team->name;
-    const std::uint32_t team_rank =
-        call.team == nullptr ? 0 : call.team->rank.value_or(0);
+    const std::uint32_t team_rank = call.team == nullptr ? 0 : call.team->rank.value_or(0);
     constexpr std::uint32_t ranks_of_routes = 100;
     ask.rank = team_rank * ranks_of_routes + std::min(call.route->rank, ranks_of_routes - 1);
     ask.prompt_tokens = call.facts.prompt_tokens.value_or(0);
@@ -292,9 +289,7 @@
     };
     handlers.body = [this, exchange](std::string_view bytes) { this->body_came(exchange, bytes); };
     handlers.complete = [this, exchange] { this->complete(exchange); };
-    handlers.failed = [this, exchange](http::outbound_failure why) {
-        this->failed(exchange, why);
-    };
+    handlers.failed = [this, exchange](http::outbound_failure why) { this->failed(exchange, why); };
     call.running.emplace();
     call.running->upstream = upstream.name;
     call.running->sent_at = at;
@@ -532,17 +527,16 @@
     if (wanted && core::repeat_counts(end))
         budget_left = this->env.repeats.spend(call.target, this->env.serving_nodes(), at);
     const core::next_step step = core::decide_after(*call.route, history, end, budget_left);
-    daemon::write_log(log_event::attempt_failed,
-                      {{"request", call.facts.attempt},
-                       {"upstream", upstream.value},
-                       {"how", describe(end)},
-                       {"status", call.running->head
-                                      ? std::to_string(call.running->head->status)
-                                      : "none"},
-                       {"after_ms", to_ms(at - call.running->sent_at)},
-                       {"may_have_run", history.may_have_run ? "true" : "false"},
-                       {"budget_left", budget_left ? "true" : "false"},
-                       {"again", step == core::next_step::place_again ? "true" : "false"}});
+    daemon::write_log(
+        log_event::attempt_failed,
+        {{"request", call.facts.attempt},
+         {"upstream", upstream.value},
+         {"how", describe(end)},
+         {"status", call.running->head ? std::to_string(call.running->head->status) : "none"},
+         {"after_ms", to_ms(at - call.running->sent_at)},
+         {"may_have_run", history.may_have_run ? "true" : "false"},
+         {"budget_left", budget_left ? "true" : "false"},
+         {"again", step == core::next_step::place_again ? "true" : "false"}});
     this->env.figures.count("failed_attempts", "how", describe(end));
     switch (step) {
     case core::next_step::place_again:
@@ -576,8 +570,7 @@
     duration between{0};
     if (call.running) {
         const dispatch& running = *call.running;
-        const time_point first =
-            running.events > 0 ? running.first_event_at : this->now();
+        const time_point first = running.events > 0 ? running.first_event_at : this->now();
         first_part = first - running.sent_at;
         constexpr std::uint32_t least_events = 4;
         if (running.events >= least_events)
@@ -631,25 +624,23 @@
                        {"age_ms", to_ms(at - call.arrived)},
                        {"retry_after_ms", to_ms(retry_after)}});
     this->env.figures.count("refusals", "reason", reason);
-    this->env.callers.respond(call.exchange, status,
-                              {{"Content-Type", "text/plain"},
-                               adapter::make_retry_header(retry_after)},
-                              reason);
+    this->env.callers.respond(
+        call.exchange, status,
+        {{"Content-Type", "text/plain"}, adapter::make_retry_header(retry_after)}, reason);
     this->end(call);
 }
 
 void call_handler::fail(open_call& call, int status, std::string_view reason)
 {
-    daemon::write_log(log_event::request_failed,
-                      {{"request", call.facts.attempt},
-                       {"route", call.route == nullptr ? "" : call.route->name.value},
-                       {"status", std::to_string(status)},
-                       {"reason", reason},
-                       {"verdict", to_string(core::verdict_of(call.history))},
-                       {"age_ms", to_ms(this->now() - call.arrived)},
-                       {"rules", call.rules == nullptr
-                                     ? "none"
-                                     : std::to_string(call.rules->rules().version)}});
+    daemon::write_log(
+        log_event::request_failed,
+        {{"request", call.facts.attempt},
+         {"route", call.route == nullptr ? "" : call.route->name.value},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"verdict", to_string(core::verdict_of(call.history))},
+         {"age_ms", to_ms(this->now() - call.arrived)},
+         {"rules", call.rules == nullptr ? "none" : std::to_string(call.rules->rules().version)}});
     this->env.figures.count("failures", "reason", reason);
     this->env.callers.respond(call.exchange, status, {{"Content-Type", "text/plain"}}, reason);
     this->end(call);
@@ -657,12 +648,13 @@
 
 void call_handler::cut(open_call& call, std::string_view reason)
 {
-    daemon::write_log(log_event::answer_cut,
-                      {{"request", call.facts.attempt},
-                       {"route", call.route->name.value},
-                       {"reason", reason},
-                       {"age_ms", to_ms(this->now() - call.arrived)},
-                       {"last_event", call.last_event ? std::to_string(*call.last_event) : "none"}});
+    daemon::write_log(
+        log_event::answer_cut,
+        {{"request", call.facts.attempt},
+         {"route", call.route->name.value},
+         {"reason", reason},
+         {"age_ms", to_ms(this->now() - call.arrived)},
+         {"last_event", call.last_event ? std::to_string(*call.last_event) : "none"}});
     this->env.figures.count("cuts", "reason", reason);
     this->env.callers.abort(call.exchange);
     this->end(call);
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -108,9 +108,9 @@
     if (of.answers)
         return;
     of.answers = true;
-    daemon::write_log(daemon::log_event::platform_regained,
-                      {{"documents", kind_text(of.kind)},
-                       {"revision", std::to_string(of.at.value)}});
+    daemon::write_log(
+        daemon::log_event::platform_regained,
+        {{"documents", kind_text(of.kind)}, {"revision", std::to_string(of.at.value)}});
     this->handlers.store_changed(true);
 }
 
@@ -136,9 +136,9 @@
                    [](const auto& one, const auto& other) {
                        return one.first == other.first && one.second.at == other.second.at;
                    });
-    const bool lost_some = std::any_of(
-        of.documents.begin(), of.documents.end(),
-        [&](const auto& each) { return !next.contains(each.first); });
+    const bool lost_some =
+        std::any_of(of.documents.begin(), of.documents.end(),
+                    [&](const auto& each) { return !next.contains(each.first); });
     of.documents = std::move(next);
     // A removal leaves no document behind, so the list's own revision stands for it.
     of.at = lost_some ? std::max(newest, all.at) : newest;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -160,7 +160,8 @@
     this->members.receive(*beat, context);
     this->unreachable.erase(beat->sender.name);
     if (this->members.later_run()) {
-        // A clock that was set back before this start must not make the node look like its own past.
+        // A clock that was set back before this start must not make the node look like its own
+        // past.
         this->members.raise_run();
         daemon::write_log(daemon::log_event::incarnation_raised,
                           {{"incarnation", std::to_string(this->members.self().run.value)}});
@@ -173,8 +174,7 @@
         if (is_newcomer) {
             for (const core::heartbeat& each : this->members.introductions()) {
                 const std::string sent = heartbeat_mark + peer::encode_datagram(each);
-                static_cast<void>(
-                    peer::send_datagram(this->datagrams, beat->sender.peers, sent));
+                static_cast<void>(peer::send_datagram(this->datagrams, beat->sender.peers, sent));
             }
         }
     }
@@ -248,8 +248,8 @@
 {
     std::vector<const core::member*> others = this->members.others();
     while (others.size() > most_told)
-        others.erase(others.begin() + static_cast<std::ptrdiff_t>(
-                                          core::uniform_below(this->random, others.size())));
+        others.erase(others.begin() +
+                     static_cast<std::ptrdiff_t>(core::uniform_below(this->random, others.size())));
     for (const core::member* other : others)
         this->send_heartbeat(other->claim.name, other->claim.peers, false);
 }
@@ -269,14 +269,12 @@
 
 core::node_name fleet::owner_of(std::string_view key) const
 {
-    return core::node_name{
-        this->owner_names[core::rendezvous_first(key, this->owner_names)]};
+    return core::node_name{this->owner_names[core::rendezvous_first(key, this->owner_names)]};
 }
 
 core::node_name fleet::settled_owner_of(std::string_view key) const
 {
-    return core::node_name{
-        this->serving_names[core::rendezvous_first(key, this->serving_names)]};
+    return core::node_name{this->serving_names[core::rendezvous_first(key, this->serving_names)]};
 }
 
 bool fleet::has_met_others() const
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -50,10 +50,8 @@
 gateway::gateway(http::loop& loop, const gateway_settings& given, core::incarnation run,
                  std::function<void()> when_ended)
     : on(loop), settings(given), ended(std::move(when_ended)),
-      upstream_connections(loop, upstream_keep_time),
-      control_connections(loop, control_keep_time),
-      store(loop, this->control_connections, to_socket_address(given.store)),
-      repeats(given.repeats)
+      upstream_connections(loop, upstream_keep_time), control_connections(loop, control_keep_time),
+      store(loop, this->control_connections, to_socket_address(given.store)), repeats(given.repeats)
 {
     http::inbound_handlers calling;
     calling.requested = [this](http::inbound_exchange id, http::inbound_request&& request) {
@@ -65,8 +63,8 @@
         this->figures.count("rejected_calls", "status", std::to_string(status));
     };
     const http::inbound_limits limits = make_limits({});
-    this->callers = std::make_unique<http::inbound_server>(
-        loop, to_socket_address(given.callers), limits, std::move(calling));
+    this->callers = std::make_unique<http::inbound_server>(loop, to_socket_address(given.callers),
+                                                           limits, std::move(calling));
     const auto serve = [&](const core::endpoint& at, std::unique_ptr<http::inbound_server>& by,
                            auto answer) {
         http::inbound_handlers handlers;
@@ -134,8 +132,7 @@
         message.mutable_digest()->set_revision(at.value);
         this->nodes->send_to_all(message);
     };
-    this->feed =
-        std::make_unique<document_feed>(loop, this->store, run.value, std::move(feeding));
+    this->feed = std::make_unique<document_feed>(loop, this->store, run.value, std::move(feeding));
     this->tick();
 }
 
@@ -163,9 +160,9 @@
     if (is_ready == this->was_ready)
         return;
     this->was_ready = is_ready;
-    daemon::write_log(log_event::readiness_changed,
-                      {{"ready", is_ready ? "true" : "false"},
-                       {"draining", this->draining ? "true" : "false"}});
+    daemon::write_log(
+        log_event::readiness_changed,
+        {{"ready", is_ready ? "true" : "false"}, {"draining", this->draining ? "true" : "false"}});
     if (is_ready)
         this->nodes->become_live();
 }
@@ -263,9 +260,9 @@
             readable.push_back(std::move(*one));
             continue;
         }
-        daemon::write_log(log_event::upstream_unreadable,
-                          {{"upstream", document.name},
-                           {"revision", std::to_string(document.at.value)}});
+        daemon::write_log(
+            log_event::upstream_unreadable,
+            {{"upstream", document.name}, {"revision", std::to_string(document.at.value)}});
         if (!update.whole)
             add(this->directory.remove({document.name}, document.at, at));
     }
@@ -288,12 +285,11 @@
     const auto tell = [this](const std::vector<core::upstream_name>& names, std::string_view what) {
         for (const core::upstream_name& name : names) {
             const core::announced_upstream* known = this->directory.find(name);
-            daemon::write_log(
-                log_event::upstream_changed,
-                {{"upstream", name.value},
-                 {"state", what},
-                 {"target", known == nullptr ? "" : known->target.value},
-                 {"revision", std::to_string(this->directory.at().value)}});
+            daemon::write_log(log_event::upstream_changed,
+                              {{"upstream", name.value},
+                               {"state", what},
+                               {"target", known == nullptr ? "" : known->target.value},
+                               {"revision", std::to_string(this->directory.at().value)}});
         }
     };
     tell(changes.added, "ready");
@@ -321,9 +317,8 @@
         by.respond(exchange, 503, {}, "");
         return;
     }
-    by.respond(
-        exchange, 200, {{"Content-Type", "application/json"}},
-        adapter::write_address_answer(entries, this->settings.address_time_to_live));
+    by.respond(exchange, 200, {{"Content-Type", "application/json"}},
+               adapter::write_address_answer(entries, this->settings.address_time_to_live));
 }
 
 void gateway::answer_readiness(http::inbound_server& by, http::inbound_exchange exchange,
@@ -338,7 +333,7 @@
 }
 
 void gateway::answer_peer(http::inbound_server& by, http::inbound_exchange exchange,
-                               http::inbound_request&& request)
+                          http::inbound_request&& request)
 {
     const auto respond = [&](int status, std::string_view type, std::string_view body) {
         const std::vector<http::header> headers{{"Content-Type", std::string(type)}};
@@ -373,8 +368,7 @@
           age(this->upstream_connections.counters().connections_opened)},
          {"upstream_connections_reused", "requests sent on kept connections",
           age(this->upstream_connections.counters().connections_reused)},
-         {"store_calls", "calls to the store and to peers for documents",
-          age(this->store.calls())},
+         {"store_calls", "calls to the store and to peers for documents", age(this->store.calls())},
          {"rules_revision", "revision of the rules in force",
           age(this->feed->at(adapter::document_kind::rules).value)},
          {"upstreams_revision", "revision of the upstreams in force",
@@ -391,9 +385,9 @@
         daemon::write_log(log_event::drain_repeated, {});
         return;
     }
-    daemon::write_log(log_event::drain_started,
-                      {{"name", this->settings.name.value},
-                       {"open", std::to_string(this->calls->open_calls())}});
+    daemon::write_log(
+        log_event::drain_started,
+        {{"name", this->settings.name.value}, {"open", std::to_string(this->calls->open_calls())}});
     this->draining = true;
     this->drain_began = this->now();
     this->refresh_readiness();
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -197,8 +197,8 @@
     void report(std::size_t line, std::string_view key, std::string_view expected,
                 std::string_view found)
     {
-        this->errors.push_back({this->document.file, line, std::string(key),
-                                std::string(expected), std::string(found)});
+        this->errors.push_back({this->document.file, line, std::string(key), std::string(expected),
+                                std::string(found)});
     }
 
     void read_entry(const ini_section& section, const ini_entry& entry)
@@ -227,8 +227,8 @@
                 this->report(0, "[" + std::string(known.section) + "] " + std::string(known.key),
                              known.expected, "");
         }
-        const bool is_open = !daemon::is_loopback(this->settings.callers) &&
-                             this->settings.callers.port != 0;
+        const bool is_open =
+            !daemon::is_loopback(this->settings.callers) && this->settings.callers.port != 0;
         if (is_open && !this->settings.trusted_network)
             this->report(0, "[gateway] trusted_network",
                          "true, since callers is not on loopback and connections are plain",
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -165,8 +165,7 @@
 void placement_service::deliver(core::placement_board::answers& answers)
 {
     for (const core::placement_answer& answer : answers) {
-        const core::placement_id id =
-            std::visit([](const auto& each) { return each.id; }, answer);
+        const core::placement_id id = std::visit([](const auto& each) { return each.id; }, answer);
         if (id.entry == this->env.self) {
             if (id.run == this->env.run)
                 this->answer_own(id.sequence, answer);
@@ -246,8 +245,8 @@
     if (owner == this->env.self) {
         core::placement_board::answers answers;
         if (granted)
-            this->board.release({id, outcome, first_part_after, between_events},
-                                this->env.now(), answers);
+            this->board.release({id, outcome, first_part_after, between_events}, this->env.now(),
+                                answers);
         else
             this->board.withdraw(id, this->env.now(), answers);
         this->deliver(answers);
@@ -403,8 +402,7 @@
 }
 
 core::quota_answer placement_service::take_locally(const core::team_rule& team,
-                                                   const core::quota_request& wanted,
-                                                   bool as_owner)
+                                                   const core::quota_request& wanted, bool as_owner)
 {
     const double serving = static_cast<double>(std::max<std::size_t>(this->env.serving(), 1));
     const double lost = static_cast<double>(this->env.lost());
@@ -645,9 +643,8 @@
             return;
         const auto reason = message.denial().reason() == 0 ? core::denial_reason::no_upstream
                                                            : core::denial_reason::overloaded;
-        this->answer_own(number,
-                         core::placement_denial{found->second.ask.id, reason,
-                                                duration{message.denial().retry_after()}});
+        this->answer_own(number, core::placement_denial{found->second.ask.id, reason,
+                                                        duration{message.denial().retry_after()}});
         return;
     }
     case wire::PeerDatagram::kWithdrawal:
@@ -675,15 +672,14 @@
         this->take_quota_ask(from, message);
         return;
     case wire::PeerDatagram::kQuotaAnswer:
-        this->answer_quota(message.quota_answer().sequence(),
-                           {message.quota_answer().granted(),
-                            duration{message.quota_answer().wait()}});
+        this->answer_quota(
+            message.quota_answer().sequence(),
+            {message.quota_answer().granted(), duration{message.quota_answer().wait()}});
         return;
     case wire::PeerDatagram::kQuotaReturn: {
-        const core::team_rule* team =
-            this->rules == nullptr
-                ? nullptr
-                : this->rules->find_team({message.quota_return().team()});
+        const core::team_rule* team = this->rules == nullptr
+                                          ? nullptr
+                                          : this->rules->find_team({message.quota_return().team()});
         if (team != nullptr)
             this->quotas.give_back(*team, message.quota_return().cost(), now);
         return;
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -311,8 +311,8 @@
     this->self->limits = limits;
     this->self->handlers = std::move(handlers);
     state* const own = this->self.get();
-    own->listener = std::make_unique<tcp_listener>(
-        on, at, [own](int descriptor) { own->accept(descriptor); });
+    own->listener =
+        std::make_unique<tcp_listener>(on, at, [own](int descriptor) { own->accept(descriptor); });
     own->sweep();
 }
 
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -99,8 +99,7 @@
         return message_fault::header_too_long;
     if (error == beast::http::error::body_limit)
         return message_fault::body_too_long;
-    if (error == beast::http::error::partial_message ||
-        error == beast::http::error::end_of_stream)
+    if (error == beast::http::error::partial_message || error == beast::http::error::end_of_stream)
         return message_fault::truncated;
     return message_fault::malformed;
 }
@@ -111,8 +110,8 @@
     std::size_t used = 0;
     error_code error;
     while (used < kept.size() && !parser.is_done()) {
-        const std::size_t taken = parser.put(
-            boost::asio::const_buffer(kept.data() + used, kept.size() - used), error);
+        const std::size_t taken =
+            parser.put(boost::asio::const_buffer(kept.data() + used, kept.size() - used), error);
         used += taken;
         if (error || taken == 0)
             break;
@@ -314,9 +313,15 @@
 
 bool is_hop_by_hop(const std::vector<header>& all, std::string_view name)
 {
-    static constexpr std::array<std::string_view, 9> known{
-        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+    static constexpr std::array<std::string_view, 9> known{"Connection",
+                                                           "Keep-Alive",
+                                                           "Proxy-Connection",
+                                                           "Proxy-Authenticate",
+                                                           "Proxy-Authorization",
+                                                           "TE",
+                                                           "Trailer",
+                                                           "Transfer-Encoding",
+                                                           "Upgrade"};
     const auto is_name = [name](std::string_view other) { return same_header_name(name, other); };
     if (std::any_of(known.begin(), known.end(), is_name))
         return true;
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -135,8 +135,7 @@
         this->fail(from, outbound_failure::not_sent);
         return;
     }
-    const bool whole =
-        how == stream_end::orderly && from.reader->finish() == message_fault::none;
+    const bool whole = how == stream_end::orderly && from.reader->finish() == message_fault::none;
     if (!whole && !from.dead && from.exchange != 0)
         this->fail(from, outbound_failure::connection_lost);
 }
@@ -212,8 +211,7 @@
         found->second.pop_back();
         // An end or a reset may have come that the loop has not told of yet.
         const bool usable = !newest->dead && newest->stream->is_open() &&
-                            newest->stream->is_quiet() &&
-                            !newest->reader->has_surplus() &&
+                            newest->stream->is_quiet() && !newest->reader->has_surplus() &&
                             now - newest->idle_since < newest->keep_for;
         if (usable) {
             if (found->second.empty())
@@ -275,8 +273,7 @@
         if (!raw->dead)
             this->completed(*raw);
     };
-    raw->reader =
-        std::make_unique<response_reader>(request.method == "HEAD", std::move(reading));
+    raw->reader = std::make_unique<response_reader>(request.method == "HEAD", std::move(reading));
     raw->sent_before = raw->stream->sent_bytes();
     raw->stream->write(render(request));
 }
@@ -295,8 +292,7 @@
 outbound_exchange outbound_client::start(outbound_request&& request, outbound_handlers&& handlers)
 {
     state* const own = this->self.get();
-    link_pointer chosen =
-        request.fresh_connection ? nullptr : own->take_kept(request.identity);
+    link_pointer chosen = request.fresh_connection ? nullptr : own->take_kept(request.identity);
     const bool reused = chosen != nullptr;
     if (!reused)
         chosen = own->open(request);
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -265,8 +265,8 @@
     if (!this->self->open)
         return;
     const linger at_once{1, 0};
-    static_cast<void>(setsockopt(this->self->descriptor, SOL_SOCKET, SO_LINGER, &at_once,
-                                 sizeof at_once));
+    static_cast<void>(
+        setsockopt(this->self->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once));
     release(*this->self);
 }
 
@@ -315,8 +315,7 @@
     descriptor_handlers handlers;
     handlers.readable = [descriptor, accepted = std::move(accepted)] {
         while (true) {
-            const int taken =
-                ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            const int taken = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (taken < 0)
                 return;
             accepted(taken);
--- a/unittests/adapter/headers_test.cpp
+++ b/unittests/adapter/headers_test.cpp
@@ -9,14 +9,11 @@
     http::request_line_and_headers head;
     head.method = "POST";
     head.target = "/a/b?c=d";
-    head.headers = {{"host", "h.example:8080"},
-                    {"x-attempt-id", "9c41"},
-                    {"X-Token-Count", "1460, 80"},
-                    {"X-Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,zz:1,e4"},
-                    {"X-Deadline-Ms", "15000"},
-                    {"Authorization", "Bearer  k1"},
-                    {"X-Length-Hint", "40"},
-                    {"X-Custom", "kept"}};
+    head.headers = {
+        {"host", "h.example:8080"},    {"x-attempt-id", "9c41"},
+        {"X-Token-Count", "1460, 80"}, {"X-Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,zz:1,e4"},
+        {"X-Deadline-Ms", "15000"},    {"Authorization", "Bearer  k1"},
+        {"X-Length-Hint", "40"},       {"X-Custom", "kept"}};
     return head;
 }
 
@@ -87,8 +84,11 @@
     http::status_line_and_headers head;
     head.status = 200;
     CHECK_FALSE(read_answer(head, "9c41").is_signed);
-    head.headers = {{"X-Server-Signature", "s"}, {"X-Attempt-Id", "9c41"}, {"Connection", "close"},
-                    {"Content-Length", "3"}, {"X-More", "1"}};
+    head.headers = {{"X-Server-Signature", "s"},
+                    {"X-Attempt-Id", "9c41"},
+                    {"Connection", "close"},
+                    {"Content-Length", "3"},
+                    {"X-More", "1"}};
     const answer_facts good = read_answer(head, "9c41");
     CHECK(good.is_signed);
     CHECK(good.is_for_attempt);
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -35,9 +35,9 @@
             this->calls->take(id, std::move(request));
         };
         handlers.abandoned = [this](http::inbound_exchange id) { this->calls->caller_left(id); };
-        this->callers = std::make_unique<http::inbound_server>(
-            this->on, http::socket_address{"127.0.0.1", 0}, http::inbound_limits{},
-            std::move(handlers));
+        this->callers =
+            std::make_unique<http::inbound_server>(this->on, http::socket_address{"127.0.0.1", 0},
+                                                   http::inbound_limits{}, std::move(handlers));
         placement_surroundings around;
         around.self.value = "n";
         around.run.value = 1;
@@ -50,11 +50,17 @@
         around.serving = [] { return 1; };
         around.lost = [] { return 0; };
         this->placement = std::make_unique<placement_service>(std::move(around));
-        this->calls = std::make_unique<call_handler>(call_surroundings{
-            this->on, *this->callers, this->upstreams, *this->placement, this->repeats,
-            this->figures, {"a"}, [this] { return this->rules; },
-            [this](const core::upstream_name& name) { return this->find(name); },
-            [] { return 1; }});
+        this->calls = std::make_unique<call_handler>(
+            call_surroundings{this->on,
+                              *this->callers,
+                              this->upstreams,
+                              *this->placement,
+                              this->repeats,
+                              this->figures,
+                              {"a"},
+                              [this] { return this->rules; },
+                              [this](const core::upstream_name& name) { return this->find(name); },
+                              [] { return 1; }});
         this->declare();
     }
 
@@ -109,7 +115,8 @@
     }
 
     /// What a caller gets for one request.
-    std::string ask(const std::string& path, const std::string& headers = "Authorization: Bearer k\r\n")
+    std::string ask(const std::string& path,
+                    const std::string& headers = "Authorization: Bearer k\r\n")
     {
         std::string answer;
         raw_client caller(this->callers->port(), [&](raw_connection& connection) {
@@ -220,9 +227,10 @@
     }
     SUBCASE("the answer is another request's")
     {
-        scripted_upstream upstream({"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: s\r\n"
-                                    "Content-Length: 3\r\n\r\nnot",
-                                    answer_with(200, "second")});
+        scripted_upstream upstream(
+            {"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: s\r\n"
+             "Content-Length: 3\r\n\r\nnot",
+             answer_with(200, "second")});
         node.add_upstream("i-1", upstream.server);
         const std::string answer = node.ask("/once/");
         CHECK(has(answer, "HTTP/1.1 502"));
@@ -245,7 +253,8 @@
     }
     SUBCASE("an upstream that says it did not run it: the next one gets it")
     {
-        scripted_upstream full({"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"});
+        scripted_upstream full(
+            {"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"});
         node.add_upstream("i-1", full.server);
         scripted_upstream other({answer_with(200, "ran here")});
         node.add_upstream("i-2", other.server);
@@ -258,12 +267,18 @@
 {
     node_before_upstreams node;
     std::deque<std::string> first;
-    SUBCASE("after an error") { first = {answer_with(500, "why")}; }
+    SUBCASE("after an error")
+    {
+        first = {answer_with(500, "why")};
+    }
     SUBCASE("after a broken answer")
     {
         first = {"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 10\r\n\r\nfour"};
     }
-    SUBCASE("after bytes that are no answer") { first = {"rubbish\r\n\r\n"}; }
+    SUBCASE("after bytes that are no answer")
+    {
+        first = {"rubbish\r\n\r\n"};
+    }
     scripted_upstream failing(first);
     node.add_upstream("i-1", failing.server);
     scripted_upstream good({answer_with(200, "good")});
@@ -348,7 +363,8 @@
 TEST_CASE("a request whose time is up is answered then")
 {
     node_before_upstreams node;
-    raw_server silent([](raw_connection& connection) { static_cast<void>(connection.receive_all()); });
+    raw_server silent(
+        [](raw_connection& connection) { static_cast<void>(connection.receive_all()); });
     node.add_upstream("i-1", silent);
     const auto began = node.on.now();
     CHECK(has(node.ask("/once/"), "HTTP/1.1 504"));
--- a/unittests/gateway/placement_service_test.cpp
+++ b/unittests/gateway/placement_service_test.cpp
@@ -1,6 +1,5 @@
-#include "ragwortcove/gateway/placement_service.hpp"
-
 #include "gateway.pb.h"
+#include "ragwortcove/gateway/placement_service.hpp"
 
 #include <doctest/doctest.h>
 
@@ -110,14 +109,14 @@
     {
         message.set_sender(this->nodes[from]->name.value);
         message.set_run(this->nodes[from]->run.value);
-        const bool lost = std::uniform_real_distribution<double>(0.0, 1.0)(this->random) < this->loss;
+        const bool lost =
+            std::uniform_real_distribution<double>(0.0, 1.0)(this->random) < this->loss;
         const auto found = std::find_if(this->nodes.begin(), this->nodes.end(),
                                         [&](const auto& each) { return each->name == to; });
         if (lost || found == this->nodes.end())
             return;
         const auto index = static_cast<std::size_t>(found - this->nodes.begin());
-        this->on_the_way.push_back(
-            {this->now + 1ms, from, index, message.SerializeAsString()});
+        this->on_the_way.push_back({this->now + 1ms, from, index, message.SerializeAsString()});
     }
 
     void pass(duration time)
@@ -131,8 +130,7 @@
                 wire::PeerDatagram message;
                 REQUIRE(message.ParseFromString(next.bytes));
                 const bool for_this_run = message.receiver_run() == 0 ||
-                                          message.receiver_run() ==
-                                              this->nodes[next.to]->run.value;
+                                          message.receiver_run() == this->nodes[next.to]->run.value;
                 if (!cut && for_this_run)
                     this->nodes[next.to]->service->received({message.sender()}, message);
             }
@@ -208,8 +206,8 @@
         for (placed& each : more)
             place(*on.nodes[1]->service, on, each);
         on.pass(1s);
-        const auto by_others = static_cast<std::size_t>(
-            std::count_if(more.begin(), more.end(), [](const placed& each) { return each.granted(); }));
+        const auto by_others = static_cast<std::size_t>(std::count_if(
+            more.begin(), more.end(), [](const placed& each) { return each.granted(); }));
         // The new owner hears of four requests of its own and of the third node, and knows nothing
         // of those of the first.
         CHECK(by_others >= 1);
@@ -262,9 +260,9 @@
     const core::team_rule& team = on.rules->rules().teams.front();
     for (const time_point end = on.now + time; on.now < end;) {
         for (const auto& each : on.nodes) {
-            each->service->take_quota(team, {"engines"}, 20.0, 0s, [&](const core::quota_answer& answer) {
-                granted += answer.granted ? 20.0 : 0.0;
-            });
+            each->service->take_quota(
+                team, {"engines"}, 20.0, 0s,
+                [&](const core::quota_answer& answer) { granted += answer.granted ? 20.0 : 0.0; });
         }
         on.pass(5ms);
     }
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -59,8 +59,9 @@
     SUBCASE("every header comes through in its own case, known to any library or not")
     {
         listening_server serving;
-        const std::string answer = serving.ask("GET /a?b=c HTTP/1.1\r\nHost: h\r\nX-Odd-One: v 1\r\n"
-                                               "Connection: close\r\n\r\n");
+        const std::string answer =
+            serving.ask("GET /a?b=c HTTP/1.1\r\nHost: h\r\nX-Odd-One: v 1\r\n"
+                        "Connection: close\r\n\r\n");
         REQUIRE(serving.requests.size() == 1);
         CHECK(serving.requests[0].head.target == "/a?b=c");
         CHECK(find_any_case(serving.requests[0].head.headers, "x-odd-one") == "v 1");
@@ -81,9 +82,10 @@
     SUBCASE("requests that are sent at once are answered one after another, in order")
     {
         listening_server serving;
-        const std::string answer = serving.ask("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
-                                               "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
-                                               "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::string answer =
+            serving.ask("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         const std::size_t first = answer.find("X-Seen: /1");
         const std::size_t second = answer.find("X-Seen: /2");
         const std::size_t third = answer.find("X-Seen: /3");
@@ -119,8 +121,8 @@
 
     SUBCASE("headers over the limit get 431")
     {
-        const std::string answer =
-            serving.ask("GET / HTTP/1.1\r\nHost: h\r\nX-Big: " + std::string(2000, 'x') + "\r\n\r\n");
+        const std::string answer = serving.ask(
+            "GET / HTTP/1.1\r\nHost: h\r\nX-Big: " + std::string(2000, 'x') + "\r\n\r\n");
         CHECK(answer.find("HTTP/1.1 431") == 0);
         CHECK(serving.rejected == std::vector<int>{431});
     }
@@ -129,8 +131,9 @@
         CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
                   .find("HTTP/1.1 413") == 0);
         const std::string chunk = "65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n";
-        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
-                  .find("HTTP/1.1 413") == 0);
+        CHECK(
+            serving.ask("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+                .find("HTTP/1.1 413") == 0);
     }
     SUBCASE("a head that is not whole in time gets 408")
     {
@@ -138,11 +141,13 @@
     }
     SUBCASE("two lengths, or a length beside chunks, could hide a second request: 400")
     {
-        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n")
+        CHECK(serving
+                  .ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n")
                   .find("HTTP/1.1 400") == 0);
-        CHECK(serving.ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
-                          "Content-Length: 5\r\n\r\nabcde")
+        CHECK(serving
+                  .ask("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                       "Content-Length: 5\r\n\r\nabcde")
                   .find("HTTP/1.1 400") == 0);
     }
     SUBCASE("bad chunks get 400")
--- a/unittests/http/outbound_test.cpp
+++ b/unittests/http/outbound_test.cpp
@@ -139,8 +139,9 @@
     }
     SUBCASE("bytes that are no answer")
     {
-        raw_server upstream(
-            [](raw_connection& connection) { answer_once(connection, "\x01\x02 rubbish\r\n\r\n"); });
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "\x01\x02 rubbish\r\n\r\n");
+        });
         CHECK(calling.ask(upstream.port()).failure == outbound_failure::malformed);
     }
     SUBCASE("an announcement goes before the answer and is none")
@@ -212,8 +213,8 @@
     });
     outcome got;
     const outbound_exchange exchange = calling.start(got, upstream.port());
-    static_cast<void>(
-        run_until(calling.on, [] { return false; }, std::chrono::milliseconds(50)));
+    static_cast<void>(run_until(
+        calling.on, [] { return false; }, std::chrono::milliseconds(50)));
     calling.client.cancel(exchange);
     CHECK(run_until(
         calling.on, [&] { return closed.load(); }, std::chrono::milliseconds(500)));
