--- a/tools/ragwortcove/explain.cpp
+++ b/tools/ragwortcove/explain.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 #include "ragwortcove/cli/common_options.hpp"
+#include "ragwortcove/cli/explanation.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -57,8 +58,10 @@
     std::stable_sort(lines.begin(), lines.end());
     for (const auto& each : lines)
         std::cout << each << '\n';
-    if (!lines.empty())
+    if (!lines.empty()) {
+        std::cout << "\nconclusion: " << cli::conclude(lines) << '\n';
         return exit_code::ok;
+    }
     std::cerr << "ragwortcove: no line speaks of " << request.getValue() << '\n';
     return exit_code::failed;
 }
