--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -1,5 +1,10 @@
 #include "ragwortcove/http/message_reader.hpp"
 
+// With sanitizers GCC takes an empty optional inside Beast's parser for an uninitialized one.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
