--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -66,10 +66,13 @@
         bool answers = true;
         std::uint32_t failures = 0;
         bool asking_peer = false;
+        /// When the watch under way was opened, on the loop's clock.
+        core::duration watched_since{0};
     };
 
     void list(kind_state& of);
     void watch(kind_state& of);
+    void watch_again(kind_state& of);
     void failed(kind_state& of, const adapter::store_outcome_error& why);
     void answered(kind_state& of);
     void replace(kind_state& of, const adapter::document_list& all);
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -11,6 +11,8 @@
 
 /// Longest time that one watch waits at the store.
 static constexpr std::chrono::milliseconds watch_time{8000};
+/// Time from the start of one watch to that of the next, at least.
+static constexpr core::duration shortest_watch = 100ms;
 /// Delay after a call that failed; doubled with each failure, with full jitter.
 static constexpr core::duration retry_base = 100ms;
 static constexpr core::duration retry_most = 1s;
@@ -67,6 +69,7 @@
 
 void document_feed::watch(kind_state& of)
 {
+    of.watched_since = this->on.now();
     this->store.watch(of.kind, of.read_to, watch_time,
                       [this, &of](const adapter::document_changes* changes,
                                   const adapter::store_outcome_error& why) {
@@ -77,10 +80,22 @@
                           this->answered(of);
                           of.read_to = std::max(of.read_to, changes->upto);
                           this->apply(of, *changes);
-                          this->watch(of);
+                          this->watch_again(of);
                       });
 }
 
+// A change that comes by itself is followed by the next watch at once. When many come in a row, as
+// when a whole fleet of upstreams starts, a short pause brings them together in one answer.
+void document_feed::watch_again(kind_state& of)
+{
+    const core::duration passed = this->on.now() - of.watched_since;
+    if (passed >= shortest_watch) {
+        this->watch(of);
+        return;
+    }
+    this->on.after(shortest_watch - passed, [this, &of] { this->watch(of); });
+}
+
 // Whatever a watch failed of, a list finds out what was missed.
 void document_feed::failed(kind_state& of, const adapter::store_outcome_error& why)
 {
