--- /dev/null
+++ b/include/ragwortcove/daemon/process_support.hpp
@@ -0,0 +1,14 @@
+/// \file
+/// What every daemon's process does at its start.
+#pragma once
+
+#include "ragwortcove/core/types.hpp"
+
+namespace ragwortcove::daemon {
+
+/// A number that no two runs share; a later run has a greater one unless the clock was set back.
+[[nodiscard]] core::incarnation make_incarnation();
+/// Blocks the signals that a daemon handles and gives a descriptor to read them from.
+[[nodiscard]] int open_signals();
+
+} // namespace ragwortcove::daemon
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -113,6 +113,7 @@
     void ask_quota_owner(placement_number number, quota_question& request);
     void take_quota_ask(const core::node_name& from, const wire::PeerDatagram& message);
     void refresh_owned_quotas();
+    void quota_owners_changed();
     void answer_quota_alone(placement_number number, bool as_owner);
     void answer_quota(placement_number number, const core::quota_answer& answer);
     [[nodiscard]] core::quota_answer take_locally(const core::team_rule& team,
--- a/lib/core/placement_board.cpp
+++ b/lib/core/placement_board.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/placement_board.hpp"
 
+#include "placement_figures.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -8,37 +10,8 @@
 
 using namespace std::chrono_literals;
 
-/// Assumed until an upstream has shown its own figures.
-static constexpr double first_prefill_us_per_token = 20.0;
-static constexpr double first_event_us_assumed = 25'000.0;
-static constexpr double first_service_us = 20'000.0;
-/// Weight of a new observation.
-static constexpr double learning_rate = 0.2;
-/// Prompts shorter than this say little of an engine's prefill speed.
-static constexpr std::uint32_t least_tokens_to_learn = 512;
-/// Time until an engine's first event besides its prefill, until it has shown its own.
-static constexpr double first_base_us = 20'000.0;
-/// Prompts up to this length show how long a first event takes by itself.
-static constexpr std::uint32_t most_tokens_for_base = 256;
-/// Prompt tokens that engines compute between two tokens of the requests beside.
-static constexpr std::uint64_t usual_chunk_tokens = 4096;
 /// Tenths of an engine's memory in which parts are counted on to stay.
 static constexpr std::uint64_t usable_cache_tenths = 8;
-/// Part of a limit that an estimate may reach.
-static constexpr double safe_share = 0.9;
-/// Extra time to an upstream in another failure domain.
-static constexpr double far_us = 3'000.0;
-/// A plain service may have this many more requests than places, so that a place that gets free is
-/// taken without a round trip.
-static constexpr std::uint32_t service_overlap = 1;
-/// Half of the weight of what was seen of an upstream is lost in this time.
-static constexpr duration health_half_life = 3s;
-/// Failures, weighed by age, from which on an upstream is judged.
-static constexpr double least_failures = 3.0;
-/// An upstream is ejected when its failure rate is over that of its peers by this much.
-static constexpr double tolerated_excess = 0.25;
-static constexpr duration first_ejection = 1s;
-static constexpr duration longest_ejection = 8s;
 /// A new owner waits this long for the entries' reports before it grants.
 static constexpr duration takeover_wait = 60ms;
 /// An ask that its entry has not repeated for this long is dropped.
@@ -57,36 +30,11 @@
 /// Time over which the rate of grants is averaged.
 static constexpr duration rate_window = 2s;
 
-static double to_us(duration span)
-{
-    return static_cast<double>(span.count());
-}
-
 static duration from_us(double value)
 {
     return duration{static_cast<duration::rep>(value)};
 }
 
-static void blend(double& into, double seen)
-{
-    into = into <= 0.0 ? seen : into + learning_rate * (seen - into);
-}
-
-double placement_board::typical(const cell& of, double upstream_state::*figure,
-                                double otherwise) const
-{
-    double total = 0.0;
-    std::size_t known = 0;
-    for (const upstream_name& name : of.members) {
-        const double value = this->upstreams.at(name).*figure;
-        if (value <= 0.0)
-            continue;
-        total += value;
-        ++known;
-    }
-    return known == 0 ? otherwise : total / static_cast<double>(known);
-}
-
 void placement_board::set_upstreams(std::span<const announced_upstream> all,
                                     const rule_index* rules)
 {
@@ -156,145 +104,6 @@
     }
 }
 
-static std::uint32_t most_in_flight(bool is_engine, std::uint32_t slots)
-{
-    return is_engine ? slots : slots + service_overlap;
-}
-
-bool placement_board::may_use(const upstream_state& state, const placement_ask& ask)
-{
-    return std::find(ask.avoid.begin(), ask.avoid.end(), state.info.name) == ask.avoid.end();
-}
-
-placement_board::engine_figures placement_board::usual_figures(const cell& of) const
-{
-    return {this->typical(of, &upstream_state::prefill_us_per_token, first_prefill_us_per_token),
-            this->typical(of, &upstream_state::first_event_us, first_base_us),
-            this->typical(of, &upstream_state::event_us, first_event_us_assumed),
-            this->typical(of, &upstream_state::service_us, first_service_us)};
-}
-
-/// Upstreams that take work. When every one looks bad, the judgement itself is in doubt: then all
-/// are listed, and each gets one request at a time.
-std::vector<placement_board::candidate> placement_board::list_candidates(const cell& of,
-                                                                         time_point now)
-{
-    const engine_figures usual = this->usual_figures(of);
-    const bool all_ejected =
-        std::all_of(of.members.begin(), of.members.end(), [&](const upstream_name& name) {
-            const upstream_state& state = this->upstreams.at(name);
-            return state.info.leaving || state.ejected_until > now;
-        });
-    std::vector<candidate> made;
-    made.reserve(of.members.size());
-    for (const upstream_name& name : of.members) {
-        upstream_state& state = this->upstreams.at(name);
-        if (state.info.leaving || (state.ejected_until > now && !all_ejected))
-            continue;
-        // An engine that is slow at one thing is slow at the others: what it has not shown is
-        // scaled from what it has.
-        double pace = 1.0;
-        if (state.event_us > 0.0)
-            pace = state.event_us / usual.event_us;
-        else if (state.prefill_us_per_token > 0.0)
-            pace = state.prefill_us_per_token / usual.prefill_us_per_token;
-        else if (state.first_event_us > 0.0)
-            pace = state.first_event_us / usual.first_event_us;
-        const auto own = [pace](double seen, double otherwise) {
-            return seen > 0.0 ? seen : otherwise * pace;
-        };
-        candidate one;
-        one.state = &state;
-        one.figures = {own(state.prefill_us_per_token, usual.prefill_us_per_token),
-                       own(state.first_event_us, usual.first_event_us),
-                       own(state.event_us, usual.event_us),
-                       state.service_us > 0.0 ? state.service_us : usual.service_us};
-        const std::uint32_t most = all_ejected ? 1 : most_in_flight(state.is_engine, state.slots);
-        one.has_room = state.in_flight < most;
-        made.push_back(one);
-    }
-    return made;
-}
-
-static double distance_us(const announced_upstream& upstream, const placement_ask& ask)
-{
-    return upstream.failure_domain == ask.failure_domain ? 0.0 : far_us;
-}
-
-double placement_board::first_event_us(const candidate& by, const placement_ask& ask,
-                                       std::uint64_t ahead) const
-{
-    const double tokens = static_cast<double>(ahead + this->uncached(*by.state, ask));
-    return distance_us(by.state->info, ask) + by.figures.first_event_us +
-           tokens * by.figures.prefill_us_per_token;
-}
-
-// Time to the last event, as far as it is known: prompts ahead, the prompt itself, the answer.
-double placement_board::whole_us(const candidate& by, const placement_ask& ask) const
-{
-    const upstream_state& state = *by.state;
-    if (!state.is_engine) {
-        const double share =
-            static_cast<double>(state.in_flight + 1) / static_cast<double>(state.slots);
-        return distance_us(state.info, ask) + by.figures.service_us * (1.0 + share);
-    }
-    // Every request that runs beside makes each token a little slower.
-    const double crowding = 1.0 + 0.02 * static_cast<double>(state.in_flight);
-    const double events = static_cast<double>(ask.output_tokens) / state.event_tokens;
-    return this->first_event_us(by, ask, state.backlog_tokens) +
-           by.figures.event_us * crowding * events;
-}
-
-// Between two events of a stream the engine computes a chunk of prompts for each of the event's
-// tokens. A long prompt on a slow engine would hold up all that run there beyond what is in time.
-bool placement_board::keeps_pace(const candidate& by, const placement_ask& ask,
-                                 std::uint64_t ahead) const
-{
-    if (!by.state->is_engine || ask.longest_pause <= 0s)
-        return true;
-    const std::uint64_t tokens = std::min<std::uint64_t>(
-        ahead + this->uncached(*by.state, ask), by.state->event_tokens * usual_chunk_tokens);
-    const double pause =
-        by.figures.event_us + static_cast<double>(tokens) * by.figures.prefill_us_per_token;
-    return pause <= to_us(ask.longest_pause) * safe_share;
-}
-
-// An upstream with a free place is not always a good one: a request waits for a better one as long
-// as there is one that could still serve it in time.
-placement_board::upstream_state* placement_board::choose(std::span<candidate> among,
-                                                         const waiting_ask& waiting,
-                                                         time_point now) const
-{
-    const placement_ask& ask = waiting.ask;
-    const double goal_us = to_us(waiting.goal_at - now) * safe_share;
-    bool some_in_time = false;
-    bool some_keep_pace = false;
-    for (const candidate& each : among) {
-        if (!each.state->is_engine || !may_use(*each.state, ask))
-            continue;
-        some_in_time = some_in_time || this->first_event_us(each, ask, 0) <= goal_us;
-        some_keep_pace = some_keep_pace || this->keeps_pace(each, ask, 0);
-    }
-    upstream_state* best = nullptr;
-    double best_time = 0.0;
-    for (const candidate& each : among) {
-        upstream_state& state = *each.state;
-        if (!each.has_room || !may_use(state, ask))
-            continue;
-        if (some_in_time && this->first_event_us(each, ask, state.backlog_tokens) > goal_us)
-            continue;
-        const bool alone = state.in_flight == 0;
-        if (some_keep_pace && !alone && !this->keeps_pace(each, ask, state.backlog_tokens))
-            continue;
-        const double time = this->whole_us(each, ask);
-        if (best != nullptr && time >= best_time)
-            continue;
-        best = &state;
-        best_time = time;
-    }
-    return best;
-}
-
 duration placement_board::estimated_wait(const cell& of, const placement_ask& ask) const
 {
     std::size_t ahead = 0;
@@ -430,47 +239,6 @@
     this->release({id, placement_outcome::cancelled, {}, {}}, now, out);
 }
 
-void placement_board::learn_start(upstream_state& state, std::uint64_t computed_tokens,
-                                  duration after)
-{
-    if (!state.is_engine || after <= 0s)
-        return;
-    const double base = state.first_event_us > 0.0 ? state.first_event_us : first_base_us;
-    if (computed_tokens <= most_tokens_for_base) {
-        blend(state.first_event_us, to_us(after));
-        return;
-    }
-    if (computed_tokens < least_tokens_to_learn)
-        return;
-    const double computing = std::max(0.0, to_us(after) - base);
-    blend(state.prefill_us_per_token, computing / static_cast<double>(computed_tokens));
-}
-
-void placement_board::learn_end(upstream_state& state, const placement_release& message)
-{
-    if (message.outcome != placement_outcome::completed)
-        return;
-    if (state.is_engine && message.between_events > 0s)
-        blend(state.event_us, to_us(message.between_events));
-    if (!state.is_engine && message.first_part_after > 0s)
-        blend(state.service_us, to_us(message.first_part_after));
-}
-
-void placement_board::observe_start(const upstream_name& name, std::uint32_t computed_tokens,
-                                    duration after)
-{
-    const auto found = this->upstreams.find(name);
-    if (found != this->upstreams.end())
-        learn_start(found->second, computed_tokens, after);
-}
-
-void placement_board::observe_end(const upstream_name& name, const placement_release& message)
-{
-    const auto found = this->upstreams.find(name);
-    if (found != this->upstreams.end())
-        learn_end(found->second, message);
-}
-
 void placement_board::started(const placement_id& id, duration after, time_point now)
 {
     (void)now;
@@ -504,62 +272,6 @@
             std::min<std::uint64_t>(state->second.backlog_tokens, was.uncached_tokens);
 }
 
-static bool speaks_against(placement_outcome outcome)
-{
-    switch (outcome) {
-    case placement_outcome::error_answer:
-    case placement_outcome::broken:
-    case placement_outcome::silent:
-    case placement_outcome::unreachable:
-        return true;
-    case placement_outcome::completed:
-    case placement_outcome::refused:
-    case placement_outcome::cancelled:
-        return false;
-    }
-    return false;
-}
-
-// Some kinds of request fail often on sound upstreams too, so each upstream is held against its
-// peers, not against a fixed rate.
-void placement_board::judge(upstream_state& state, const cell& of, placement_outcome outcome,
-                            time_point now)
-{
-    if (outcome == placement_outcome::refused || outcome == placement_outcome::cancelled)
-        return;
-    const double kept = std::exp2(-to_us(now - state.weighed_at) / to_us(health_half_life));
-    state.good *= kept;
-    state.bad *= kept;
-    state.weighed_at = now;
-    const bool failed = speaks_against(outcome);
-    (failed ? state.bad : state.good) += 1.0;
-    if (!failed) {
-        if (state.ejected_until <= now && state.bad < 1.0)
-            state.ejections = 0;
-        return;
-    }
-    double peers_bad = 0.0;
-    double peers_all = 0.0;
-    for (const upstream_name& name : of.members) {
-        const upstream_state& peer = this->upstreams.at(name);
-        if (&peer == &state)
-            continue;
-        peers_bad += peer.bad;
-        peers_all += peer.good + peer.bad;
-    }
-    const double peers_rate = peers_all > 0.0 ? peers_bad / peers_all : 0.0;
-    const double rate = state.bad / (state.good + state.bad);
-    const bool unreachable = outcome == placement_outcome::unreachable;
-    if (!unreachable && (state.bad < least_failures || rate < peers_rate + tolerated_excess))
-        return;
-    const duration ejection =
-        std::min(longest_ejection, first_ejection * (std::int64_t{1} << state.ejections));
-    state.ejected_until = std::max(state.ejected_until, now + ejection);
-    state.ejections = std::min(state.ejections + 1, 3U);
-    state.bad = least_failures - 1.0;
-    state.good = 0.0;
-}
-
 void placement_board::release(const placement_release& message, time_point now, answers& out)
 {
     this->over[message.id] = now + over_memory;
--- a/lib/daemon/process.cpp
+++ b/lib/daemon/process.cpp
@@ -3,46 +3,19 @@
 #include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/daemon/operator_access.hpp"
+#include "ragwortcove/daemon/process_support.hpp"
 #include "ragwortcove/daemon/runtime.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/standin/platform_server.hpp"
 
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <memory>
-#include <random>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace ragwortcove::daemon {
 
-/// A restarted process has a greater incarnation, and no two nodes share one: milliseconds since
-/// the epoch, then random low bits.
-static core::incarnation make_incarnation()
-{
-    static constexpr unsigned random_bits = 20;
-    using std::chrono::milliseconds;
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto millis = std::chrono::duration_cast<milliseconds>(since_epoch).count();
-    const std::uint64_t low = std::random_device{}() & ((1U << random_bits) - 1U);
-    return {(static_cast<std::uint64_t>(millis) << random_bits) | low};
-}
-
-/// Blocks the signals that the daemon handles and gives a descriptor to read them from.
-static int open_signals()
-{
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, SIGTERM);
-    sigaddset(&handled, SIGINT);
-    sigaddset(&handled, SIGHUP);
-    // Before any other thread starts, so that all of them leave the signals to the loop.
-    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 static void read_settings_again(const std::string& path, runtime& running)
 {
     const settings_outcome read = load_daemon_settings(path);
--- a/lib/gateway/process.cpp
+++ b/lib/gateway/process.cpp
@@ -1,11 +1,10 @@
 #include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
+#include "ragwortcove/daemon/process_support.hpp"
 #include "ragwortcove/gateway/gateway.hpp"
 
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <random>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -13,30 +12,6 @@
 
 using daemon::log_event;
 
-/// A number that no two runs share; a later run has a greater one unless the clock was set back.
-static core::incarnation make_incarnation()
-{
-    static constexpr unsigned random_bits = 20;
-    using std::chrono::milliseconds;
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto millis = std::chrono::duration_cast<milliseconds>(since_epoch).count();
-    const std::uint64_t low = std::random_device{}() & ((1U << random_bits) - 1U);
-    return {(static_cast<std::uint64_t>(millis) << random_bits) | low};
-}
-
-/// Blocks the signals that are handled and gives a descriptor to read them from.
-static int open_signals()
-{
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, SIGTERM);
-    sigaddset(&handled, SIGINT);
-    sigaddset(&handled, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 static void read_settings_again(const std::string& path, gateway& running)
 {
     const gateway_settings_outcome read = read_gateway_settings(settings::load_ini(path));
@@ -61,9 +36,9 @@
 
 int run_gateway(const std::string& settings_path, const gateway_settings& settings)
 {
-    const core::incarnation run = make_incarnation();
+    const core::incarnation run = daemon::make_incarnation();
     daemon::configure_log(settings.log);
-    const int signals = open_signals();
+    const int signals = daemon::open_signals();
     http::loop loop;
     gateway running{loop, settings, run, [&loop] { loop.stop(); }};
     if (!running.listening()) {
