--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -33,33 +33,73 @@
     found->second(std::chrono::duration<double>(took).count());
 }
 
+/// One line of a figure: its name with a suffix, its labels in braces, its value.
+static void add_line(std::string& to, std::string_view name, std::string_view labels,
+                     const std::string& value)
+{
+    to += name;
+    if (!labels.empty()) {
+        to += "{";
+        to += labels;
+        to += "}";
+    }
+    to += " ";
+    to += value;
+    to += "\n";
+}
+
+static void add_type(std::string& to, std::string_view name, std::string_view type)
+{
+    to += "# TYPE ";
+    to += name;
+    to += " ";
+    to += type;
+    to += "\n";
+}
+
+static std::string full_name(std::string_view name, std::string_view suffix)
+{
+    std::string made{prefix};
+    made += name;
+    made += suffix;
+    return made;
+}
+
 std::string gateway_metrics::render(const std::vector<gauge>& gauges) const
 {
     std::string text;
     for (const auto& [name, values] : this->counters) {
-        const std::string full = std::string(prefix) + name + "_total";
-        text += "# TYPE " + full + " counter\n";
+        const std::string full = full_name(name, "_total");
+        add_type(text, full, "counter");
         for (const auto& [label, value] : values)
-            text += full + "{" + label + "} " + std::to_string(value) + "\n";
+            add_line(text, full, label, std::to_string(value));
     }
     for (const auto& [name, routes] : this->distributions) {
-        const std::string full = std::string(prefix) + name + "_seconds";
-        text += "# TYPE " + full + " summary\n";
+        add_type(text, full_name(name, "_seconds"), "summary");
         for (const auto& [label, values] : routes) {
-            for (std::size_t index = 0; index < quantiles.size(); ++index) {
-                text += full + "{" + label + ",quantile=\"" +
-                        std::to_string(quantiles[index]).substr(0, 4) + "\"} " +
-                        std::to_string(statistics::extended_p_square(values)[index]) + "\n";
+            std::ptrdiff_t index = 0;
+            for (const double quantile : quantiles) {
+                const std::string labels =
+                    label + "," + make_label("quantile", std::to_string(quantile).substr(0, 4));
+                add_line(text, full_name(name, "_seconds"), labels,
+                         std::to_string(statistics::extended_p_square(values)[index]));
+                ++index;
             }
-            text += full + "_sum{" + label + "} " + std::to_string(statistics::sum(values)) + "\n";
-            text +=
-                full + "_count{" + label + "} " + std::to_string(statistics::count(values)) + "\n";
+            add_line(text, full_name(name, "_seconds_sum"), label,
+                     std::to_string(statistics::sum(values)));
+            add_line(text, full_name(name, "_seconds_count"), label,
+                     std::to_string(statistics::count(values)));
         }
     }
     for (const gauge& each : gauges) {
-        const std::string full = std::string(prefix) + each.name;
-        text += "# HELP " + full + " " + each.help + "\n# TYPE " + full + " gauge\n";
-        text += full + " " + std::to_string(each.value) + "\n";
+        const std::string full = full_name(each.name, "");
+        text += "# HELP ";
+        text += full;
+        text += " ";
+        text += each.help;
+        text += "\n";
+        add_type(text, full, "gauge");
+        add_line(text, full, "", std::to_string(each.value));
     }
     return text;
 }
--- /dev/null
+++ b/unittests/gateway/gateway_metrics_test.cpp
@@ -0,0 +1,24 @@
+#include "ragwortcove/gateway/gateway_metrics.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ragwortcove::gateway {
+
+TEST_CASE("figures come in the form that scrapers read")
+{
+    gateway_metrics figures;
+    figures.count("requests", "route", "r-1");
+    figures.count("requests", "route", "r-1");
+    figures.observe("first_event", "r-1", std::chrono::milliseconds(250));
+    const std::string text = figures.render({{"ready", "whether this node is ready", 1.0}});
+    const auto has = [&](const char* part) { return text.find(part) != std::string::npos; };
+    CHECK(has("# TYPE ragwortcove_requests_total counter\n"
+              "ragwortcove_requests_total{route=\"r-1\"} 2\n"));
+    CHECK(has("# TYPE ragwortcove_first_event_seconds summary\n"));
+    CHECK(has("ragwortcove_first_event_seconds{route=\"r-1\",quantile=\"0.50\"} "));
+    CHECK(has("ragwortcove_first_event_seconds_count{route=\"r-1\"} 1\n"));
+    CHECK(has("# HELP ragwortcove_ready whether this node is ready\n"
+              "# TYPE ragwortcove_ready gauge\nragwortcove_ready 1.000000\n"));
+}
+
+} // namespace ragwortcove::gateway
