--- a/include/ragwortcove/cli/explanation.hpp
+++ b/include/ragwortcove/cli/explanation.hpp
@@ -12,7 +12,7 @@
 [[nodiscard]] std::string field_of(std::string_view line, std::string_view key);
 
 /// Why a request ended as it did; `lines` are its lines in the order of time. Says so when they do
-/// not tell its end.
+/// not tell its end; empty when none of them is an event of a gateway.
 [[nodiscard]] std::string conclude(std::span<const std::string> lines);
 
 } // namespace ragwortcove::cli
--- a/lib/cli/explanation.cpp
+++ b/lib/cli/explanation.cpp
@@ -109,6 +109,8 @@
     if (name == "request_answered")
         return "answered " + field_of(end, "status") + " by upstream " + field_of(end, "upstream") +
                " after " + field_of(end, "whole_ms") + " ms" + describe_wait(lines);
+    if (last_named(lines, "request_placed").empty() && last_named(lines, "attempt_failed").empty())
+        return {};
     return "the lines do not tell its end: the process ended, or lines were left out";
 }
 
--- a/tools/ragwortcove/explain.cpp
+++ b/tools/ragwortcove/explain.cpp
@@ -59,7 +59,10 @@
     for (const auto& each : lines)
         std::cout << each << '\n';
     if (!lines.empty()) {
-        std::cout << "\nconclusion: " << cli::conclude(lines) << '\n';
+        // Apart from the lines themselves, which other programs may read.
+        const std::string conclusion = cli::conclude(lines);
+        if (!conclusion.empty())
+            std::cerr << "conclusion: " << conclusion << '\n';
         return exit_code::ok;
     }
     std::cerr << "ragwortcove: no line speaks of " << request.getValue() << '\n';
--- a/unittests/cli/explanation_test.cpp
+++ b/unittests/cli/explanation_test.cpp
@@ -52,6 +52,11 @@
         CHECK(conclude(lines) == "answered 200 by upstream i-e650 after 13175 ms; it had waited "
                                  "1174 ms for a place");
     }
+    SUBCASE("lines of other daemons' events lead to no conclusion")
+    {
+        const std::vector<std::string> lines{"t name=answered request=a-1 x=1"};
+        CHECK(conclude(lines).empty());
+    }
     SUBCASE("not told")
     {
         const std::vector<std::string> lines{placed};
