[gateway, core] three nodes watch the store and tell the others

Change: core/feed_readers decides who reads: the first three by rendezvous hashing, and any node that hears from fewer than two sound readers, one after the other by rank, so a partition of any shape has readers on each side within 1.5 s. Readers pass changes of up to 8 KB on in datagrams, with the revision that they follow; a gap, or a larger change, sends the others to the store once, or to the reader when the store turns them away. A node drawn at random looks once a second whether all readers have missed something.

Ruled out: configurations from peers (a large one of 320 KB would take a reader's 10 Mbit/s link 7 s); short watches (they would cost as much as the long ones of all nodes on a small site).

--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -53,6 +53,10 @@
     directory_changes remove(const upstream_name& name, revision at, time_point now);
     /// The store failed to answer, or has answered again: absence is believed only later.
     void store_disturbed(time_point now);
+    /// The same, learned from others: absence is not believed before that time.
+    void doubt_until(time_point until);
+    /// Until when absence is not believed.
+    [[nodiscard]] time_point doubted_until() const { return this->doubtful_until; }
     /// Removes what has been missing long enough.
     directory_changes tick(time_point now);
 
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -65,6 +65,7 @@
     owner_silent = 403,
     peer_documents_read = 404,
     peer_documents_failed = 405,
+    reading_changed = 406,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Keeps this node's documents up to date: from the store by watches, from other nodes when the
-/// store does not answer.
+/// Keeps this node's documents up to date: a reader watches the store and passes on what changes;
+/// the other nodes take that, and ask the store or a peer only for what they have missed.
 #pragma once
 
 #include "platform/store_client.hpp"
@@ -27,12 +27,20 @@
     core::revision at;
 };
 
+/// Changes of a kind, as a reader passes them on.
+struct document_delta {
+    adapter::document_kind kind = adapter::document_kind::rules;
+    /// Revision of the kind that the changes follow.
+    core::revision after;
+    adapter::document_changes changes;
+};
+
 struct document_feed_handlers {
     std::function<void(const document_update&)> updated;
     /// The store stopped answering, or answers again.
     std::function<void(bool answers)> store_changed;
-    /// Other nodes should hear of a revision.
-    std::function<void(adapter::document_kind, core::revision)> announce;
+    /// Other nodes should hear of what this one has read from the store.
+    std::function<void(const document_delta&)> announce;
 };
 
 /// Revisions only go up: what is older than what is in force changes nothing.
@@ -44,8 +52,16 @@
     document_feed(const document_feed&) = delete;
     document_feed& operator=(const document_feed&) = delete;
 
+    /// Begins to watch the store, or leaves that to others once the watches under way have ended.
+    void set_reading(bool reads);
+    /// Looks once whether the store has changes that nobody has told of.
+    void audit();
     /// Another node says which revision it has.
     void heard(adapter::document_kind kind, core::revision at, const http::socket_address& peer);
+    /// A reader passes on what has changed; `peer` is asked when there is a gap before it.
+    void heard(const document_delta& delta, const http::socket_address& peer);
+    /// Whether this node reads, and the store answers it.
+    [[nodiscard]] bool is_sound_reader() const;
     /// All documents of a kind, for other nodes.
     [[nodiscard]] adapter::document_list all(adapter::document_kind kind) const;
     [[nodiscard]] core::revision at(adapter::document_kind kind) const;
@@ -65,19 +81,29 @@
         bool known = false;
         bool answers = true;
         std::uint32_t failures = 0;
-        bool asking_peer = false;
+        /// Whether a call is on its way, or due soon, that brings what another node has.
+        bool catching_up = false;
+        /// The watch, list or pause before them that keeps a reader up to date.
+        bool busy = false;
+        adapter::store_call_number watch = 0;
         /// When the watch under way was opened, on the loop's clock.
         core::duration watched_since{0};
     };
 
     void list(kind_state& of);
     void watch(kind_state& of);
-    void watch_again(kind_state& of);
+    void go_on(kind_state& of);
     void failed(kind_state& of, const adapter::store_outcome_error& why);
+    void disturbed(kind_state& of, const adapter::store_outcome_error& why);
     void answered(kind_state& of);
-    void replace(kind_state& of, const adapter::document_list& all);
-    void apply(kind_state& of, const adapter::document_changes& changes);
-    void ask_peer(kind_state& of, core::revision at, const http::socket_address& peer);
+    void replace(kind_state& of, const adapter::document_list& all, bool from_store);
+    /// False when nothing was new.
+    bool apply(kind_state& of, const adapter::document_changes& changes);
+    void take_changes(kind_state& of, const adapter::document_changes& changes);
+    void catch_up(kind_state& of, core::revision at, const http::socket_address& peer);
+    void caught_up(kind_state& of);
+    void ask_store(kind_state& of, core::revision at, const http::socket_address& peer);
+    void ask_peer(kind_state& of, const http::socket_address& peer);
     [[nodiscard]] kind_state& state_of(adapter::document_kind kind);
     [[nodiscard]] const kind_state& state_of(adapter::document_kind kind) const;
 
@@ -86,6 +112,7 @@
     core::random_engine random;
     document_feed_handlers handlers;
     std::array<kind_state, adapter::fed_kinds> kinds;
+    bool reading = false;
 };
 
 } // namespace ragwortcove::gateway
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -57,6 +57,11 @@
     [[nodiscard]] core::node_name settled_owner_of(std::string_view key) const;
     /// Whether another node that serves has been heard of, or there was time enough to.
     [[nodiscard]] bool has_met_others() const;
+    /// Names of the nodes that serve, in order.
+    [[nodiscard]] const std::vector<std::string>& serving_nodes() const
+    {
+        return this->serving_names;
+    }
     /// Addresses for callers of all nodes that serve.
     [[nodiscard]] std::vector<core::endpoint> entries() const;
     /// Address of a node for other nodes; port zero when it is not known.
@@ -74,6 +79,7 @@
     void tick();
     void take(std::string_view bytes);
     void take_heartbeat(std::string_view bytes);
+    [[nodiscard]] std::string encode(wire::PeerDatagram& message) const;
     void send_heartbeat(const core::node_name& to, const core::endpoint& address,
                         bool wants_answer);
     void greet_seeds();
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "platform/store_client.hpp"
+#include "ragwortcove/core/feed_readers.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
@@ -19,6 +20,11 @@
 #include <functional>
 #include <memory>
 
+namespace ragwortcove::wire {
+class DocumentDelta;
+class DocumentDigest;
+} // namespace ragwortcove::wire
+
 namespace ragwortcove::gateway {
 
 class gateway {
@@ -46,7 +52,14 @@
     void rules_updated(const document_update& update);
     void upstreams_updated(const document_update& update);
     void directory_changed(const core::directory_changes& changes);
-    void announce(const core::node_name& to, adapter::document_kind kind, core::revision at);
+    void share_documents();
+    [[nodiscard]] wire::PeerDatagram make_digest() const;
+    void announce(const document_delta& delta);
+    /// How long this node will not believe in the absence of an upstream.
+    [[nodiscard]] core::duration doubt_left() const;
+    void reader_heard(const core::node_name& reader, core::duration doubt);
+    void take_digest(const core::node_name& from, const wire::DocumentDigest& digest);
+    void take_delta(const core::node_name& from, const wire::DocumentDelta& delta);
     void peer_message(const core::node_name& from, const wire::PeerDatagram& message);
     void answer_directory(http::inbound_server& by, http::inbound_exchange exchange,
                           http::inbound_request&& request);
@@ -61,6 +74,8 @@
     gateway_settings settings;
     std::function<void()> ended;
     gateway_metrics figures;
+    core::feed_readers readers;
+    core::random_engine random;
     http::outbound_client upstream_connections;
     http::outbound_client control_connections;
     adapter::store_client store;
@@ -78,6 +93,8 @@
     std::unique_ptr<document_feed> feed;
     http::timer_id tick_timer = 0;
     core::time_point digest_at;
+    core::time_point reader_digest_at;
+    core::time_point reading_check_at;
     core::time_point drain_began;
     bool draining = false;
     bool was_ready = false;
--- a/lib/core/upstream_directory.cpp
+++ b/lib/core/upstream_directory.cpp
@@ -13,7 +13,14 @@
 
 void upstream_directory::store_disturbed(time_point now)
 {
-    this->doubtful_until = std::max(this->doubtful_until, now + announcements_return_within);
+    this->doubt_until(now + announcements_return_within);
+}
+
+void upstream_directory::doubt_until(time_point until)
+{
+    if (until <= this->doubtful_until)
+        return;
+    this->doubtful_until = until;
     for (auto& [name, each] : this->entries) {
         if (each.gone_at != time_point::max())
             each.gone_at = this->doubtful_until;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -143,6 +143,10 @@
     log_event_entry{log_event::peer_documents_failed, "peer_documents_failed", log_level::warning,
                     "another instance that has newer documents did not give them",
                     "look at the network when it repeats"},
+    log_event_entry{log_event::reading_changed, "reading_changed", log_level::info,
+                    "this instance begins to read documents from the platform for the others, or "
+                    "leaves that to them",
+                    "none; many of them on one instance mean that it does not hear the others"},
 
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -222,19 +222,24 @@
 void fleet::send(const core::node_name& to, wire::PeerDatagram& message)
 {
     const core::endpoint address = this->peer_address(to);
-    if (address.port == 0)
-        return;
-    message.set_sender(this->self.name.value);
-    message.set_run(this->self.run.value);
-    std::string bytes(1, message_mark);
-    message.AppendToString(&bytes);
-    static_cast<void>(peer::send_datagram(this->datagrams, address, bytes));
+    if (address.port != 0)
+        static_cast<void>(peer::send_datagram(this->datagrams, address, this->encode(message)));
 }
 
 void fleet::send_to_all(wire::PeerDatagram& message)
 {
+    const std::string bytes = this->encode(message);
     for (const core::member* other : this->members.others())
-        this->send(other->claim.name, message);
+        static_cast<void>(peer::send_datagram(this->datagrams, other->claim.peers, bytes));
+}
+
+std::string fleet::encode(wire::PeerDatagram& message) const
+{
+    message.set_sender(this->self.name.value);
+    message.set_run(this->self.run.value);
+    std::string bytes(1, message_mark);
+    message.AppendToString(&bytes);
+    return bytes;
 }
 
 void fleet::become_live()
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -17,6 +17,12 @@
 static constexpr core::duration tick_period = 25ms;
 /// How often one other node hears of this node's revisions.
 static constexpr core::duration digest_period = 500ms;
+/// How often all hear of a reader's.
+static constexpr core::duration reader_period = 300ms;
+/// How often this node looks whether it should read.
+static constexpr core::duration reading_check_period = 50ms;
+/// Changes up to this size travel in a datagram; for larger ones the other nodes ask the store.
+static constexpr std::size_t most_delta_bytes = 8U << 10U;
 /// How long a kept connection to an upstream lies idle, at most.
 static constexpr std::chrono::milliseconds upstream_keep_time{5000};
 static constexpr std::chrono::milliseconds control_keep_time{3000};
@@ -49,8 +55,9 @@
 
 gateway::gateway(http::loop& loop, const gateway_settings& given, core::incarnation run,
                  std::function<void()> when_ended)
-    : on(loop), settings(given), ended(std::move(when_ended)),
-      upstream_connections(loop, upstream_keep_time), control_connections(loop, control_keep_time),
+    : on(loop), settings(given), ended(std::move(when_ended)), readers(given.name),
+      random(run.value), upstream_connections(loop, upstream_keep_time),
+      control_connections(loop, control_keep_time),
       store(loop, this->control_connections, {to_socket_address(given.store)}),
       repeats(given.repeats)
 {
@@ -127,12 +134,7 @@
     document_feed_handlers feeding;
     feeding.updated = [this](const document_update& update) { this->documents_updated(update); };
     feeding.store_changed = [this](bool) { this->directory.store_disturbed(this->now()); };
-    feeding.announce = [this](adapter::document_kind kind, core::revision at) {
-        wire::PeerDatagram message;
-        message.mutable_digest()->set_kind(static_cast<std::uint32_t>(kind));
-        message.mutable_digest()->set_revision(at.value);
-        this->nodes->send_to_all(message);
-    };
+    feeding.announce = [this](const document_delta& delta) { this->announce(delta); };
     this->feed = std::make_unique<document_feed>(loop, this->store, run.value, std::move(feeding));
     this->tick();
 }
@@ -174,37 +176,119 @@
     this->placement->tick();
     this->directory_changed(this->directory.tick(this->now()));
     this->refresh_readiness();
-    if (this->now() >= this->digest_at) {
-        this->digest_at = this->now() + digest_period;
+    this->share_documents();
+    this->tick_timer = this->on.after(tick_period, [this] { this->tick(); });
+}
+
+// A node that is leaving reads on: until it is gone its beats hold others back from reading.
+void gateway::share_documents()
+{
+    const core::time_point at = this->now();
+    if (at >= this->reading_check_at) {
+        this->reading_check_at = at + reading_check_period;
+        const std::vector<std::string>& serving = this->nodes->serving_nodes();
+        if (this->nodes->has_met_others())
+            this->feed->set_reading(this->readers.should_read(serving, at));
+        if (this->readers.audit_due(serving.size(), this->random, at))
+            this->feed->audit();
+    }
+    if (at >= this->digest_at) {
+        this->digest_at = at + digest_period;
         const core::node_name other = this->nodes->any_other();
-        for (const auto kind : {adapter::document_kind::rules, adapter::document_kind::upstreams})
-            this->announce(other, kind, this->feed->at(kind));
+        wire::PeerDatagram message = this->make_digest();
+        if (!other.empty())
+            this->nodes->send(other, message);
+    }
+    if (at >= this->reader_digest_at && this->feed->is_sound_reader()) {
+        this->reader_digest_at = at + reader_period;
+        wire::PeerDatagram message = this->make_digest();
+        this->nodes->send_to_all(message);
     }
-    this->tick_timer = this->on.after(tick_period, [this] { this->tick(); });
 }
 
-void gateway::announce(const core::node_name& to, adapter::document_kind kind, core::revision at)
+wire::PeerDatagram gateway::make_digest() const
 {
-    if (to.empty())
-        return;
     wire::PeerDatagram message;
-    message.mutable_digest()->set_kind(static_cast<std::uint32_t>(kind));
-    message.mutable_digest()->set_revision(at.value);
-    this->nodes->send(to, message);
+    wire::DocumentDigest& digest = *message.mutable_digest();
+    for (const auto kind : {adapter::document_kind::rules, adapter::document_kind::upstreams})
+        digest.add_revisions(this->feed->at(kind).value);
+    digest.set_reads(this->feed->is_sound_reader());
+    digest.set_doubt(this->doubt_left().count());
+    return message;
 }
 
-void gateway::peer_message(const core::node_name& from, const wire::PeerDatagram& message)
+void gateway::announce(const document_delta& delta)
 {
-    if (message.body_case() != wire::PeerDatagram::kDigest) {
-        this->placement->received(from, message);
+    wire::PeerDatagram message;
+    std::string changes = adapter::write_changes(delta.changes);
+    if (changes.size() > most_delta_bytes) {
+        message = this->make_digest();
+        this->nodes->send_to_all(message);
         return;
     }
-    const std::uint32_t kind = message.digest().kind();
+    wire::DocumentDelta& made = *message.mutable_delta();
+    made.set_kind(static_cast<std::uint32_t>(delta.kind));
+    made.set_after(delta.after.value);
+    made.set_revision(this->feed->at(delta.kind).value);
+    made.set_changes(std::move(changes));
+    made.set_doubt(this->doubt_left().count());
+    this->nodes->send_to_all(message);
+}
+
+core::duration gateway::doubt_left() const
+{
+    return std::max(core::duration{0}, this->directory.doubted_until() - this->now());
+}
+
+void gateway::reader_heard(const core::node_name& reader, core::duration doubt)
+{
+    const core::time_point at = this->now();
+    this->readers.heard(reader, at + doubt, at);
+    // A reader that the store answers judges by what it has seen itself.
+    if (!this->feed->is_sound_reader())
+        this->directory.doubt_until(this->readers.doubt_until(at));
+}
+
+void gateway::take_digest(const core::node_name& from, const wire::DocumentDigest& digest)
+{
+    if (digest.reads())
+        this->reader_heard(from, core::duration{digest.doubt()});
     const core::endpoint address = this->nodes->peer_address(from);
-    if (kind >= adapter::fed_kinds || address.port == 0 || !this->feed)
+    if (address.port == 0)
         return;
-    this->feed->heard(static_cast<adapter::document_kind>(kind),
-                      core::revision{message.digest().revision()}, to_socket_address(address));
+    for (int index = 0; index < digest.revisions_size(); ++index) {
+        if (static_cast<std::size_t>(index) < adapter::fed_kinds)
+            this->feed->heard(static_cast<adapter::document_kind>(index),
+                              core::revision{digest.revisions(index)}, to_socket_address(address));
+    }
+}
+
+void gateway::take_delta(const core::node_name& from, const wire::DocumentDelta& delta)
+{
+    const core::endpoint address = this->nodes->peer_address(from);
+    std::optional<adapter::document_changes> changes = adapter::read_changes(delta.changes());
+    if (delta.kind() >= adapter::fed_kinds || address.port == 0 || !changes) {
+        daemon::write_log(log_event::peer_message_unreadable,
+                          {{"bytes", std::to_string(delta.changes().size())}});
+        return;
+    }
+    this->reader_heard(from, core::duration{delta.doubt()});
+    changes->upto = core::revision{delta.revision()};
+    this->feed->heard({static_cast<adapter::document_kind>(delta.kind()),
+                       core::revision{delta.after()}, std::move(*changes)},
+                      to_socket_address(address));
+}
+
+void gateway::peer_message(const core::node_name& from, const wire::PeerDatagram& message)
+{
+    if (!this->feed)
+        return;
+    if (message.body_case() == wire::PeerDatagram::kDigest)
+        this->take_digest(from, message.digest());
+    else if (message.body_case() == wire::PeerDatagram::kDelta)
+        this->take_delta(from, message.delta());
+    else
+        this->placement->received(from, message);
 }
 
 void gateway::documents_updated(const document_update& update)
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -478,6 +478,7 @@
         return;
     }
     case wire::PeerDatagram::kDigest:
+    case wire::PeerDatagram::kDelta:
     case wire::PeerDatagram::BODY_NOT_SET:
         return;
     }
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -22,7 +22,8 @@
     std::map<std::string, std::map<std::string, std::uint64_t>> documents;
     /// Watches that wait, with the revision that they know.
     std::vector<std::pair<http::inbound_exchange, std::string>> waiting;
-    std::uint64_t known = 0;
+    /// Changes that no waiting watch hears of.
+    std::map<std::string, std::string> unheard;
     int lists = 0;
     int watches = 0;
     /// Status that every call gets instead, if any.
@@ -61,7 +62,11 @@
         }
         if (target.find("watch=") != std::string::npos) {
             ++this->watches;
-            this->waiting.emplace_back(id, kind);
+            if (target.find("wait_ms=0") == std::string::npos)
+                this->waiting.emplace_back(id, kind);
+            else
+                this->answer(id, R"({"events":[)" + this->unheard[kind] + R"(],"current_rev":)" +
+                                     std::to_string(this->revision) + "}");
             return;
         }
         ++this->lists;
@@ -77,6 +82,13 @@
         this->documents[kind][name] = ++this->revision;
         this->tell(kind, R"({"removed":false,"object":)" + document(name, this->revision) + "}");
     }
+    /// Changes a document while every watch is silent.
+    void put_silently(const std::string& kind, const std::string& name)
+    {
+        this->documents[kind][name] = ++this->revision;
+        this->unheard[kind] =
+            R"({"removed":false,"object":)" + document(name, this->revision) + "}";
+    }
     void remove(const std::string& kind, const std::string& name)
     {
         this->documents[kind].erase(name);
@@ -103,6 +115,8 @@
     adapter::store_client client{on, connections, {{"127.0.0.1", store.server->port()}}};
     std::vector<document_update> updates;
     std::vector<bool> store_changes;
+    std::vector<document_delta> announced;
+    bool reads = true;
     std::unique_ptr<document_feed> feed;
 
     void start()
@@ -112,9 +126,12 @@
             this->updates.push_back(update);
         };
         handlers.store_changed = [this](bool answers) { this->store_changes.push_back(answers); };
-        handlers.announce = [](document_kind, core::revision) {};
+        handlers.announce = [this](const document_delta& delta) {
+            this->announced.push_back(delta);
+        };
         this->feed =
             std::make_unique<document_feed>(this->on, this->client, 7, std::move(handlers));
+        this->feed->set_reading(this->reads);
     }
     bool until(const std::function<bool()>& done) { return run_until(this->on, done, 5s); }
     void pass(std::chrono::milliseconds time)
@@ -211,4 +228,126 @@
     }
 }
 
+TEST_CASE("a reader passes on what it has read")
+{
+    feed_before_store on;
+    on.store.documents["servers"]["i-1"] = 4;
+    on.start();
+    REQUIRE(on.until([&] { return on.feed->complete() && on.store.waiting.size() == 2; }));
+    CHECK(on.feed->is_sound_reader());
+    // What it starts with is no news.
+    CHECK(on.announced.empty());
+
+    SUBCASE("a change, with the revision that it follows")
+    {
+        on.store.put("servers", "i-2");
+        REQUIRE(on.until([&] { return on.announced.size() == 1; }));
+        CHECK(on.announced[0].kind == document_kind::upstreams);
+        CHECK(on.announced[0].after.value == 4);
+        CHECK(on.announced[0].changes.upto.value == 11);
+    }
+    SUBCASE("what it finds changed after the store was away")
+    {
+        on.store.turned_away = 503;
+        on.store.put("config", "main");
+        on.store.tell("servers", "");
+        on.pass(300ms);
+        CHECK_FALSE(on.feed->is_sound_reader());
+        on.store.documents["servers"].clear();
+        on.store.documents["servers"]["i-3"] = ++on.store.revision;
+        on.store.turned_away = 0;
+        REQUIRE(on.until([&] { return on.feed->is_sound_reader(); }));
+        const document_delta& found = on.announced.back();
+        REQUIRE(found.changes.changes.size() == 2);
+        CHECK(found.changes.changes[0].removed);
+        CHECK(found.changes.changes[0].document.name == "i-1");
+        CHECK(found.changes.changes[1].document.name == "i-3");
+    }
+    SUBCASE("it stops when others read")
+    {
+        on.feed->set_reading(false);
+        on.store.put("servers", "i-2");
+        on.pass(200ms);
+        CHECK(on.announced.empty());
+        CHECK(on.feed->at(document_kind::upstreams).value == 4);
+        on.feed->set_reading(true);
+        REQUIRE(on.until([&] { return on.feed->at(document_kind::upstreams).value == 11; }));
+    }
+}
+
+TEST_CASE("a node that does not read takes what readers pass on")
+{
+    feed_before_store on;
+    on.reads = false;
+    on.store.documents["servers"]["i-1"] = 4;
+    on.start();
+    REQUIRE(on.until([&] { return on.feed->complete(); }));
+    on.pass(150ms);
+    CHECK(on.store.watches == 0);
+    CHECK(on.store.lists == 2);
+    small_store other(on.on);
+    const http::socket_address address{"127.0.0.1", other.server->port()};
+    const auto change = [](const std::string& name, std::uint64_t at, bool removed) {
+        adapter::document_change made;
+        made.document.name = name;
+        made.document.at = {at};
+        made.removed = removed;
+        return made;
+    };
+
+    SUBCASE("a change that follows what it has")
+    {
+        on.feed->heard({document_kind::upstreams, {4}, {{change("i-2", 12, false)}, {12}}},
+                       address);
+        CHECK(on.feed->at(document_kind::upstreams).value == 12);
+        CHECK(on.updates.back().documents.size() == 1);
+        on.feed->heard({document_kind::upstreams, {12}, {{change("i-1", 13, true)}, {13}}},
+                       address);
+        CHECK(on.feed->all(document_kind::upstreams).documents.size() == 1);
+        // It is not its business to pass it on.
+        CHECK(on.announced.empty());
+        CHECK(on.store.lists == 2);
+    }
+    SUBCASE("the same change from the next reader is nothing new, nor is an older one")
+    {
+        on.feed->heard({document_kind::upstreams, {4}, {{change("i-1", 13, true)}, {13}}}, address);
+        const std::size_t before = on.updates.size();
+        on.feed->heard({document_kind::upstreams, {4}, {{change("i-1", 13, true)}, {13}}}, address);
+        on.feed->heard({document_kind::upstreams, {4}, {{change("i-1", 12, false)}, {12}}},
+                       address);
+        CHECK(on.updates.size() == before);
+        CHECK(on.feed->all(document_kind::upstreams).documents.empty());
+    }
+    SUBCASE("a gap sends it to the store")
+    {
+        on.store.put("servers", "i-2");
+        on.store.put("servers", "i-3");
+        on.feed->heard({document_kind::upstreams, {11}, {{change("i-3", 12, false)}, {12}}},
+                       address);
+        CHECK(on.feed->at(document_kind::upstreams).value == 4);
+        REQUIRE(on.until([&] { return on.feed->at(document_kind::upstreams).value == 12; }));
+        CHECK(on.feed->all(document_kind::upstreams).documents.size() == 3);
+        CHECK(other.lists == 0);
+    }
+    SUBCASE("and to the reader when the store turns it away")
+    {
+        on.store.turned_away = 503;
+        other.documents["servers"]["i-9"] = 20;
+        other.revision = 20;
+        on.feed->heard(document_kind::upstreams, {20}, address);
+        REQUIRE(on.until([&] { return on.feed->at(document_kind::upstreams).value == 20; }));
+        CHECK(other.lists == 1);
+        CHECK(on.store_changes == std::vector<bool>{false});
+    }
+    SUBCASE("an audit finds what every reader has missed, and tells the others")
+    {
+        on.store.put_silently("servers", "i-2");
+        on.feed->audit();
+        REQUIRE(on.until([&] { return on.feed->at(document_kind::upstreams).value == 11; }));
+        REQUIRE(on.announced.size() == 1);
+        CHECK(on.announced[0].after.value == 4);
+        CHECK(on.store.lists == 2);
+    }
+}
+
 } // namespace ragwortcove::gateway
