[core, gateway] nodes whose views of the members differ tell one another of everybody

Up to 44 nodes learned only 9 s after the start that some others were serving: 81 claims at once ride eight at a time on a heartbeat a second. Until then nodes chose different owners, and two accounted for one team.

Change: a heartbeat carries a hash of the runs that its sender takes for serving. A node whose hash differs sends all members it knows, at most ten times a second. Nothing more is sent while views agree.

--- a/include/ragwortcove/core/membership.hpp
+++ b/include/ragwortcove/core/membership.hpp
@@ -46,6 +46,8 @@
     /// Fills in the sender, the members to tell of and the receiver's answer wish.
     [[nodiscard]] heartbeat make_heartbeat(const node_name& receiver, bool wants_answer,
                                            step_context& context);
+    /// Hash of the runs that this node takes for serving; equal views give equal hashes.
+    [[nodiscard]] std::uint64_t view() const;
     /// Heartbeats that tell a newcomer of every member, a few on each.
     [[nodiscard]] std::vector<heartbeat> introductions() const;
     void receive(const heartbeat& message, step_context& context);
--- a/include/ragwortcove/core/peer_message.hpp
+++ b/include/ragwortcove/core/peer_message.hpp
@@ -182,6 +182,8 @@
     revision configuration;
     /// Whether the receiver should answer with a heartbeat of its own.
     bool wants_answer = false;
+    /// Hash of all members that the sender takes for running; zero when it does not say.
+    std::uint64_t view = 0;
     bool operator==(const heartbeat&) const = default;
 };
 
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -79,6 +79,8 @@
     void tick();
     void take(std::string_view bytes);
     void take_heartbeat(std::string_view bytes);
+    void introduce_all(const core::endpoint& to);
+    void reconcile(const core::heartbeat& beat);
     [[nodiscard]] std::string encode(wire::PeerDatagram& message) const;
     void send_heartbeat(const core::node_name& to, const core::endpoint& address,
                         bool wants_answer);
@@ -96,6 +98,7 @@
     int datagrams = -1;
     http::timer_id timer = 0;
     core::time_point greet_at;
+    core::time_point reconcile_at;
     std::vector<std::string> owner_names;
     /// Names of all nodes that serve.
     std::vector<std::string> serving_names;
--- a/lib/core/membership.cpp
+++ b/lib/core/membership.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/membership.hpp"
 
+#include "ragwortcove/core/rendezvous.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <string_view>
@@ -211,9 +213,24 @@
     made.sender = this->own;
     made.known = this->claims_to_tell(receiver, context);
     made.wants_answer = wants_answer;
+    made.view = this->view();
     return made;
 }
 
+// The sum does not depend on the order. A suspect most likely serves.
+std::uint64_t membership::view() const
+{
+    const auto hash_of = [](const member_claim& claim) {
+        const bool serves =
+            claim.state == member_state::live || claim.state == member_state::suspect;
+        return serves ? stable_hash(claim.name.value, claim.run.value) : 0;
+    };
+    std::uint64_t sum = hash_of(this->own);
+    for (const auto& [name, known] : this->members)
+        sum += hash_of(known.claim);
+    return sum;
+}
+
 std::vector<heartbeat> membership::introductions() const
 {
     std::vector<heartbeat> made;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -22,6 +22,8 @@
 static constexpr core::duration unreachable_time = 1s;
 /// How long a node that starts waits to hear of others.
 static constexpr core::duration meeting_time = 1s;
+/// Time between two nodes that are told of all members since their view differs.
+static constexpr core::duration reconcile_period = 100ms;
 /// Nodes that are told at once when this one begins or stops to serve; the rest hear from them.
 static constexpr std::size_t most_told = 32;
 /// First byte of a datagram: what follows it.
@@ -171,16 +173,33 @@
         this->send_heartbeat(beat->sender.name, beat->sender.peers, false);
         const bool is_newcomer =
             beat->known.empty() && beat->sender.state == core::member_state::joining;
-        if (is_newcomer) {
-            for (const core::heartbeat& each : this->members.introductions()) {
-                const std::string sent = heartbeat_mark + peer::encode_datagram(each);
-                static_cast<void>(peer::send_datagram(this->datagrams, beat->sender.peers, sent));
-            }
-        }
+        if (is_newcomer)
+            this->introduce_all(beat->sender.peers);
     }
+    this->reconcile(*beat);
     this->settle();
 }
 
+void fleet::introduce_all(const core::endpoint& to)
+{
+    for (const core::heartbeat& each : this->members.introductions()) {
+        const std::string sent = heartbeat_mark + peer::encode_datagram(each);
+        static_cast<void>(peer::send_datagram(this->datagrams, to, sent));
+    }
+}
+
+// Nodes that take different members for serving choose different owners. Claims that ride on
+// heartbeats bring them together again within many periods only when all nodes start at once, so a
+// node whose view differs is told of everybody.
+void fleet::reconcile(const core::heartbeat& beat)
+{
+    const bool differs = beat.view != 0 && beat.view != this->members.view();
+    if (!differs || this->now() < this->reconcile_at)
+        return;
+    this->reconcile_at = this->now() + reconcile_period;
+    this->introduce_all(beat.sender.peers);
+}
+
 // Effects of membership are log lines only; what it sends is sent here.
 void fleet::settle()
 {
--- a/lib/peer/decoder.cpp
+++ b/lib/peer/decoder.cpp
@@ -325,6 +325,7 @@
     result.store = this->name<core::store_id>(from.store(), "heartbeat.store");
     result.configuration = core::revision{from.configuration()};
     result.wants_answer = from.wants_answer();
+    result.view = from.view();
     return result;
 }
 
--- a/lib/peer/encoder.cpp
+++ b/lib/peer/encoder.cpp
@@ -260,6 +260,7 @@
     to.set_store(this->number_of(value.store.value));
     to.set_configuration(value.configuration.value);
     to.set_wants_answer(value.wants_answer);
+    to.set_view(value.view);
 }
 
 void message_writer::operator()(const core::feed_ask& value)
--- a/unittests/core/membership_test.cpp
+++ b/unittests/core/membership_test.cpp
@@ -138,6 +138,46 @@
     CHECK(watcher.members.take_changes().owners_changed);
 }
 
+// Found on days of 67 and 81 nodes that start at once: seconds later some nodes still took fewer
+// for serving, chose other owners, and two nodes accounted for one quota.
+TEST_CASE("nodes that take different members for serving see it on one heartbeat")
+{
+    seen_by first("a");
+    seen_by second("b");
+    seen_by third("c");
+    first.hear(second, 0ms);
+    second.hear(first, 0ms);
+    CHECK(first.members.view() == second.members.view());
+
+    first.hear(third, 10ms);
+    CHECK(first.members.view() != second.members.view());
+    step_context there = first.context(20ms);
+    CHECK(first.members.make_heartbeat(node_name{"b"}, true, there).view == first.members.view());
+
+    SUBCASE("introductions bring them together")
+    {
+        for (const heartbeat& each : first.members.introductions()) {
+            step_context here = second.context(30ms);
+            second.members.receive(each, here);
+        }
+        CHECK(first.members.view() == second.members.view());
+    }
+    SUBCASE("a suspect counts as serving, a member that leaves does not")
+    {
+        const std::uint64_t with_all = first.members.view();
+        third.members.leave();
+        first.hear(third, 40ms);
+        CHECK(first.members.view() != with_all);
+    }
+    SUBCASE("another run of a member is another view")
+    {
+        seen_by again("c", 2);
+        const std::uint64_t before = first.members.view();
+        first.hear(again, 50ms);
+        CHECK(first.members.view() != before);
+    }
+}
+
 TEST_CASE("a newcomer hears of every member from the one it greets")
 {
     seen_by watcher{"a"};
