[core] a quota spent unasked begins empty; a small team may use more of the tolerance

Change: a bucket spent unasked begins empty, holds 0.3 of its share of the burst and none of the tolerance. A node that takes over unasked begins with a tenth of the burst. Of the tolerance is kept back what the rate yields in 0.65 s, the time in which two nodes may both account: as much as before for a large team, less for a small one.

Accounting by whole windows: a node that ends right after a team used its window at once leaves the next one no knowledge of it, and the rate of 8 s more would be given out.

Tests: the new case of a silent accounting node holds on the code before as well; it guards the bound. Literals of four cases follow the smaller first fill and overdraft, each stricter than before; one bound follows the new part of the tolerance.

--- a/include/ragwortcove/core/team_quota.hpp
+++ b/include/ragwortcove/core/team_quota.hpp
@@ -26,6 +26,8 @@
     duration most_wait{0};
     /// Whether places stand free, so that what the quota tolerates harms nobody.
     bool has_room = false;
+    /// Whether this node accounts for the team; otherwise it spends without having asked.
+    bool accounts = true;
 };
 
 /// How far a team may go over its quota in any window before that counts as a breach.
@@ -69,7 +71,7 @@
         double assumed = 0.0;
     };
     [[nodiscard]] double tolerated_units(const team_rule& team) const;
-    void fill(bucket& of, const team_rule& team, double share, time_point now) const;
+    void fill(bucket& of, const team_rule& team, double share, double full, time_point now) const;
 
     quota_tolerance tolerance;
     std::map<team_name, bucket> buckets;
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -10,14 +10,17 @@
 /// Part of the tolerance's units in a window that its bucket holds; the rest flows in.
 static constexpr double tolerance_held = 0.25;
 /// Part of the burst that a bucket begins with when nothing is known of the time before.
-static constexpr double first_fill = 0.3;
-/// Part of the tolerance that is given out. A request that fits the tolerance harms nobody while
-/// places stand free; the rest is left for a change of the accounting node.
-static constexpr double used_tolerance = 0.5;
+static constexpr double first_fill = 0.1;
+/// Part of the tolerance that is not given out: what the team's rate yields in this time. So much
+/// may be given out twice before all nodes know that another one accounts.
+static constexpr duration reserved_time = 650ms;
+/// Part of its share of the burst that a node holds which spends without asking: the node that
+/// accounts may be spending, too.
+static constexpr double unasked_burst = 0.3;
 /// Part of the burst up to which a request counts as small.
 static constexpr double small_share = 0.005;
 /// Debt, as a part of the burst, up to which small requests pass without waiting.
-static constexpr double most_overdraft = 0.2;
+static constexpr double most_overdraft = 0.1;
 /// How long units that were handed over wait for this node to know that it accounts.
 static constexpr duration handover_memory = 1s;
 /// Time after which a bucket that is not asked for is full again in any case.
@@ -28,20 +31,22 @@
     return std::chrono::duration<double>(span).count();
 }
 
-/// Units beyond the quota that this node gives out in a window, at most.
+/// Units beyond the quota that this node gives out in a window, at most. A request that fits the
+/// tolerance harms nobody while places stand free.
 double team_quota::tolerated_units(const team_rule& team) const
 {
     const double in_window = team.rate * seconds(this->tolerance.window) + team.burst;
-    return used_tolerance * (this->tolerance.overrun * in_window + this->tolerance.slack);
+    const double all = this->tolerance.overrun * in_window + this->tolerance.slack;
+    return std::max(0.0, all - team.rate * seconds(reserved_time));
 }
 
 // What the bucket of the tolerance holds and what flows into it in a window make up its units.
-void team_quota::fill(bucket& of, const team_rule& team, double share, time_point now) const
+void team_quota::fill(bucket& of, const team_rule& team, double share, double full,
+                      time_point now) const
 {
     const double passed = seconds(now - of.filled_at);
     of.filled_at = now;
-    of.available =
-        std::min(std::max(team.burst * share, 1.0), of.available + team.rate * share * passed);
+    of.available = std::min(full, of.available + team.rate * share * passed);
     const double units = this->tolerated_units(team) * share;
     const double held = units * tolerance_held;
     const double flow = (units - held) / seconds(this->tolerance.window);
@@ -78,14 +83,15 @@
 {
     if (team.rate <= 0.0)
         return {};
-    const double full = std::max(team.burst * request.share, 1.0);
+    const double held = request.accounts ? team.burst : team.burst * unasked_burst;
+    const double full = std::max(held * request.share, 1.0);
     const auto [found, is_new] = this->buckets.try_emplace(team.name);
     bucket& own = found->second;
     if (is_new) {
-        own.available = full * first_fill;
+        own.available = request.accounts ? full * first_fill : 0.0;
         own.filled_at = now;
     }
-    this->fill(own, team, request.share, now);
+    this->fill(own, team, request.share, full, now);
     // A request larger than the whole bucket passes when the bucket is full.
     const double needed = std::min(request.cost, full);
     if (own.available >= needed) {
@@ -102,7 +108,7 @@
     const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(lacking));
     if (!request.has_room)
         return {false, wait};
-    if (own.tolerated >= needed) {
+    if (request.accounts && own.tolerated >= needed) {
         own.tolerated -= request.cost;
         return {};
     }
--- a/lib/gateway/placement_quotas.cpp
+++ b/lib/gateway/placement_quotas.cpp
@@ -47,6 +47,7 @@
     core::quota_request request = wanted;
     // Nodes that cannot be reached may be spending their shares.
     request.share = as_owner ? serving / (serving + lost) : 1.0 / (serving + lost);
+    request.accounts = as_owner;
     const core::quota_answer answer = this->quotas.take(team, request, this->env.now());
     // An owner that only this node cannot hear from counts what is spent here.
     if (answer.granted && !as_owner)
