[gateway] a node asks for what it has missed at most every 0.4 s

Change: two questions for a kind lie 0.4 s apart; one answer brings many changes. With the first wait of 0.1 s a change is in force within 0.6 s, against bounds of 2 s.

--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -83,6 +83,8 @@
         std::uint32_t failures = 0;
         /// Whether a call is on its way, or due soon, that brings what another node has.
         bool catching_up = false;
+        /// When the last such call went out, on the loop's clock.
+        core::duration asked_at = -std::chrono::hours{1};
         /// The watch, list or pause before them that keeps a reader up to date.
         bool busy = false;
         adapter::store_call_number watch = 0;
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -20,6 +20,8 @@
 static constexpr core::duration patience_before_asking = 100ms;
 /// The same when the store does not answer this node.
 static constexpr core::duration patience_without_store = 1ms;
+/// Time between two questions for a kind, at least: in a storm of changes one answer brings many.
+static constexpr core::duration least_between_questions = 400ms;
 
 static std::string_view kind_text(adapter::document_kind kind)
 {
@@ -307,8 +309,10 @@
     if (at <= of.at || of.catching_up)
         return;
     of.catching_up = true;
-    const core::duration patience =
+    const core::duration least =
         of.answers && of.known ? patience_before_asking : patience_without_store;
+    const core::duration patience =
+        std::max(least, of.asked_at + least_between_questions - this->on.now());
     this->on.after(patience, [this, &of, at, peer] { this->catch_up(of, at, peer); });
 }
 
@@ -334,6 +338,7 @@
         of.catching_up = false;
         return;
     }
+    of.asked_at = this->on.now();
     if (of.watch != 0) {
         this->store.cancel(std::exchange(of.watch, 0));
         of.busy = false;
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -48,6 +48,7 @@
         return R"({"meta":{"name":")" + name + R"(","revision":)" + std::to_string(at) +
                R"(},"spec":{"x":1}})";
     }
+    [[nodiscard]] core::revision revision_now() const { return {this->revision}; }
     void answer(http::inbound_exchange id, const std::string& body)
     {
         this->server->respond(id, 200, {}, body);
@@ -329,6 +330,17 @@
         CHECK(on.feed->all(document_kind::upstreams).documents.size() == 3);
         CHECK(other.lists == 0);
     }
+    SUBCASE("a storm of changes costs few calls")
+    {
+        for (std::uint64_t count = 0; count != 20; ++count) {
+            on.store.put("config", "main");
+            on.feed->heard(document_kind::rules, on.store.revision_now(), address);
+            on.pass(50ms);
+        }
+        on.pass(500ms);
+        CHECK(on.feed->at(document_kind::rules) == on.store.revision_now());
+        CHECK(on.store.lists <= 2 + 4);
+    }
     SUBCASE("and to the reader when the store turns it away")
     {
         on.store.turned_away = 503;
