--- a/include/ragwortcove/core/ruleset.hpp
+++ b/include/ragwortcove/core/ruleset.hpp
@@ -112,6 +112,8 @@
     [[nodiscard]] const team_rule* find_team(const team_name& name) const;
     [[nodiscard]] const target_rule* find_target(const target_name& name) const;
     [[nodiscard]] bool has_teams() const { return !this->all.teams.empty(); }
+    /// Keys of all teams.
+    [[nodiscard]] std::size_t key_count() const { return this->by_key.size(); }
 
 private:
     ruleset all;
--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -41,6 +41,7 @@
         return this->added.empty() && this->leaving.empty() && this->removed.empty() &&
                this->restarted.empty();
     }
+    void append(const directory_changes& more);
 };
 
 /// Announcements in force. Leases of announcements lapse while the store is away, so an upstream
@@ -49,7 +50,7 @@
 public:
     /// Everything announced at a revision; older lists and older announcements change nothing.
     directory_changes replace(std::span<const announced_upstream> all, revision at, time_point now);
-    directory_changes put(const announced_upstream& one, time_point now);
+    directory_changes put(const announced_upstream& one);
     directory_changes remove(const upstream_name& name, revision at, time_point now);
     /// The store failed to answer, or has answered again: absence is believed only later.
     void store_disturbed(time_point now);
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -45,6 +45,9 @@
     core::quota_tolerance tolerance;
 };
 
+/// Time after which an owner that has not answered is asked again.
+inline constexpr core::duration ask_again_after = std::chrono::milliseconds{40};
+
 /// Number of a request at this service; zero is none.
 using placement_number = std::uint64_t;
 using placement_handler = std::function<void(placement_number, const core::placement_answer&)>;
--- a/lib/core/upstream_directory.cpp
+++ b/lib/core/upstream_directory.cpp
@@ -38,7 +38,7 @@
     of.gone_at = std::min(of.gone_at, this->doubtful_until);
 }
 
-directory_changes upstream_directory::put(const announced_upstream& one, time_point now)
+directory_changes upstream_directory::put(const announced_upstream& one)
 {
     directory_changes changes;
     const auto found = this->entries.find(one.name);
@@ -51,7 +51,6 @@
     entry& known = found->second;
     if (one.at <= known.value.at || one.at < known.missing_since)
         return changes;
-    (void)now;
     known.gone_at = time_point::max();
     if (one.started_at != known.value.started_at || one.address != known.value.address)
         changes.restarted.push_back(one.name);
@@ -76,17 +75,17 @@
     return changes;
 }
 
-static void append(std::vector<upstream_name>& to, const std::vector<upstream_name>& from)
+static void add_names(std::vector<upstream_name>& to, const std::vector<upstream_name>& from)
 {
     to.insert(to.end(), from.begin(), from.end());
 }
 
-static void merge(directory_changes& into, const directory_changes& from)
+void directory_changes::append(const directory_changes& more)
 {
-    append(into.added, from.added);
-    append(into.leaving, from.leaving);
-    append(into.removed, from.removed);
-    append(into.restarted, from.restarted);
+    add_names(this->added, more.added);
+    add_names(this->leaving, more.leaving);
+    add_names(this->removed, more.removed);
+    add_names(this->restarted, more.restarted);
 }
 
 directory_changes upstream_directory::replace(std::span<const announced_upstream> all, revision at,
@@ -98,7 +97,7 @@
     std::set<upstream_name> present;
     for (const announced_upstream& one : all) {
         present.insert(one.name);
-        merge(changes, this->put(one, now));
+        changes.append(this->put(one));
     }
     std::vector<upstream_name> missing;
     for (const auto& [name, each] : this->entries) {
@@ -106,7 +105,7 @@
             missing.push_back(name);
     }
     for (const upstream_name& name : missing)
-        merge(changes, this->remove(name, at, now));
+        changes.append(this->remove(name, at, now));
     return changes;
 }
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/gateway/gateway.hpp"
 
 #include "gateway.pb.h"
+#include "http_values.hpp"
 #include "platform/headers.hpp"
 #include "platform/rules.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
@@ -15,14 +16,6 @@
 
 /// How often queues, asks and limits of time are looked at.
 static constexpr core::duration tick_period = 25ms;
-/// How often one other node hears of this node's revisions.
-static constexpr core::duration digest_period = 500ms;
-/// How often all hear of a reader's.
-static constexpr core::duration reader_period = 300ms;
-/// How often this node looks whether it should read.
-static constexpr core::duration reading_check_period = 50ms;
-/// Changes up to this size travel in a datagram; for larger ones the other nodes ask the store.
-static constexpr std::size_t most_delta_bytes = 8U << 10U;
 /// How long a kept connection to an upstream lies idle, at most.
 static constexpr std::chrono::milliseconds upstream_keep_time{5000};
 static constexpr std::chrono::milliseconds control_keep_time{3000};
@@ -33,26 +26,6 @@
 /// How often a node that ends looks whether it may.
 static constexpr core::duration drain_check_period = 50ms;
 
-static http::socket_address to_socket_address(const core::endpoint& from)
-{
-    return {from.address, from.port};
-}
-
-static std::chrono::milliseconds to_millis(core::duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
-}
-
-static http::inbound_limits make_limits(const core::caller_limits& from)
-{
-    http::inbound_limits made;
-    made.message.header_bytes = from.header_bytes;
-    made.message.body_bytes = from.body_bytes;
-    made.header_time = to_millis(from.header_time);
-    made.idle_time = to_millis(from.idle_time);
-    return made;
-}
-
 gateway::gateway(http::loop& loop, const gateway_settings& given, core::incarnation run,
                  std::function<void()> when_ended)
     : on(loop), settings(given), ended(std::move(when_ended)), readers(given.name),
@@ -180,105 +153,6 @@
     this->tick_timer = this->on.after(tick_period, [this] { this->tick(); });
 }
 
-// A node that is leaving reads on: until it is gone its beats hold others back from reading.
-void gateway::share_documents()
-{
-    const core::time_point at = this->now();
-    if (at >= this->reading_check_at) {
-        this->reading_check_at = at + reading_check_period;
-        const std::vector<std::string>& serving = this->nodes->serving_nodes();
-        if (this->nodes->has_met_others())
-            this->feed->set_reading(this->readers.should_read(serving, at));
-        if (this->readers.audit_due(serving.size(), this->random, at))
-            this->feed->audit();
-    }
-    if (at >= this->digest_at) {
-        this->digest_at = at + digest_period;
-        const core::node_name other = this->nodes->any_other();
-        wire::PeerDatagram message = this->make_digest();
-        if (!other.empty())
-            this->nodes->send(other, message);
-    }
-    if (at >= this->reader_digest_at && this->feed->is_sound_reader()) {
-        this->reader_digest_at = at + reader_period;
-        wire::PeerDatagram message = this->make_digest();
-        this->nodes->send_to_all(message);
-    }
-}
-
-wire::PeerDatagram gateway::make_digest() const
-{
-    wire::PeerDatagram message;
-    wire::DocumentDigest& digest = *message.mutable_digest();
-    for (const auto kind : {adapter::document_kind::rules, adapter::document_kind::upstreams})
-        digest.add_revisions(this->feed->at(kind).value);
-    digest.set_reads(this->feed->is_sound_reader());
-    digest.set_doubt(this->doubt_left().count());
-    return message;
-}
-
-void gateway::announce(const document_delta& delta)
-{
-    wire::PeerDatagram message;
-    std::string changes = adapter::write_changes(delta.changes);
-    if (changes.size() > most_delta_bytes) {
-        message = this->make_digest();
-        this->nodes->send_to_all(message);
-        return;
-    }
-    wire::DocumentDelta& made = *message.mutable_delta();
-    made.set_kind(static_cast<std::uint32_t>(delta.kind));
-    made.set_after(delta.after.value);
-    made.set_revision(this->feed->at(delta.kind).value);
-    made.set_changes(std::move(changes));
-    made.set_doubt(this->doubt_left().count());
-    this->nodes->send_to_all(message);
-}
-
-core::duration gateway::doubt_left() const
-{
-    return std::max(core::duration{0}, this->directory.doubted_until() - this->now());
-}
-
-void gateway::reader_heard(const core::node_name& reader, core::duration doubt)
-{
-    const core::time_point at = this->now();
-    this->readers.heard(reader, at + doubt, at);
-    // A reader that the store answers judges by what it has seen itself.
-    if (!this->feed->is_sound_reader())
-        this->directory.doubt_until(this->readers.doubt_until(at));
-}
-
-void gateway::take_digest(const core::node_name& from, const wire::DocumentDigest& digest)
-{
-    if (digest.reads())
-        this->reader_heard(from, core::duration{digest.doubt()});
-    const core::endpoint address = this->nodes->peer_address(from);
-    if (address.port == 0)
-        return;
-    for (int index = 0; index < digest.revisions_size(); ++index) {
-        if (static_cast<std::size_t>(index) < adapter::fed_kinds)
-            this->feed->heard(static_cast<adapter::document_kind>(index),
-                              core::revision{digest.revisions(index)}, to_socket_address(address));
-    }
-}
-
-void gateway::take_delta(const core::node_name& from, const wire::DocumentDelta& delta)
-{
-    const core::endpoint address = this->nodes->peer_address(from);
-    std::optional<adapter::document_changes> changes = adapter::read_changes(delta.changes());
-    if (delta.kind() >= adapter::fed_kinds || address.port == 0 || !changes) {
-        daemon::write_log(log_event::peer_message_unreadable,
-                          {{"bytes", std::to_string(delta.changes().size())}});
-        return;
-    }
-    this->reader_heard(from, core::duration{delta.doubt()});
-    changes->upto = core::revision{delta.revision()};
-    this->feed->heard({static_cast<adapter::document_kind>(delta.kind()),
-                       core::revision{delta.after()}, std::move(*changes)},
-                      to_socket_address(address));
-}
-
 void gateway::peer_message(const core::node_name& from, const wire::PeerDatagram& message)
 {
     if (!this->feed)
@@ -291,108 +165,6 @@
         this->placement->received(from, message);
 }
 
-void gateway::documents_updated(const document_update& update)
-{
-    switch (update.kind) {
-    case adapter::document_kind::rules:
-        this->rules_updated(update);
-        break;
-    case adapter::document_kind::upstreams:
-        this->upstreams_updated(update);
-        break;
-    case adapter::document_kind::own_objects:
-    case adapter::document_kind::own_claims:
-        break; // A gateway keeps no copy of these.
-    }
-}
-
-void gateway::rules_updated(const document_update& update)
-{
-    for (const adapter::store_document& document : update.documents) {
-        if (document.name != adapter::rules_document_name())
-            continue;
-        auto read = adapter::read_ruleset(document.content);
-        if (const auto* wrong = std::get_if<adapter::document_error>(&read)) {
-            daemon::write_log(log_event::rules_rejected,
-                              {{"revision", std::to_string(document.at.value)},
-                               {"place", wrong->place},
-                               {"expected", wrong->expected}});
-            continue;
-        }
-        this->rules =
-            std::make_shared<const core::rule_index>(std::move(std::get<core::ruleset>(read)));
-        daemon::write_log(log_event::rules_applied,
-                          {{"revision", std::to_string(document.at.value)},
-                           {"version", std::to_string(this->rules->rules().version)},
-                           {"routes", std::to_string(this->rules->rules().routes.size())},
-                           {"teams", std::to_string(this->rules->rules().teams.size())}});
-        this->callers->set_limits(make_limits(this->rules->rules().limits));
-        this->placement->set_rules(this->rules);
-    }
-}
-
-void gateway::upstreams_updated(const document_update& update)
-{
-    std::vector<core::announced_upstream> readable;
-    core::directory_changes changes;
-    const core::time_point at = this->now();
-    const auto add = [&](const core::directory_changes& more) {
-        changes.added.insert(changes.added.end(), more.added.begin(), more.added.end());
-        changes.leaving.insert(changes.leaving.end(), more.leaving.begin(), more.leaving.end());
-        changes.removed.insert(changes.removed.end(), more.removed.begin(), more.removed.end());
-        changes.restarted.insert(changes.restarted.end(), more.restarted.begin(),
-                                 more.restarted.end());
-    };
-    for (const adapter::store_document& document : update.documents) {
-        if (std::optional<core::announced_upstream> one = adapter::read_upstream(document)) {
-            readable.push_back(std::move(*one));
-            continue;
-        }
-        daemon::write_log(
-            log_event::upstream_unreadable,
-            {{"upstream", document.name}, {"revision", std::to_string(document.at.value)}});
-        if (!update.whole)
-            add(this->directory.remove({document.name}, document.at, at));
-    }
-    if (update.whole) {
-        add(this->directory.replace(readable, update.at, at));
-    }
-    else {
-        for (const core::announced_upstream& one : readable)
-            add(this->directory.put(one, at));
-        for (const std::string& name : update.removed)
-            add(this->directory.remove({name}, update.at, at));
-    }
-    this->directory_changed(changes);
-}
-
-void gateway::directory_changed(const core::directory_changes& changes)
-{
-    if (changes.empty())
-        return;
-    const auto tell = [this](const std::vector<core::upstream_name>& names, std::string_view what) {
-        for (const core::upstream_name& name : names) {
-            const core::announced_upstream* known = this->directory.find(name);
-            daemon::write_log(log_event::upstream_changed,
-                              {{"upstream", name.value},
-                               {"state", what},
-                               {"target", known == nullptr ? "" : known->target.value},
-                               {"revision", std::to_string(this->directory.at().value)}});
-        }
-    };
-    tell(changes.added, "ready");
-    tell(changes.leaving, "leaving");
-    tell(changes.removed, "gone");
-    tell(changes.restarted, "restarted");
-    for (const core::upstream_name& name : changes.restarted) {
-        this->placement->forget_upstream(name);
-        this->upstream_connections.forget(name.value);
-    }
-    for (const core::upstream_name& name : changes.removed)
-        this->upstream_connections.forget(name.value);
-    this->placement->set_upstreams(this->directory.all());
-}
-
 void gateway::answer_directory(http::inbound_server& by, http::inbound_exchange exchange,
                                http::inbound_request&& request)
 {
--- /dev/null
+++ b/lib/gateway/http_values.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// Addresses and limits of the core as the HTTP ends take them.
+#pragma once
+
+#include "ragwortcove/core/ruleset.hpp"
+#include "ragwortcove/core/types.hpp"
+#include "ragwortcove/http/inbound.hpp"
+#include "ragwortcove/http/tcp_stream.hpp"
+
+#include <chrono>
+
+namespace ragwortcove::gateway {
+
+[[nodiscard]] inline http::socket_address to_socket_address(const core::endpoint& from)
+{
+    return {from.address, from.port};
+}
+
+[[nodiscard]] inline std::chrono::milliseconds to_millis(core::duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+}
+
+[[nodiscard]] inline http::inbound_limits make_limits(const core::caller_limits& from)
+{
+    http::inbound_limits made;
+    made.message.header_bytes = from.header_bytes;
+    made.message.body_bytes = from.body_bytes;
+    made.header_time = to_millis(from.header_time);
+    made.idle_time = to_millis(from.idle_time);
+    return made;
+}
+
+} // namespace ragwortcove::gateway
--- /dev/null
+++ b/lib/gateway/placement_messages.cpp
@@ -0,0 +1,61 @@
+#include "placement_messages.hpp"
+
+namespace ragwortcove::gateway {
+
+using core::duration;
+
+void write_ask(const core::placement_ask& from, wire::PlacementAsk& to)
+{
+    to.set_sequence(from.id.sequence);
+    to.set_target(from.target.value);
+    to.set_cell(from.cell);
+    to.set_team(from.team.value);
+    to.set_rank(from.rank);
+    to.set_prompt_tokens(from.prompt_tokens);
+    to.set_output_tokens(from.output_tokens);
+    for (const core::prompt_part& part : from.parts) {
+        wire::PromptPart* added = to.add_parts();
+        added->set_id(part.id);
+        added->set_tokens(part.tokens);
+    }
+    to.set_goal_left(from.goal_left.count());
+    to.set_patience(from.patience.count());
+    to.set_longest_pause(from.longest_pause.count());
+    to.set_failure_domain(from.failure_domain.value);
+    for (const core::upstream_name& avoided : from.avoid)
+        to.add_avoid(avoided.value);
+}
+
+core::placement_ask read_ask(const core::placement_id& id, const wire::PlacementAsk& from)
+{
+    core::placement_ask made;
+    made.id = id;
+    made.target.value = from.target();
+    made.cell = from.cell();
+    made.team.value = from.team();
+    made.rank = from.rank();
+    made.prompt_tokens = from.prompt_tokens();
+    made.output_tokens = from.output_tokens();
+    for (const wire::PromptPart& part : from.parts())
+        made.parts.push_back({part.id(), part.tokens()});
+    made.goal_left = duration{from.goal_left()};
+    made.patience = duration{from.patience()};
+    made.longest_pause = duration{from.longest_pause()};
+    made.failure_domain.value = from.failure_domain();
+    for (const std::string& avoided : from.avoid())
+        made.avoid.push_back({avoided});
+    return made;
+}
+
+void write_load(const core::cell_load& from, wire::CellLoad& to)
+{
+    to.set_free_places(from.free_places);
+    to.set_waiting(from.waiting);
+}
+
+core::cell_load read_load(const wire::CellLoad& from)
+{
+    return {from.free_places(), from.waiting()};
+}
+
+} // namespace ragwortcove::gateway
--- a/lib/gateway/placement_quotas.cpp
+++ b/lib/gateway/placement_quotas.cpp
@@ -10,8 +10,6 @@
 using core::duration;
 using core::time_point;
 
-/// Time after which the owner of a quota that has not answered is asked again.
-static constexpr duration ask_again_after = 40ms;
 /// How long the owner of a quota may take before this node spends its own share.
 static constexpr duration quota_limit = 160ms;
 /// How long this node goes by itself after the owner of a quota did not answer.
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/gateway/placement_service.hpp"
 
 #include "gateway.pb.h"
+#include "placement_messages.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,8 +12,6 @@
 using core::duration;
 using core::time_point;
 
-/// Time after which an owner that has not answered is asked again.
-static constexpr duration ask_again_after = 40ms;
 /// Asks without an answer after which the owner counts as unreachable.
 static constexpr std::uint32_t most_unanswered = 4;
 /// A request that waits at an owner is asked for again this often, so that both know of it.
@@ -111,49 +110,6 @@
     return number;
 }
 
-static void write_ask(const core::placement_ask& from, wire::PlacementAsk& to)
-{
-    to.set_sequence(from.id.sequence);
-    to.set_target(from.target.value);
-    to.set_cell(from.cell);
-    to.set_team(from.team.value);
-    to.set_rank(from.rank);
-    to.set_prompt_tokens(from.prompt_tokens);
-    to.set_output_tokens(from.output_tokens);
-    for (const core::prompt_part& part : from.parts) {
-        wire::PromptPart* added = to.add_parts();
-        added->set_id(part.id);
-        added->set_tokens(part.tokens);
-    }
-    to.set_goal_left(from.goal_left.count());
-    to.set_patience(from.patience.count());
-    to.set_longest_pause(from.longest_pause.count());
-    to.set_failure_domain(from.failure_domain.value);
-    for (const core::upstream_name& avoided : from.avoid)
-        to.add_avoid(avoided.value);
-}
-
-static core::placement_ask read_ask(const core::placement_id& id, const wire::PlacementAsk& from)
-{
-    core::placement_ask made;
-    made.id = id;
-    made.target.value = from.target();
-    made.cell = from.cell();
-    made.team.value = from.team();
-    made.rank = from.rank();
-    made.prompt_tokens = from.prompt_tokens();
-    made.output_tokens = from.output_tokens();
-    for (const wire::PromptPart& part : from.parts())
-        made.parts.push_back({part.id(), part.tokens()});
-    made.goal_left = duration{from.goal_left()};
-    made.patience = duration{from.patience()};
-    made.longest_pause = duration{from.longest_pause()};
-    made.failure_domain.value = from.failure_domain();
-    for (const std::string& avoided : from.avoid())
-        made.avoid.push_back({avoided});
-    return made;
-}
-
 /// What is left of a span of time that began at `since`.
 static duration left_of(duration whole, time_point since, time_point now)
 {
@@ -182,17 +138,6 @@
     this->env.send(request.owner, message);
 }
 
-static void write_load(const core::cell_load& from, wire::CellLoad& to)
-{
-    to.set_free_places(from.free_places);
-    to.set_waiting(from.waiting);
-}
-
-static core::cell_load read_load(const wire::CellLoad& from)
-{
-    return {from.free_places(), from.waiting()};
-}
-
 // Answers to this node's own requests are handed over; the others travel.
 void placement_service::deliver(core::placement_board::answers& answers)
 {
@@ -450,138 +395,4 @@
         this->report_held(owner);
 }
 
-void placement_service::take_ask(const core::node_name& from, core::incarnation run,
-                                 const wire::PeerDatagram& message)
-{
-    const core::placement_id id{from, run, message.ask().sequence()};
-    const core::placement_ask asked = read_ask(id, message.ask());
-    core::placement_board::answers answers;
-    this->board.ask(asked, this->env.now(), answers);
-    const bool answered = std::any_of(answers.begin(), answers.end(), [&](const auto& answer) {
-        return std::visit([&](const auto& each) { return each.id == id; }, answer);
-    });
-    this->deliver(answers);
-    if (answered)
-        return;
-    wire::PeerDatagram queued;
-    queued.set_receiver_run(run.value);
-    queued.mutable_queued()->set_sequence(id.sequence);
-    write_load(this->board.load_for(asked), *queued.mutable_queued()->mutable_load());
-    this->env.send(from, queued);
-}
-
-void placement_service::take_held(const core::node_name& from, core::incarnation run,
-                                  const wire::PeerDatagram& message)
-{
-    std::vector<core::placement_held> all;
-    for (const wire::PlacementHeld::Request& each : message.held().requests()) {
-        core::placement_held made;
-        made.id = {from, run, each.sequence()};
-        made.target.value = each.target();
-        made.upstream.value = each.upstream();
-        made.uncached_tokens = each.uncached_tokens();
-        made.started = each.started();
-        all.push_back(std::move(made));
-    }
-    core::placement_board::answers answers;
-    this->board.held(from, run, all, this->env.now(), answers);
-    this->deliver(answers);
-}
-
-void placement_service::received(const core::node_name& from, const wire::PeerDatagram& message)
-{
-    const core::incarnation run{message.run()};
-    const time_point now = this->env.now();
-    core::placement_board::answers answers;
-    switch (message.body_case()) {
-    case wire::PeerDatagram::kAsk:
-        this->take_ask(from, run, message);
-        return;
-    case wire::PeerDatagram::kGrant: {
-        const placement_number number = message.grant().sequence();
-        const auto found = this->requests.find(number);
-        if (found == this->requests.end()) {
-            // Granted too late: the place is given back.
-            wire::PeerDatagram unused;
-            unused.mutable_withdrawal()->set_sequence(number);
-            this->env.send(from, unused);
-            return;
-        }
-        if (found->second.grant)
-            return;
-        const bool left_it = found->second.moved && found->second.owner != from;
-        if (left_it)
-            return; // That owner has the request's withdrawal.
-        found->second.owner = from;
-        this->answer_own(number, core::placement_grant{found->second.ask.id,
-                                                       {message.grant().upstream()},
-                                                       message.grant().uncached_tokens(),
-                                                       read_load(message.grant().load())});
-        return;
-    }
-    case wire::PeerDatagram::kQueued: {
-        const auto found = this->requests.find(message.queued().sequence());
-        if (found == this->requests.end() || found->second.owner != from)
-            return;
-        found->second.unanswered = 0;
-        this->heard_load(found->second, read_load(message.queued().load()));
-        return;
-    }
-    case wire::PeerDatagram::kDenial: {
-        const placement_number number = message.denial().sequence();
-        const auto found = this->requests.find(number);
-        if (found == this->requests.end() || found->second.owner != from)
-            return;
-        const auto reason = message.denial().reason() == 0 ? core::denial_reason::no_upstream
-                                                           : core::denial_reason::overloaded;
-        this->answer_own(number, core::placement_denial{found->second.ask.id, reason,
-                                                        duration{message.denial().retry_after()},
-                                                        read_load(message.denial().load())});
-        return;
-    }
-    case wire::PeerDatagram::kWithdrawal:
-        this->board.withdraw({from, run, message.withdrawal().sequence()}, now, answers);
-        break;
-    case wire::PeerDatagram::kStarted:
-        this->board.started({from, run, message.started().sequence()},
-                            duration{message.started().after()});
-        break;
-    case wire::PeerDatagram::kRelease: {
-        core::placement_release made;
-        made.id = {from, run, message.release().sequence()};
-        const auto last = static_cast<std::uint32_t>(core::placement_outcome::cancelled);
-        made.outcome =
-            static_cast<core::placement_outcome>(std::min(message.release().outcome(), last));
-        made.first_part_after = duration{message.release().first_part_after()};
-        made.between_events = duration{message.release().between_events()};
-        this->board.release(made, now, answers);
-        break;
-    }
-    case wire::PeerDatagram::kHeld:
-        this->take_held(from, run, message);
-        return;
-    case wire::PeerDatagram::kQuotaAsk:
-        this->take_quota_ask(from, message);
-        return;
-    case wire::PeerDatagram::kQuotaAnswer:
-        this->answer_quota(
-            message.quota_answer().sequence(),
-            {message.quota_answer().granted(), duration{message.quota_answer().wait()}});
-        return;
-    case wire::PeerDatagram::kQuotaReturn: {
-        const core::team_rule* team = this->rules == nullptr
-                                          ? nullptr
-                                          : this->rules->find_team({message.quota_return().team()});
-        if (team != nullptr)
-            this->quotas.give_back(*team, message.quota_return().cost(), now);
-        return;
-    }
-    case wire::PeerDatagram::kDigest:
-    case wire::PeerDatagram::kDelta:
-    case wire::PeerDatagram::BODY_NOT_SET:
-        return;
-    }
-    this->deliver(answers);
-}
-
 } // namespace ragwortcove::gateway
--- a/unittests/core/upstream_directory_test.cpp
+++ b/unittests/core/upstream_directory_test.cpp
@@ -24,24 +24,24 @@
 {
     upstream_directory directory;
     const time_point start{1h};
-    CHECK(directory.put(make_upstream("a", 5), start).added.size() == 1);
+    CHECK(directory.put(make_upstream("a", 5)).added.size() == 1);
 
     SUBCASE("an older announcement changes nothing")
     {
-        CHECK(directory.put(make_upstream("a", 4, true), start).empty());
+        CHECK(directory.put(make_upstream("a", 4, true)).empty());
         CHECK_FALSE(directory.find({"a"})->leaving);
     }
     SUBCASE("one that leaves is told of once")
     {
-        CHECK(directory.put(make_upstream("a", 6, true), start).leaving.size() == 1);
-        CHECK(directory.put(make_upstream("a", 7, true), start).empty());
+        CHECK(directory.put(make_upstream("a", 6, true)).leaving.size() == 1);
+        CHECK(directory.put(make_upstream("a", 7, true)).empty());
         CHECK(directory.find({"a"})->leaving);
     }
     SUBCASE("one that starts anew under its name is told of")
     {
         announced_upstream anew = make_upstream("a", 6);
         anew.started_at = 8;
-        CHECK(directory.put(anew, start).restarted.size() == 1);
+        CHECK(directory.put(anew).restarted.size() == 1);
     }
     SUBCASE("while the store is sound, what is removed is gone at once")
     {
@@ -64,8 +64,8 @@
 {
     upstream_directory directory;
     const time_point start{1h};
-    directory.put(make_upstream("a", 5), start);
-    directory.put(make_upstream("b", 5, true), start);
+    directory.put(make_upstream("a", 5));
+    directory.put(make_upstream("b", 5, true));
     directory.store_disturbed(start);
 
     SUBCASE("an upstream that is missing is kept, and gone when it does not come back")
@@ -80,7 +80,7 @@
     {
         const std::vector<announced_upstream> none;
         CHECK(directory.replace(none, {6}, start + 100ms).removed.size() == 1);
-        CHECK(directory.put(make_upstream("a", 8), start + 1s).empty());
+        CHECK(directory.put(make_upstream("a", 8)).empty());
         CHECK(directory.tick(start + 3s).empty());
         CHECK(directory.find({"a"}) != nullptr);
     }
