[core] a rank that is hardly served at all goes first for a while

Change: core/rank_service keeps what was asked and placed by rank over the last seconds. A rank served less than 0.3 as often as all is not refused at once and goes first, until it is above that again.

--- a/include/ragwortcove/core/placement_board.hpp
+++ b/include/ragwortcove/core/placement_board.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "ragwortcove/core/placement_cells.hpp"
+#include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
@@ -226,6 +227,8 @@
         time_point goal_at;
         time_point expires;
         time_point refreshed;
+        /// Its rank, or before all ranks while that one is starved.
+        std::uint32_t turn = 0;
     };
     /// An upstream as a placement under way looks at it.
     struct candidate {
@@ -236,6 +239,7 @@
     struct cell {
         std::vector<std::unique_ptr<waiting_ask>> queue;
         std::vector<upstream_name> members;
+        rank_service service;
         /// Grants a second, over the last seconds.
         double grant_rate = 0.0;
         time_point rated_at;
--- a/lib/core/placement_board.cpp
+++ b/lib/core/placement_board.cpp
@@ -177,8 +177,9 @@
         of.in_use = true;
         of.grants_from = now + takeover_wait;
     }
+    of.service.asked(message.rank, now);
     const duration wait = this->estimated_wait(of, message);
-    if (wait > message.patience) {
+    if (wait > message.patience && !of.service.is_starved(message.rank)) {
         out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait),
                                           this->load_of(of)});
         return;
@@ -211,16 +212,18 @@
     const auto has_room = [](const candidate& each) { return each.has_room; };
     if (std::none_of(candidates.begin(), candidates.end(), has_room))
         return;
+    for (const auto& each : of.queue)
+        each->turn = of.service.is_starved(each->ask.rank) ? 0 : each->ask.rank + 1;
     std::stable_sort(of.queue.begin(), of.queue.end(), [now](const auto& one, const auto& other) {
-        return goes_before(one->ask.rank, one->goal_at, other->ask.rank, other->goal_at, now);
+        return goes_before(one->turn, one->goal_at, other->turn, other->goal_at, now);
     });
     // What the free places did not suit for some of a rank they will hardly suit for the rest.
     std::uint32_t rank = 0;
     std::size_t passed_over = 0;
     for (auto at = of.queue.begin(); at != of.queue.end();) {
         const waiting_ask& waiting = **at;
-        if (waiting.ask.rank != rank) {
-            rank = waiting.ask.rank;
+        if (waiting.turn != rank) {
+            rank = waiting.turn;
             passed_over = 0;
         }
         upstream_state* chosen =
@@ -253,6 +256,7 @@
     state.backlog_tokens += made.uncached_tokens;
     ++state.in_flight;
     this->remember_prompt(state, ask);
+    of.service.placed(ask.rank, now);
     const double since = to_us(now - of.rated_at);
     const double kept = std::exp(-since / to_us(rate_window));
     of.grant_rate = of.grant_rate * kept + 1e6 / to_us(rate_window);
--- a/unittests/core/placement_board_test.cpp
+++ b/unittests/core/placement_board_test.cpp
@@ -390,6 +390,52 @@
     }
 }
 
+// Under an overload that lasts, short requests of the lowest rank got a fifth of what the others
+// did, though the places that they need are a fiftieth.
+TEST_CASE("under a lasting overload the lowest rank is served, too")
+{
+    board_of_engines on(2);
+    int asked[2] = {0, 0};
+    int placed[2] = {0, 0};
+    std::vector<placement_id> out;
+    std::map<placement_id, int> kind_of;
+    const auto take = [&](const placement_board::answers& answers) {
+        for (const placement_answer& answer : answers) {
+            const auto* grant = std::get_if<placement_grant>(&answer);
+            if (grant == nullptr)
+                continue;
+            ++placed[kind_of.at(grant->id)];
+            out.push_back(grant->id);
+        }
+    };
+    // Four urgent requests and one of the lowest rank for every two places that get free.
+    for (int step = 0; step != 200; ++step) {
+        on.now += 20ms;
+        for (int count = 0; count != 5; ++count) {
+            const int kind = count == 4 ? 1 : 0;
+            placement_ask ask = on.make(kind == 0 ? 0 : 2, 10);
+            ask.patience = 400ms;
+            kind_of[ask.id] = kind;
+            ++asked[kind];
+            take(on.ask(ask));
+        }
+        placement_board::answers answers;
+        for (int count = 0; count != 2 && !out.empty(); ++count) {
+            const placement_id ended = out.front();
+            out.erase(out.begin());
+            on.board.release({ended, placement_outcome::completed, 5ms, 10ms}, on.now, answers);
+        }
+        on.board.tick(on.now, answers);
+        take(answers);
+    }
+    const double urgent = static_cast<double>(placed[0]) / asked[0];
+    const double lowest = static_cast<double>(placed[1]) / asked[1];
+    const double all = static_cast<double>(placed[0] + placed[1]) / (asked[0] + asked[1]);
+    CHECK(urgent > lowest);
+    // The users call a kind of request starved that is served a quarter as often as all.
+    CHECK(lowest > 0.25 * all);
+}
+
 // Found on a day on which 28 of 81 nodes were cut off for 12 s: each placed on all engines as if it
 // were alone, all on the fastest ones, and engines had half more requests than places.
 TEST_CASE("a node that is cut off from the fleet leaves the others their places")
