--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -50,6 +50,7 @@
     quota_exceeded = 213,
     request_failed = 214,
     quota_awaited = 215,
+    connection_closed = 216,
 
     attempt_failed = 300,
     upstream_ejected = 301,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -52,6 +52,8 @@
 
     void handle_request(http::inbound_exchange exchange, http::inbound_request&& request);
     void on_caller_disconnected(http::inbound_exchange exchange);
+    /// Logs and counts that this node closes a caller's connection out of order.
+    void on_connection_closing(const http::connection_closing& closing);
     /// Refuses every later request, since the process is about to end.
     void refuse_new_requests() { this->refusing_new_requests = true; }
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -36,6 +36,36 @@
     std::string body;
 };
 
+enum class connection_phase {
+    /// No byte of a request has come.
+    idle,
+    reading,
+    /// A request is with the handler; its response may have begun.
+    answering,
+};
+
+/// Why this end closed a connection other than at the end of its use.
+enum class closing_reason {
+    /// A request was not whole in time.
+    slow_request,
+    /// The client did not take the bytes that it was sent.
+    clogged,
+    /// The handler aborted a response.
+    aborted,
+};
+
+/// How this end closed one connection.
+struct connection_closing {
+    closing_reason reason = closing_reason::slow_request;
+    connection_phase phase = connection_phase::idle;
+    /// Exchange that was open; zero is none.
+    inbound_exchange exchange = 0;
+    /// Time since the connection became idle, or since the first byte of the request under way.
+    std::chrono::microseconds age{0};
+    /// Bytes that were not handed to the network.
+    std::size_t unsent_bytes = 0;
+};
+
 /// Head of a response; the server adds what frames the body.
 struct inbound_response {
     int status = 200;
@@ -52,6 +82,8 @@
     std::function<void(inbound_exchange)> abandoned;
     /// A client's bytes were refused with that status before they were a request.
     std::function<void(int status)> rejected;
+    /// This end closes a connection other than at the end of its use; comes before `abandoned`.
+    std::function<void(const connection_closing&)> closing;
 };
 
 class inbound_server {
@@ -88,6 +120,8 @@
     std::unique_ptr<state> self;
 };
 
+[[nodiscard]] std::string_view to_string(connection_phase phase);
+[[nodiscard]] std::string_view to_string(closing_reason reason);
 /// Reason phrase of a status; empty for one that is not known.
 [[nodiscard]] std::string_view reason_phrase(int status);
 
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -103,6 +103,10 @@
     log_event_entry{log_event::quota_awaited, "quota_awaited", log_level::info,
                     "a request waits a moment since its team sends faster than its quota",
                     "none; many of them mean that the team is near its quota"},
+    log_event_entry{log_event::connection_closed, "connection_closed", log_level::warning,
+                    "this node closed a caller's connection before the end of its use; `reason` "
+                    "and `phase` say why and when, `unsent` how many bytes the caller lacks",
+                    "look for lines of the same `request`; without one no request was read"},
 
     log_event_entry{log_event::attempt_failed, "attempt_failed", log_level::warning,
                     "an upstream did not complete a request; `detail` says how",
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -61,6 +61,18 @@
     this->request_quota(call);
 }
 
+void call_handler::on_connection_closing(const http::connection_closing& closing)
+{
+    const open_call* const call = this->find(closing.exchange);
+    daemon::write_log(log_event::connection_closed,
+                      {{"reason", to_string(closing.reason)},
+                       {"phase", to_string(closing.phase)},
+                       {"request", call == nullptr ? "" : call->facts.attempt},
+                       {"age_ms", to_ms_text(closing.age)},
+                       {"unsent", std::to_string(closing.unsent_bytes)}});
+    this->env.metrics.count("closed_connections", "reason", to_string(closing.reason));
+}
+
 /// Makes the checks that need no other node; returns false when the call has been responded to.
 bool call_handler::admit(open_call& call)
 {
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -45,6 +45,9 @@
         daemon::write_log(log_event::call_rejected, {{"status", std::to_string(status)}});
         this->metrics.count("rejected_calls", "status", std::to_string(status));
     };
+    caller_handlers.closing = [this](const http::connection_closing& closing) {
+        this->calls->on_connection_closing(closing);
+    };
     const http::inbound_limits limits = make_limits({});
     this->caller_server = std::make_unique<http::inbound_server>(
         loop, to_socket_address(given.callers), limits, std::move(caller_handlers));
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -18,14 +18,6 @@
 /// Reserve for a head, in bytes.
 static constexpr std::size_t usual_head_bytes = 512;
 
-enum class connection_phase {
-    /// No byte of a request has come.
-    idle,
-    reading,
-    /// A request is with the handler; its response may have begun.
-    answering,
-};
-
 namespace {
 
 struct connection {
@@ -70,6 +62,7 @@
     void complete(connection& from);
     void reject(connection& from, int status);
     void bury(connection& from);
+    void report(const connection& closed, closing_reason why) const;
     void finish(connection& of);
     void write(connection& of, std::string_view bytes);
     void sweep();
@@ -77,6 +70,32 @@
     void send_head(connection& of, inbound_response&& head);
 };
 
+std::string_view to_string(connection_phase phase)
+{
+    switch (phase) {
+    case connection_phase::idle:
+        return "idle";
+    case connection_phase::reading:
+        return "reading";
+    case connection_phase::answering:
+        return "answering";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(closing_reason reason)
+{
+    switch (reason) {
+    case closing_reason::slow_request:
+        return "slow_request";
+    case closing_reason::clogged:
+        return "clogged";
+    case closing_reason::aborted:
+        return "aborted";
+    }
+    return "unknown";
+}
+
 std::string_view reason_phrase(int status)
 {
     const auto text = boost::beast::http::obsolete_reason(
@@ -118,6 +137,19 @@
     this->connections.erase(found);
 }
 
+void inbound_server::state::report(const connection& closed, closing_reason why) const
+{
+    if (!this->handlers.closing)
+        return;
+    connection_closing made;
+    made.reason = why;
+    made.phase = closed.phase;
+    made.exchange = closed.exchange;
+    made.age = this->on.now() - closed.since;
+    made.unsent_bytes = closed.stream->unsent_bytes();
+    this->handlers.closing(made);
+}
+
 void inbound_server::state::received(connection& from, std::string_view bytes)
 {
     if (from.dead)
@@ -295,9 +327,12 @@
     }
     for (const auto& each : late) {
         if (each->phase == connection_phase::reading) {
+            this->report(*each, closing_reason::slow_request);
             this->reject(*each, 408);
             continue;
         }
+        if (each->stream->unsent_bytes() > this->limits.unsent_bytes)
+            this->report(*each, closing_reason::clogged);
         each->stream->reset();
         this->ended(*each);
     }
@@ -377,6 +412,7 @@
     connection* const of = this->self->find(exchange);
     if (of == nullptr)
         return;
+    this->self->report(*of, closing_reason::aborted);
     of->stream->reset();
     this->self->bury(*of);
 }
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -17,6 +17,7 @@
     std::vector<inbound_exchange> waiting;
     std::vector<inbound_exchange> abandoned;
     std::vector<int> rejected;
+    std::vector<connection_closing> closings;
     std::unique_ptr<inbound_server> server;
 
     explicit listening_server(const inbound_limits& limits = {})
@@ -34,6 +35,9 @@
             this->abandoned.push_back(exchange);
         };
         handlers.rejected = [this](int status) { this->rejected.push_back(status); };
+        handlers.closing = [this](const connection_closing& closing) {
+            this->closings.push_back(closing);
+        };
         this->server = std::make_unique<inbound_server>(this->on, socket_address{"127.0.0.1", 0},
                                                         limits, std::move(handlers));
         REQUIRE(this->server->listening());
@@ -223,6 +227,59 @@
     CHECK(cut_off);
 }
 
+TEST_CASE("a server tells why it closes a connection before the end of its use")
+{
+    inbound_limits limits;
+    limits.unsent_bytes = 64U << 10U;
+    limits.header_time = std::chrono::milliseconds(300);
+    listening_server serving(limits);
+    SUBCASE("a request that is not whole in time")
+    {
+        CHECK(serving.ask("GET / HTTP/1.1\r\nHost:").find("HTTP/1.1 408") == 0);
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::slow_request);
+        CHECK(serving.closings[0].phase == connection_phase::reading);
+        CHECK(serving.closings[0].age >= limits.header_time);
+    }
+    SUBCASE("an answer that is aborted, with its exchange")
+    {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            static_cast<void>(connection.receive_all());
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->abort(serving.waiting[0]);
+        REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::aborted);
+        CHECK(serving.closings[0].exchange == serving.waiting[0]);
+    }
+    SUBCASE("a caller that does not take its answer, with the bytes that it lacks")
+    {
+        std::atomic<bool> enough{false};
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            while (!enough)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->start_response(serving.waiting[0], {});
+        serving.server->write(serving.waiting[0], std::string(32U << 20U, 'x'));
+        const bool cut_off = run_until(serving.on, [&] { return !serving.abandoned.empty(); });
+        enough = true;
+        REQUIRE(cut_off);
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::clogged);
+        CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
+    }
+    SUBCASE("the end of a kept connection is none of these")
+    {
+        CHECK(serving.ask("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                  .find("HTTP/1.1 200") == 0);
+        CHECK(serving.closings.empty());
+    }
+}
+
 TEST_CASE("a server that drains says so on every answer and closes only idle connections")
 {
     listening_server serving;
