[http] bytes that the network takes only in many parts are all sent

Callers could see a whole request end without a whole answer: once an answer's rest did not fit into the socket twice in a row, nothing more of it was ever sent, nor anything written after it. The caller had the first part and then silence until somebody's time was up. The same held for requests to upstreams.

Cause: the loop asks libwebsockets to tell when a raw file takes bytes again. After that callback libwebsockets clears the wish for the next one, also when it was made during the callback. The second partial send made its wish there, and it was lost (strace: send takes 1.7 of 8.6 MB, then EAGAIN, and every later poll waits for POLLIN only). It needs an answer larger than what the socket frees at a time: a long answer, a slow caller, or a link that is squeezed.

Now such a wish is passed on when the turn is over.

--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -21,6 +21,17 @@
 /// Upper bound for steps of a handshake; exchanges have limits of their own.
 static constexpr unsigned int handshake_timeout_seconds = 3600;
 
+static void request_writable(loop::state& self, descriptor_id watched)
+{
+    const auto found = self.descriptors.find(watched);
+    if (found == self.descriptors.end() || found->second->released)
+        return;
+    if (found->second->handles_writable)
+        found->second->wants_writable = true;
+    else
+        lws_callback_on_writable(found->second->wsi);
+}
+
 static int handle_datagram_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
 {
     if (reason != LWS_CALLBACK_RAW_RX_FILE)
@@ -31,6 +42,20 @@
     return 0;
 }
 
+// After this callback libwebsockets forgets that a raw file waits to be writable, also when that
+// was asked for during the callback. So such a wish is passed on when the turn is over.
+static void handle_writable(watched_descriptor& watched)
+{
+    loop::state* const owner = watched.owner;
+    watched.handles_writable = true;
+    watched.wants_writable = false;
+    watched.handlers.writable();
+    watched.handles_writable = false;
+    if (!watched.wants_writable || watched.released)
+        return;
+    owner->deferred.emplace_back([owner, id = watched.id] { request_writable(*owner, id); });
+}
+
 // Handlers may unwatch the descriptor they are called for, so its state goes only with the
 // descriptor itself.
 static int handle_descriptor_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
@@ -46,7 +71,7 @@
         return watched->released ? -1 : 0;
     case LWS_CALLBACK_RAW_WRITEABLE_FILE:
         if (active)
-            watched->handlers.writable();
+            handle_writable(*watched);
         return watched->released ? -1 : 0;
     case LWS_CALLBACK_RAW_CLOSE_FILE:
         if (active) {
@@ -246,9 +271,7 @@
 
 void loop::want_writable(descriptor_id watched)
 {
-    const auto found = this->self->descriptors.find(watched);
-    if (found != this->self->descriptors.end() && !found->second->released)
-        lws_callback_on_writable(found->second->wsi);
+    request_writable(*this->self, watched);
 }
 
 void loop::unwatch(descriptor_id watched)
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -23,6 +23,9 @@
     descriptor_handlers handlers;
     /// Whether `unwatch` was called.
     bool released = false;
+    /// Whether its `writable` handler is running, and asked to be called once more.
+    bool handles_writable = false;
+    bool wants_writable = false;
 };
 
 struct loop::state {
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -98,15 +98,17 @@
     raw_connection(const raw_connection&) = delete;
     raw_connection& operator=(const raw_connection&) = delete;
 
-    void send(std::string_view bytes) const
+    /// Returns whether the other side took everything.
+    bool send(std::string_view bytes) const // NOLINT(modernize-use-nodiscard)
     {
         while (!bytes.empty()) {
             const ssize_t count =
                 ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (count <= 0)
-                return;
+                return false;
             bytes.remove_prefix(static_cast<std::size_t>(count));
         }
+        return true;
     }
 
     /// Reads until `end` has come or the other side closes.
@@ -123,6 +125,15 @@
         return all;
     }
 
+    /// Reads once; empty when the other side has closed.
+    [[nodiscard]] std::string receive_some(std::size_t max_bytes) const
+    {
+        std::string part(max_bytes, '\0');
+        const ssize_t count = ::recv(this->descriptor, part.data(), part.size(), 0);
+        part.resize(count <= 0 ? 0 : static_cast<std::size_t>(count));
+        return part;
+    }
+
     [[nodiscard]] std::string receive_all() const
     {
         std::string all;
