[http] one connection that sends without end does not stop the others

L2: a server in trouble may send bytes without end. read_all read a socket until it was empty; a sender faster than its reader kept the only loop from every other connection, timer and datagram, so all that a node held ended without an answer in time.

Now at most four reads of 64 KiB are made before the loop turns to the others; poll tells of the rest.

Failed before (http_unittest, "a peer that sends without end does not keep the loop from its other work"): a timer of 1 ms was served after 400 reads of 2 ms, when the test gave up.

--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -13,6 +14,8 @@
 
 /// Bytes taken from a socket in one call.
 static constexpr std::size_t read_size = 64U << 10U;
+/// Reads from one connection before the loop turns to the others.
+static constexpr int max_reads_per_turn = 4;
 /// Connections that may wait to be accepted.
 static constexpr int accept_backlog = 1024;
 /// Silence before the kernel probes a connection, and time between its probes.
@@ -81,11 +84,12 @@
         ended(how);
 }
 
-/// Reads what is there; ends the stream at its end.
-static void read_all(const state_pointer& self)
+/// Reads at most `max_reads` times; ends the stream at its end. What is left is read when the loop
+/// tells of it again.
+static void read_some(const state_pointer& self, int max_reads)
 {
     static thread_local std::string buffer(read_size, '\0');
-    while (self->open) {
+    for (int count_of_reads = 0; self->open && count_of_reads < max_reads; ++count_of_reads) {
         const ssize_t count = ::recv(self->descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0) {
             if (!self->closing)
@@ -164,8 +168,9 @@
 {
     if (!self->open)
         return;
+    // Nothing more can come, so what is left is no more than the socket's buffer.
     if (!self->opening)
-        read_all(self);
+        read_some(self, std::numeric_limits<int>::max());
     end(self, stream_end::broken);
 }
 
@@ -174,7 +179,7 @@
     descriptor_handlers handlers;
     handlers.readable = [self] {
         if (self->open && !self->opening)
-            read_all(self);
+            read_some(self, max_reads_per_turn);
     };
     handlers.writable = [self] {
         if (self->open)
