[http] messages whose framing has no end are refused

Ruled out: a status line or header lines without end, which were refused at their limit before.

Now announcements count together towards the 64 KiB of a response's head; the line before a chunk and the trailer may be as long as a head; behind a request that is being answered waits at most one more.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -22,7 +22,7 @@
 
 /// Status below which a response only announces another one.
 static constexpr int first_final_status = 200;
-/// Header bytes of a response that is still taken.
+/// Header bytes of a response that is still taken, with those of the announcements before it.
 static constexpr std::uint32_t most_response_header_bytes = 64U << 10U;
 
 namespace {
@@ -125,6 +125,13 @@
     return fault_of(error);
 }
 
+/// Whether the bytes kept are more than any part of a message that is parsed only as a whole: a
+/// head, the line before a chunk, or the trailer.
+static bool is_part_too_long(std::string_view kept, std::uint32_t header_bytes)
+{
+    return kept.size() > header_bytes;
+}
+
 struct request_reader::state {
     message_limits limits;
     handlers given;
@@ -161,7 +168,10 @@
         if (this->parser->is_done()) {
             this->complete = true;
             this->given.complete();
+            return message_fault::none;
         }
+        if (is_part_too_long(this->kept, this->limits.header_bytes))
+            return message_fault::header_too_long;
         return message_fault::none;
     }
 };
@@ -178,6 +188,11 @@
 
 message_fault request_reader::take(std::string_view bytes)
 {
+    // While a request is being answered, one more that is whole may wait behind it.
+    const message_limits& limits = this->self->limits;
+    if (this->self->complete &&
+        this->self->kept.size() + bytes.size() > limits.header_bytes + limits.body_bytes)
+        return message_fault::body_too_long;
     this->self->kept.append(bytes);
     return this->self->run();
 }
@@ -208,6 +223,8 @@
     bool complete = false;
     bool started = false;
     bool announced = false;
+    /// Bytes of announcements.
+    std::uint64_t announced_bytes = 0;
 
     void begin()
     {
@@ -237,12 +254,18 @@
     {
         while (!this->complete && !this->kept.empty()) {
             this->started = true;
+            const std::size_t before = this->kept.size();
             const message_fault fault = feed(*this->parser, this->kept);
             if (fault != message_fault::none)
                 return fault;
             if (!this->parser->is_done())
-                return message_fault::none;
+                return is_part_too_long(this->kept, most_response_header_bytes)
+                           ? message_fault::header_too_long
+                           : message_fault::none;
             if (this->announced) {
+                this->announced_bytes += before - this->kept.size();
+                if (this->announced_bytes > most_response_header_bytes)
+                    return message_fault::header_too_long;
                 this->begin();
                 continue;
             }
