[gateway] a response without end is given up, and its request goes on

A VM has 160 to 260 MB for the process.

Bounds: 16 MiB a body, 64 MiB for all bodies that a node holds (the longest is given up), 1 MiB an event. Only a complete event counts as progress of a stream. The splitter looks at each byte a bounded number of times; that needed no change.

Failed before (gateway_unittest): a body and an event without end were read until the deadline (504 where 502 or another upstream's answer is due, more than 48 MiB sent), also where another upstream then answered; a body of 17 MB was passed on; a stream of single bytes kept its request until the route's timeout.

--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -59,6 +59,7 @@
     order_failed = 304,
     upstream_changed = 305,
     upstream_unreadable = 306,
+    response_too_long = 307,
 
     member_changed = 400,
     peer_disconnected = 401,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -80,6 +80,8 @@
     void on_response_head(http::inbound_exchange exchange, http::status_line_and_headers&& head);
     void on_response_body(http::inbound_exchange exchange, std::string_view bytes);
     void forward_events(open_call& call);
+    void end_too_long_responses(open_call& received);
+    void end_too_long_response(open_call& call, std::string_view bound, std::size_t bytes);
     void begin_stream(open_call& call);
     void on_response_complete(http::inbound_exchange exchange);
     void complete_stream(open_call& call);
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -127,6 +127,9 @@
     log_event_entry{log_event::upstream_unreadable, "upstream_unreadable", log_level::warning,
                     "an upstream's announcement cannot be read; it is not used",
                     "look at who writes the announcement"},
+    log_event_entry{log_event::response_too_long, "response_too_long", log_level::warning,
+                    "an upstream sent more bytes than a response may have; the attempt has failed",
+                    "look at the upstream; docs/OPERATIONS.md lists the limits by `bound`"},
 
     log_event_entry{log_event::member_changed, "member_changed", log_level::info,
                     "another instance joined, left, is suspected or is dead",
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -52,9 +52,11 @@
         return;
     if (!this->is_streaming(*call)) {
         call->active_dispatch->body.append(bytes);
+        this->end_too_long_responses(*call);
         return;
     }
-    for (const std::string& event : call->active_dispatch->splitter.add_bytes(bytes)) {
+    const auto events = call->active_dispatch->splitter.add_bytes(bytes);
+    for (const std::string& event : events) {
         const std::optional<std::uint64_t> number = adapter::read_event_number(event);
         // An upstream that resumes a stream may repeat events that the caller already has.
         if (number && call->last_event_number && *number <= *call->last_event_number)
@@ -64,7 +66,9 @@
             call->last_event_number = number;
         this->env.callers.write(exchange, event);
     }
-    this->arm_idle_timer(*call);
+    if (!events.empty())
+        this->arm_idle_timer(*call);
+    this->end_too_long_responses(*call);
 }
 
 void call_handler::begin_stream(open_call& call)
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -339,6 +339,95 @@
     }
 }
 
+namespace {
+
+/// An upstream that responds with a head and then sends one piece again and again until the other
+/// side closes.
+struct endless_upstream {
+    std::atomic<std::size_t> sent{0};
+    raw_server server;
+
+    endless_upstream(std::string head, std::string piece, std::chrono::milliseconds pause = 0ms)
+        : server([this, head = std::move(head), piece = std::move(piece),
+                  pause](raw_connection& connection) {
+              static_cast<void>(connection.receive_until("\r\n\r\n"));
+              connection.send(head);
+              while (connection.send(piece)) {
+                  this->sent += piece.size();
+                  std::this_thread::sleep_for(pause);
+              }
+          })
+    {
+    }
+};
+
+} // namespace
+
+TEST_CASE("an upstream whose response has no end is given up before it fills the memory")
+{
+    constexpr std::size_t max_sent = 48U << 20U;
+    gateway_fixture node;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n\r\n";
+    const std::string piece(256U << 10U, 'x');
+    SUBCASE("a body: a request that may run once only has failed")
+    {
+        endless_upstream upstream(head, piece);
+        node.add_upstream("i-1", upstream.server);
+        CHECK(contains(node.send_request("/once/"), "HTTP/1.1 502"));
+        CHECK(upstream.sent.load() < max_sent);
+    }
+    SUBCASE("a body: a request that may be repeated is answered by another upstream")
+    {
+        endless_upstream upstream(head, piece);
+        node.add_upstream("i-1", upstream.server);
+        scripted_upstream good({make_response(200, "good")});
+        node.add_upstream("i-2", good.server);
+        CHECK(contains(node.send_request("/again/"), "good"));
+        CHECK(upstream.sent.load() < max_sent);
+    }
+    SUBCASE("a body whose stated length is over the limit")
+    {
+        scripted_upstream upstream({"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n"
+                                    "X-Attempt-Id: id7\r\nContent-Length: 17000000\r\n\r\n" +
+                                    std::string(17000000, 'x')});
+        node.add_upstream("i-1", upstream.server);
+        CHECK(contains(node.send_request("/once/"), "HTTP/1.1 502"));
+    }
+    SUBCASE("an event: the stream is taken from another upstream")
+    {
+        endless_upstream upstream(head, piece);
+        node.add_upstream("i-1", upstream.server);
+        scripted_upstream good({head + "id: 1\ndata: a\n\n"});
+        node.add_upstream("i-2", good.server);
+        CHECK(contains(node.send_request("/stream/"), "id: 1\ndata: a\n\n"));
+        CHECK(upstream.sent.load() < max_sent);
+    }
+    CHECK(node.calls->open_calls() == 0);
+}
+
+TEST_CASE("bytes that complete no event are no sign that a stream goes on")
+{
+    gateway_fixture node;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n\r\n";
+    endless_upstream upstream(head, "x", 50ms);
+    node.add_upstream("i-1", upstream.server);
+    scripted_upstream good({head + "id: 1\ndata: a\n\n"});
+    node.add_upstream("i-2", good.server);
+    std::string response;
+    raw_client caller(node.callers->port(), [&](raw_connection& connection) {
+        connection.send("GET /stream/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "Authorization: Bearer k\r\nConnection: close\r\n\r\n");
+        response = connection.receive_all();
+    });
+    REQUIRE(run_until(node.event_loop, [&] {
+        node.placement->tick();
+        return caller.done();
+    }));
+    CHECK(contains(response, "id: 1\ndata: a\n\n"));
+}
+
 TEST_CASE("a request is cancelled when its caller disconnects")
 {
     gateway_fixture node;
--- a/unittests/gateway/event_splitter_test.cpp
+++ b/unittests/gateway/event_splitter_test.cpp
@@ -32,4 +32,32 @@
     CHECK_FALSE(splitter.inside_event());
 }
 
+TEST_CASE("bytes that never end an event do not fill the memory")
+{
+    event_splitter splitter;
+    SUBCASE("in large pieces")
+    {
+        const std::string piece(64U << 10U, 'x');
+        for (std::size_t given = 0; given <= event_splitter::max_event_bytes; given += piece.size())
+            CHECK(splitter.add_bytes(piece).empty());
+        CHECK(splitter.overflowed());
+    }
+    SUBCASE("byte by byte, after events that are complete")
+    {
+        CHECK(splitter.add_bytes("id: 1\ndata: a\n\n").size() == 1);
+        for (std::size_t given = 0; given < event_splitter::max_event_bytes; ++given)
+            static_cast<void>(splitter.add_bytes("x"));
+        CHECK_FALSE(splitter.overflowed());
+        CHECK(splitter.add_bytes("x").empty());
+        CHECK(splitter.overflowed());
+    }
+    SUBCASE("a long event that ends in time is an event")
+    {
+        const std::string event =
+            "data: " + std::string(event_splitter::max_event_bytes / 2, 'x') + "\n\n";
+        CHECK(splitter.add_bytes(event).size() == 1);
+        CHECK_FALSE(splitter.overflowed());
+    }
+}
+
 } // namespace ragwortcove::gateway
