[http] a caller that reads a long answer steadily is not cut off

A plain response is handed over at once, so one of 5 MB was cut unless its caller had taken 1 MB within 250 ms.

Now a caller is cut off when over 4 MiB wait and it has taken none for 1 s, or when over 24 MiB wait, which is more than a plain response may have. There is still no back-pressure on the upstream of a stream: a caller that is slower than its stream is cut at 24 MiB instead of 4.

--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -27,8 +27,11 @@
     std::chrono::milliseconds header_time{5000};
     /// How long a kept connection may lie idle.
     std::chrono::milliseconds idle_time{15000};
-    /// Bytes that may wait for a client that reads slowly.
+    /// Bytes that may wait for a client that takes none for `clogged_time`.
     std::size_t unsent_bytes = 4U << 20U;
+    std::chrono::milliseconds clogged_time{1000};
+    /// Bytes that may wait for a client that reads slowly.
+    std::size_t max_unsent_bytes = 24U << 20U;
 };
 
 struct inbound_request {
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -36,6 +36,9 @@
     bool closes = false;
     /// Whether the connection's state goes at the end of the turn.
     bool dead = false;
+    /// Bytes handed to the network at the last sweep at which there were more than before.
+    std::uint64_t sent_bytes = 0;
+    microseconds sent_at{0};
 };
 
 } // namespace
@@ -66,6 +69,7 @@
     void finish(connection& of);
     void write(connection& of, std::string_view bytes);
     void sweep();
+    [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
     void send_head(connection& of, inbound_response&& head);
 };
@@ -312,17 +316,31 @@
     });
 }
 
+bool inbound_server::state::is_clogged(connection& each) const
+{
+    const std::size_t unsent = each.stream->unsent_bytes();
+    const bool progresses = each.stream->sent_bytes() != each.sent_bytes;
+    if (progresses || unsent <= this->limits.unsent_bytes) {
+        each.sent_bytes = each.stream->sent_bytes();
+        each.sent_at = this->on.now();
+    }
+    return unsent > this->limits.max_unsent_bytes ||
+           this->on.now() - each.sent_at > this->limits.clogged_time;
+}
+
 void inbound_server::state::sweep()
 {
     const microseconds now = this->on.now();
     std::vector<std::shared_ptr<connection>> late;
+    std::vector<std::shared_ptr<connection>> clogged;
     for (const auto& [id, each] : this->connections) {
         const microseconds age = now - each->since;
         const bool slow =
             each->phase == connection_phase::reading && age > this->limits.header_time;
         const bool unused = each->phase == connection_phase::idle && age > this->limits.idle_time;
-        const bool clogged = each->stream->unsent_bytes() > this->limits.unsent_bytes;
-        if (slow || unused || clogged)
+        if (this->is_clogged(*each))
+            clogged.push_back(each);
+        else if (slow || unused)
             late.push_back(each);
     }
     for (const auto& each : late) {
@@ -331,8 +349,11 @@
             this->reject(*each, 408);
             continue;
         }
-        if (each->stream->unsent_bytes() > this->limits.unsent_bytes)
-            this->report(*each, closing_reason::clogged);
+        each->stream->reset();
+        this->ended(*each);
+    }
+    for (const auto& each : clogged) {
+        this->report(*each, closing_reason::clogged);
         each->stream->reset();
         this->ended(*each);
     }
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -227,6 +227,33 @@
     CHECK(cut_off);
 }
 
+TEST_CASE("a caller that reads a long answer steadily gets all of it")
+{
+    constexpr std::size_t answer_bytes = 12U << 20U;
+    listening_server serving;
+    std::string request = "GET /wait HTTP/1.1\r\nHost: h\r\n";
+    SUBCASE("on a connection that is kept") {}
+    SUBCASE("on a connection that closes after it")
+    {
+        request += "Connection: close\r\n";
+    }
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(request + "\r\n");
+        std::string part = connection.receive_some(256U << 10U);
+        while (!part.empty() && answer.size() < answer_bytes) {
+            answer += part;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            part = connection.receive_some(256U << 10U);
+        }
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->respond(serving.waiting[0], 200, {}, std::string(answer_bytes, 'x'));
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.size() >= answer_bytes);
+    CHECK(serving.closings.empty());
+}
+
 TEST_CASE("a server tells why it closes a connection before the end of its use")
 {
     inbound_limits limits;
