[http] an idle connection ends in order, and never with a request in its socket

Callers may reuse a connection for four fifths of the limit that they know, and learn a new one later than the node.

Now a connection keeps the idle time under which it became idle, callers may count on a longer one for 5 s after it was lowered, a raised one holds at once, and a connection with unread bytes, or with bytes that follow the last request, is not closed as idle.

--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds header_time{5000};
     /// How long a kept connection may lie idle.
     std::chrono::milliseconds idle_time{15000};
+    /// How long after `idle_time` was lowered callers may still count on the longer one.
+    std::chrono::milliseconds idle_notice_time{5000};
     /// Bytes that may wait for a client that takes none for `clogged_time`.
     std::size_t unsent_bytes = 4U << 20U;
     std::chrono::milliseconds clogged_time{1000};
@@ -99,7 +101,8 @@
 
     [[nodiscard]] bool listening() const;
     [[nodiscard]] std::uint16_t port() const;
-    /// Takes effect for messages that begin later.
+    /// Takes effect for messages that begin later, and a lowered idle time for connections that
+    /// become idle later.
     void set_limits(const inbound_limits& limits);
 
     /// Writes to an exchange that is over are dropped.
@@ -113,7 +116,7 @@
     void abort(inbound_exchange exchange);
     /// From now on every response says that its connection closes.
     void begin_drain();
-    /// Closes the connections on which no request is open.
+    /// Closes the connections on which no request is open or waits to be read.
     void close_idle();
     [[nodiscard]] std::size_t connections() const;
 
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <map>
@@ -26,6 +27,10 @@
     std::unique_ptr<request_reader> reader;
     connection_phase phase = connection_phase::idle;
     microseconds since{0};
+    /// How long the connection may lie idle since `since`, whatever the limit is later.
+    microseconds idle_time{0};
+    /// Whether the bytes that follow the last request are still to be looked at.
+    bool resuming = false;
     inbound_request request;
     inbound_exchange exchange = 0;
     bool keep_alive = true;
@@ -46,6 +51,9 @@
 struct inbound_server::state {
     loop& on;
     inbound_limits limits;
+    /// Idle time before it was lowered, and until when callers may count on it.
+    microseconds earlier_idle_time{0};
+    microseconds earlier_until{0};
     inbound_handlers handlers;
     std::unique_ptr<tcp_listener> listener;
     std::map<std::uint64_t, std::shared_ptr<connection>> connections;
@@ -69,6 +77,10 @@
     void finish(connection& of);
     void write(connection& of, std::string_view bytes);
     void sweep();
+    void become_idle(connection& each) const;
+    /// Whether the connection may be closed without harm to a request.
+    [[nodiscard]] static bool is_unused(const connection& each);
+    void close(connection& unused);
     [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
     void send_head(connection& of, inbound_response&& head);
@@ -111,7 +123,7 @@
 {
     auto made = std::make_shared<connection>();
     made->id = ++this->last_connection;
-    made->since = this->on.now();
+    this->become_idle(*made);
     connection* const raw = made.get();
     request_reader::handlers reading;
     reading.head = [this, raw](request_line_and_headers&& head) {
@@ -299,11 +311,12 @@
         this->bury(of);
         return;
     }
-    of.phase = connection_phase::idle;
-    of.since = this->on.now();
+    this->become_idle(of);
+    of.resuming = true;
     // The next request is read from the loop, not from inside the handler of this one.
     const auto kept = this->connections.at(of.id);
     run_after_turn(this->on, [this, kept] {
+        kept->resuming = false;
         if (kept->dead || kept->phase != connection_phase::idle)
             return;
         kept->reader->set_limits(this->limits.message);
@@ -316,6 +329,26 @@
     });
 }
 
+void inbound_server::state::become_idle(connection& each) const
+{
+    each.phase = connection_phase::idle;
+    each.since = this->on.now();
+    each.idle_time = this->limits.idle_time;
+    if (each.since < this->earlier_until)
+        each.idle_time = std::max(each.idle_time, this->earlier_idle_time);
+}
+
+bool inbound_server::state::is_unused(const connection& each)
+{
+    return each.phase == connection_phase::idle && !each.resuming && each.stream->is_quiet();
+}
+
+void inbound_server::state::close(connection& unused)
+{
+    unused.stream->close_after_writes();
+    this->bury(unused);
+}
+
 bool inbound_server::state::is_clogged(connection& each) const
 {
     const std::size_t unsent = each.stream->unsent_bytes();
@@ -337,7 +370,9 @@
         const microseconds age = now - each->since;
         const bool slow =
             each->phase == connection_phase::reading && age > this->limits.header_time;
-        const bool unused = each->phase == connection_phase::idle && age > this->limits.idle_time;
+        const bool idle_too_long =
+            age > std::max<microseconds>(each->idle_time, this->limits.idle_time);
+        const bool unused = idle_too_long && is_unused(*each);
         if (this->is_clogged(*each))
             clogged.push_back(each);
         else if (slow || unused)
@@ -349,8 +384,7 @@
             this->reject(*each, 408);
             continue;
         }
-        each->stream->reset();
-        this->ended(*each);
+        this->close(*each);
     }
     for (const auto& each : clogged) {
         this->report(*each, closing_reason::clogged);
@@ -389,7 +423,19 @@
 
 void inbound_server::set_limits(const inbound_limits& limits)
 {
-    this->self->limits = limits;
+    state& own = *this->self;
+    const microseconds now = own.on.now();
+    const microseconds before = std::max<microseconds>(
+        own.limits.idle_time,
+        now < own.earlier_until ? own.earlier_idle_time : microseconds::zero());
+    if (limits.idle_time < own.limits.idle_time) {
+        own.earlier_idle_time = before;
+        own.earlier_until = now + limits.idle_notice_time;
+    }
+    // A caller may count on a raised limit at once, and it may be lowered again meanwhile.
+    for (const auto& [id, each] : own.connections)
+        each->idle_time = std::max<microseconds>(each->idle_time, limits.idle_time);
+    own.limits = limits;
 }
 
 void inbound_server::start_response(inbound_exchange exchange, inbound_response&& head)
@@ -447,13 +493,11 @@
 {
     std::vector<std::shared_ptr<connection>> idle;
     for (const auto& [id, each] : this->self->connections) {
-        if (each->phase == connection_phase::idle)
+        if (state::is_unused(*each))
             idle.push_back(each);
     }
-    for (const auto& each : idle) {
-        each->stream->close_after_writes();
-        this->self->bury(*each);
-    }
+    for (const auto& each : idle)
+        this->self->close(*each);
 }
 
 std::size_t inbound_server::connections() const
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -254,6 +254,110 @@
     CHECK(serving.closings.empty());
 }
 
+namespace {
+
+constexpr std::string_view kept_request = "GET /kept HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Runs the loop for that long.
+void run_for(loop& on, std::chrono::milliseconds time)
+{
+    static_cast<void>(run_until(
+        on, [] { return false; }, time));
+}
+
+} // namespace
+
+TEST_CASE("a lowered idle limit closes no connection sooner than its caller could know")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(5000);
+    listening_server serving(limits);
+    std::atomic<int> step{0};
+    std::string second;
+    bool in_order = false;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(milliseconds(2));
+        connection.send(kept_request);
+        second = connection.receive_until("\r\n\r\n");
+        in_order = connection.ends_in_order();
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    limits.idle_time = milliseconds(100);
+    limits.idle_notice_time = milliseconds(0);
+    serving.server->set_limits(limits);
+    // The connection became idle under the longer limit.
+    run_for(serving.on, milliseconds(900));
+    step = 2;
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+    // It was used under the shorter one since.
+    CHECK(in_order);
+    CHECK(serving.closings.empty());
+}
+
+TEST_CASE("callers may not know of a lowered idle limit yet")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(5000);
+    listening_server serving(limits);
+    limits.idle_time = milliseconds(100);
+    limits.idle_notice_time = milliseconds(2000);
+    serving.server->set_limits(limits);
+    std::string second;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        std::this_thread::sleep_for(milliseconds(900));
+        connection.send(kept_request);
+        second = connection.receive_until("\r\n\r\n");
+    });
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("a connection whose next request is there already is not closed as idle")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(300);
+    listening_server serving(limits);
+    std::atomic<int> step{0};
+    std::string second;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(milliseconds(2));
+        connection.send(kept_request);
+        step = 3;
+        second = connection.receive_until("\r\n\r\n");
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    run_for(serving.on, milliseconds(20));
+    step = 2;
+    // The loop stands still meanwhile, as it does while it handles something else.
+    while (step != 3)
+        std::this_thread::sleep_for(milliseconds(2));
+    SUBCASE("by the sweep")
+    {
+        std::this_thread::sleep_for(milliseconds(400));
+    }
+    SUBCASE("by a server that ends")
+    {
+        serving.server->begin_drain();
+        serving.server->close_idle();
+    }
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+}
+
 TEST_CASE("a server tells why it closes a connection before the end of its use")
 {
     inbound_limits limits;
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -125,6 +125,13 @@
         return all;
     }
 
+    /// Waits for the end of the connection; returns whether it came in order and without a byte.
+    [[nodiscard]] bool ends_in_order() const
+    {
+        char byte = 0;
+        return ::recv(this->descriptor, &byte, 1, 0) == 0;
+    }
+
     /// Reads once; empty when the other side has closed.
     [[nodiscard]] std::string receive_some(std::size_t max_bytes) const
     {
