[gateway] a planned stop ends when the last byte is out, not when it is handed over

A call is closed when its last bytes are handed to the connection, and a drained process ended once no call was open. Bytes that waited for a slow caller went with it, and so did a request that was being read.

Now the stop also waits, within stop_limit, until no connection has a request that is read, waits to be read, or lacks bytes of its answer. 350 ms before the kill every open call is ended as at its deadline: 503 where nothing was sent to an upstream, 504 where it was, a cut where the answer had begun; they were just closed. 150 ms before it what is left is reset and logged (connection_closed reason=server_ended), so an answer that ends with its connection does not look whole.

--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -54,6 +54,8 @@
     void on_caller_disconnected(http::inbound_exchange exchange);
     /// Logs and counts that this node closes a caller's connection out of order.
     void on_connection_closing(const http::connection_closing& closing);
+    /// Ends every open call as at its deadline, since the process is about to be killed.
+    void end_all_calls();
     /// Refuses every later request, since the process is about to end.
     void refuse_new_requests() { this->refusing_new_requests = true; }
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -57,6 +57,8 @@
     clogged,
     /// The handler aborted a response.
     aborted,
+    /// The server ended before the client had its answer.
+    server_ended,
 };
 
 /// How this end closed one connection.
@@ -119,6 +121,11 @@
     /// Closes the connections on which no request is open or waits to be read.
     void close_idle();
     [[nodiscard]] std::size_t connections() const;
+    /// Connections with a request that is being read or answered, or with bytes that are not handed
+    /// to the network yet.
+    [[nodiscard]] std::size_t unfinished() const;
+    /// Closes every connection, with a reset where `unfinished()` counts it.
+    void close_all();
 
     struct state;
 
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -61,6 +61,15 @@
     this->request_quota(call);
 }
 
+void call_handler::end_all_calls()
+{
+    std::vector<http::inbound_exchange> open;
+    for (const auto& [exchange, call] : this->calls)
+        open.push_back(exchange);
+    for (const http::inbound_exchange exchange : open)
+        this->on_deadline(exchange);
+}
+
 void call_handler::on_connection_closing(const http::connection_closing& closing)
 {
     const open_call* const call = this->find(closing.exchange);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -21,8 +21,10 @@
 static constexpr std::chrono::milliseconds control_idle_timeout{3000};
 /// Number of times its time to live that callers may keep using an address list.
 static constexpr std::int64_t max_address_lifetimes = 3;
-/// Time before the kill at which the process ends even if calls are still open.
-static constexpr core::duration kill_margin = 350ms;
+/// Time before the kill at which calls that are still open are ended.
+static constexpr core::duration last_answer_margin = 350ms;
+/// Time before the kill at which the process ends even if callers have not been sent everything.
+static constexpr core::duration kill_margin = 150ms;
 /// Interval at which a draining node checks whether it can end.
 static constexpr core::duration drain_check_period = 50ms;
 
@@ -276,7 +278,8 @@
 }
 
 // Callers keep connecting while they may use an old address list. After that, new requests are
-// refused, and the process ends when the last response is sent, or just before it would be killed.
+// refused, and the process ends when the last byte of the last response is sent, or just before it
+// would be killed.
 void gateway::check_drain()
 {
     const core::duration elapsed = this->now() - this->drain_started_at;
@@ -286,11 +289,18 @@
         this->calls->refuse_new_requests();
         this->caller_server->close_idle();
     }
-    const bool done = elapsed >= address_use_time && this->calls->open_calls() == 0;
+    const std::size_t open_calls = this->calls->open_calls();
+    if (elapsed >= this->settings.stop_limit - last_answer_margin)
+        this->calls->end_all_calls();
+    const std::size_t unfinished = this->caller_server->unfinished();
+    const bool done =
+        elapsed >= address_use_time && this->calls->open_calls() == 0 && unfinished == 0;
     if (done || elapsed >= this->settings.stop_limit - kill_margin) {
         daemon::write_log(log_event::drain_finished,
-                          {{"open", std::to_string(this->calls->open_calls())},
+                          {{"open", std::to_string(open_calls)},
+                           {"unfinished", std::to_string(unfinished)},
                            {"after_ms", std::to_string(elapsed.count() / 1000)}});
+        this->caller_server->close_all();
         this->drained_handler();
         return;
     }
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -58,6 +58,8 @@
     std::unique_ptr<tcp_listener> listener;
     std::map<std::uint64_t, std::shared_ptr<connection>> connections;
     std::map<inbound_exchange, std::uint64_t> by_exchange;
+    /// Connections that are closed once their last bytes are sent.
+    std::vector<std::shared_ptr<connection>> ending;
     std::uint64_t last_connection = 0;
     inbound_exchange last_exchange = 0;
     timer_id sweep_timer = 0;
@@ -73,6 +75,8 @@
     void complete(connection& from);
     void reject(connection& from, int status);
     void bury(connection& from);
+    void forget_ended();
+    [[nodiscard]] static bool is_unfinished(const connection& each);
     void report(const connection& closed, closing_reason why) const;
     void finish(connection& of);
     void write(connection& of, std::string_view bytes);
@@ -108,6 +112,8 @@
         return "clogged";
     case closing_reason::aborted:
         return "aborted";
+    case closing_reason::server_ended:
+        return "server_ended";
     }
     return "unknown";
 }
@@ -149,8 +155,23 @@
     if (from.exchange != 0)
         this->by_exchange.erase(from.exchange);
     const auto found = this->connections.find(from.id);
-    run_after_turn(this->on, [kept = found->second] { kept->stream.reset(); });
+    const std::shared_ptr<connection> kept = found->second;
     this->connections.erase(found);
+    if (kept->stream->unsent_bytes() > 0)
+        this->ending.push_back(kept);
+    else
+        run_after_turn(this->on, [kept] { kept->stream.reset(); });
+}
+
+void inbound_server::state::forget_ended()
+{
+    std::erase_if(this->ending, [](const auto& each) { return each->stream->unsent_bytes() == 0; });
+}
+
+bool inbound_server::state::is_unfinished(const connection& each)
+{
+    return each.phase != connection_phase::idle || each.resuming ||
+           each.stream->unsent_bytes() > 0 || !each.stream->is_quiet();
 }
 
 void inbound_server::state::report(const connection& closed, closing_reason why) const
@@ -364,6 +385,7 @@
 void inbound_server::state::sweep()
 {
     const microseconds now = this->on.now();
+    this->forget_ended();
     std::vector<std::shared_ptr<connection>> late;
     std::vector<std::shared_ptr<connection>> clogged;
     for (const auto& [id, each] : this->connections) {
@@ -505,4 +527,29 @@
     return this->self->connections.size();
 }
 
+std::size_t inbound_server::unfinished() const
+{
+    this->self->forget_ended();
+    std::size_t count = this->self->ending.size();
+    for (const auto& [id, each] : this->self->connections)
+        count += state::is_unfinished(*each) ? 1 : 0;
+    return count;
+}
+
+void inbound_server::close_all()
+{
+    this->self->forget_ended();
+    std::vector<std::shared_ptr<connection>> open = this->self->ending;
+    for (const auto& [id, each] : this->self->connections)
+        open.push_back(each);
+    for (const auto& each : open) {
+        if (state::is_unfinished(*each)) {
+            this->self->report(*each, closing_reason::server_ended);
+            each->stream->reset();
+        }
+        this->self->bury(*each);
+    }
+    this->self->ending.clear();
+}
+
 } // namespace ragwortcove::http
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -69,6 +69,7 @@
 static void release(tcp_stream::state& self)
 {
     self.open = false;
+    self.unsent.clear();
     self.on->unwatch(self.watched);
     self.watched = 0;
     self.descriptor = -1;
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -456,6 +456,49 @@
     CHECK(node.placement->owned_placements().in_flight() == 0);
 }
 
+TEST_CASE("requests that are open when the process is about to be killed are responded to")
+{
+    gateway_fixture node;
+    std::string response;
+    const auto ask = [&](raw_connection& connection) {
+        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "Authorization: Bearer k\r\nConnection: close\r\n\r\n");
+        response = connection.receive_all();
+    };
+    const auto run_to_end = [&](const raw_client& caller, const std::function<bool()>& may_end) {
+        bool ended = false;
+        REQUIRE(run_until(node.event_loop, [&] {
+            node.placement->tick();
+            if (!ended && node.calls->open_calls() == 1 && may_end()) {
+                node.calls->end_all_calls();
+                ended = true;
+            }
+            return caller.done();
+        }));
+        CHECK(ended);
+    };
+    raw_server silent(
+        [](raw_connection& connection) { static_cast<void>(connection.receive_all()); });
+    SUBCASE("one that was sent to an upstream has failed")
+    {
+        node.add_upstream("i-1", silent);
+        raw_client caller(node.callers->port(), ask);
+        run_to_end(caller, [&] { return silent.accepted() == 1; });
+        CHECK(contains(response, "HTTP/1.1 504"));
+    }
+    SUBCASE("one that waits for a slot is refused")
+    {
+        node.add_upstream("i-1", silent);
+        node.announced[0].slots = 0;
+        node.placement->set_upstreams(node.announced);
+        raw_client caller(node.callers->port(), ask);
+        run_to_end(caller, [] { return true; });
+        CHECK(contains(response, "HTTP/1.1 503"));
+        CHECK(silent.accepted() == 0);
+    }
+    CHECK(node.calls->open_calls() == 0);
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -358,6 +358,80 @@
     CHECK(second.find("HTTP/1.1 200") == 0);
 }
 
+TEST_CASE("a process that ends when its server is finished has sent every answer whole")
+{
+    constexpr std::size_t answer_bytes = 12U << 20U;
+    std::string answer;
+    std::unique_ptr<raw_client> caller;
+    {
+        listening_server serving;
+        caller =
+            std::make_unique<raw_client>(serving.server->port(), [&](raw_connection& connection) {
+                connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+                std::string part = connection.receive_some(256U << 10U);
+                while (!part.empty()) {
+                    answer += part;
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    part = connection.receive_some(256U << 10U);
+                }
+            });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->begin_drain();
+        serving.server->respond(serving.waiting[0], 200, {}, std::string(answer_bytes, 'x'));
+        REQUIRE(run_until(serving.on, [&] {
+            serving.server->close_idle();
+            return serving.server->unfinished() == 0;
+        }));
+    }
+    caller.reset();
+    CHECK(answer.size() > answer_bytes);
+}
+
+TEST_CASE("a server is not finished while a request is read or waits to be read")
+{
+    listening_server serving;
+    std::atomic<int> step{0};
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /kept HTTP/1.1\r\nHost:");
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        connection.send(" h\r\n\r\n");
+        answer = connection.receive_all();
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    run_for(serving.on, std::chrono::milliseconds(50));
+    serving.server->begin_drain();
+    serving.server->close_idle();
+    CHECK(serving.server->unfinished() == 1);
+    step = 2;
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.find("HTTP/1.1 200") == 0);
+    CHECK(serving.server->unfinished() == 0);
+}
+
+TEST_CASE("connections that a server ends with do not look whole")
+{
+    listening_server serving;
+    bool in_order = true;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /wait HTTP/1.0\r\nHost: h\r\n\r\n");
+        static_cast<void>(connection.receive_until("part"));
+        in_order = connection.ends_in_order();
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->start_response(serving.waiting[0], {});
+    serving.server->write(serving.waiting[0], "part");
+    run_for(serving.on, std::chrono::milliseconds(100));
+    serving.server->close_all();
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK_FALSE(in_order);
+    REQUIRE(serving.closings.size() == 1);
+    CHECK(serving.closings[0].reason == closing_reason::server_ended);
+    CHECK(serving.closings[0].exchange == serving.waiting[0]);
+}
+
 TEST_CASE("a server tells why it closes a connection before the end of its use")
 {
     inbound_limits limits;
