--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -52,6 +52,10 @@
 
     void handle_request(http::inbound_exchange exchange, http::inbound_request&& request);
     void on_caller_disconnected(http::inbound_exchange exchange);
+    /// Logs and counts that this node closes a caller's connection out of order.
+    void on_connection_closing(const http::connection_closing& closing);
+    /// Ends every open call as at its deadline, since the process is about to be killed.
+    void end_all_calls();
     /// Refuses every later request, since the process is about to end.
     void refuse_new_requests() { this->refusing_new_requests = true; }
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
@@ -78,6 +82,8 @@
     void on_response_head(http::inbound_exchange exchange, http::status_line_and_headers&& head);
     void on_response_body(http::inbound_exchange exchange, std::string_view bytes);
     void forward_events(open_call& call);
+    void end_too_long_responses(open_call& received);
+    void end_too_long_response(open_call& call, std::string_view bound, std::size_t bytes);
     void begin_stream(open_call& call);
     void on_response_complete(http::inbound_exchange exchange);
     void complete_stream(open_call& call);
--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -27,8 +27,13 @@
     std::chrono::milliseconds header_time{5000};
     /// How long a kept connection may lie idle.
     std::chrono::milliseconds idle_time{15000};
-    /// Bytes that may wait for a client that reads slowly.
+    /// How long after `idle_time` was lowered callers may still count on the longer one.
+    std::chrono::milliseconds idle_notice_time{5000};
+    /// Bytes that may wait for a client that takes none for `clogged_time`.
     std::size_t unsent_bytes = 4U << 20U;
+    std::chrono::milliseconds clogged_time{1000};
+    /// Bytes that may wait for a client that reads slowly.
+    std::size_t max_unsent_bytes = 24U << 20U;
 };
 
 struct inbound_request {
@@ -36,6 +41,38 @@
     std::string body;
 };
 
+enum class connection_phase {
+    /// No byte of a request has come.
+    idle,
+    reading,
+    /// A request is with the handler; its response may have begun.
+    answering,
+};
+
+/// Why this end closed a connection other than at the end of its use.
+enum class closing_reason {
+    /// A request was not whole in time.
+    slow_request,
+    /// The client did not take the bytes that it was sent.
+    clogged,
+    /// The handler aborted a response.
+    aborted,
+    /// The server ended before the client had its answer.
+    server_ended,
+};
+
+/// How this end closed one connection.
+struct connection_closing {
+    closing_reason reason = closing_reason::slow_request;
+    connection_phase phase = connection_phase::idle;
+    /// Exchange that was open; zero is none.
+    inbound_exchange exchange = 0;
+    /// Time since the connection became idle, or since the first byte of the request under way.
+    std::chrono::microseconds age{0};
+    /// Bytes that were not handed to the network.
+    std::size_t unsent_bytes = 0;
+};
+
 /// Head of a response; the server adds what frames the body.
 struct inbound_response {
     int status = 200;
@@ -52,6 +89,8 @@
     std::function<void(inbound_exchange)> abandoned;
     /// A client's bytes were refused with that status before they were a request.
     std::function<void(int status)> rejected;
+    /// This end closes a connection other than at the end of its use; comes before `abandoned`.
+    std::function<void(const connection_closing&)> closing;
 };
 
 class inbound_server {
@@ -64,7 +103,8 @@
 
     [[nodiscard]] bool listening() const;
     [[nodiscard]] std::uint16_t port() const;
-    /// Takes effect for messages that begin later.
+    /// Takes effect for messages that begin later, and a lowered idle time for connections that
+    /// become idle later.
     void set_limits(const inbound_limits& limits);
 
     /// Writes to an exchange that is over are dropped.
@@ -78,9 +118,14 @@
     void abort(inbound_exchange exchange);
     /// From now on every response says that its connection closes.
     void begin_drain();
-    /// Closes the connections on which no request is open.
+    /// Closes the connections on which no request is open or waits to be read.
     void close_idle();
     [[nodiscard]] std::size_t connections() const;
+    /// Connections with a request that is being read or answered, or with bytes that are not handed
+    /// to the network yet.
+    [[nodiscard]] std::size_t unfinished() const;
+    /// Closes every connection, with a reset where `unfinished()` counts it.
+    void close_all();
 
     struct state;
 
@@ -88,6 +133,8 @@
     std::unique_ptr<state> self;
 };
 
+[[nodiscard]] std::string_view to_string(connection_phase phase);
+[[nodiscard]] std::string_view to_string(closing_reason reason);
 /// Reason phrase of a status; empty for one that is not known.
 [[nodiscard]] std::string_view reason_phrase(int status);
 
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <map>
@@ -18,14 +19,6 @@
 /// Reserve for a head, in bytes.
 static constexpr std::size_t usual_head_bytes = 512;
 
-enum class connection_phase {
-    /// No byte of a request has come.
-    idle,
-    reading,
-    /// A request is with the handler; its response may have begun.
-    answering,
-};
-
 namespace {
 
 struct connection {
@@ -34,6 +27,10 @@
     std::unique_ptr<request_reader> reader;
     connection_phase phase = connection_phase::idle;
     microseconds since{0};
+    /// How long the connection may lie idle since `since`, whatever the limit is later.
+    microseconds idle_time{0};
+    /// Whether the bytes that follow the last request are still to be looked at.
+    bool resuming = false;
     inbound_request request;
     inbound_exchange exchange = 0;
     bool keep_alive = true;
@@ -44,6 +41,9 @@
     bool closes = false;
     /// Whether the connection's state goes at the end of the turn.
     bool dead = false;
+    /// Bytes handed to the network at the last sweep at which there were more than before.
+    std::uint64_t sent_bytes = 0;
+    microseconds sent_at{0};
 };
 
 } // namespace
@@ -51,10 +51,15 @@
 struct inbound_server::state {
     loop& on;
     inbound_limits limits;
+    /// Idle time before it was lowered, and until when callers may count on it.
+    microseconds earlier_idle_time{0};
+    microseconds earlier_until{0};
     inbound_handlers handlers;
     std::unique_ptr<tcp_listener> listener;
     std::map<std::uint64_t, std::shared_ptr<connection>> connections;
     std::map<inbound_exchange, std::uint64_t> by_exchange;
+    /// Connections that are closed once their last bytes are sent.
+    std::vector<std::shared_ptr<connection>> ending;
     std::uint64_t last_connection = 0;
     inbound_exchange last_exchange = 0;
     timer_id sweep_timer = 0;
@@ -70,13 +75,49 @@
     void complete(connection& from);
     void reject(connection& from, int status);
     void bury(connection& from);
+    void forget_ended();
+    [[nodiscard]] static bool is_unfinished(const connection& each);
+    void report(const connection& closed, closing_reason why) const;
     void finish(connection& of);
     void write(connection& of, std::string_view bytes);
     void sweep();
+    void become_idle(connection& each) const;
+    /// Whether the connection may be closed without harm to a request.
+    [[nodiscard]] static bool is_unused(const connection& each);
+    void close(connection& unused);
+    [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
     void send_head(connection& of, inbound_response&& head);
 };
 
+std::string_view to_string(connection_phase phase)
+{
+    switch (phase) {
+    case connection_phase::idle:
+        return "idle";
+    case connection_phase::reading:
+        return "reading";
+    case connection_phase::answering:
+        return "answering";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(closing_reason reason)
+{
+    switch (reason) {
+    case closing_reason::slow_request:
+        return "slow_request";
+    case closing_reason::clogged:
+        return "clogged";
+    case closing_reason::aborted:
+        return "aborted";
+    case closing_reason::server_ended:
+        return "server_ended";
+    }
+    return "unknown";
+}
+
 std::string_view reason_phrase(int status)
 {
     const auto text = boost::beast::http::obsolete_reason(
@@ -88,7 +129,7 @@
 {
     auto made = std::make_shared<connection>();
     made->id = ++this->last_connection;
-    made->since = this->on.now();
+    this->become_idle(*made);
     connection* const raw = made.get();
     request_reader::handlers reading;
     reading.head = [this, raw](request_line_and_headers&& head) {
@@ -114,8 +155,36 @@
     if (from.exchange != 0)
         this->by_exchange.erase(from.exchange);
     const auto found = this->connections.find(from.id);
-    run_after_turn(this->on, [kept = found->second] { kept->stream.reset(); });
+    const std::shared_ptr<connection> kept = found->second;
     this->connections.erase(found);
+    if (kept->stream->unsent_bytes() > 0)
+        this->ending.push_back(kept);
+    else
+        run_after_turn(this->on, [kept] { kept->stream.reset(); });
+}
+
+void inbound_server::state::forget_ended()
+{
+    std::erase_if(this->ending, [](const auto& each) { return each->stream->unsent_bytes() == 0; });
+}
+
+bool inbound_server::state::is_unfinished(const connection& each)
+{
+    return each.phase != connection_phase::idle || each.resuming ||
+           each.stream->unsent_bytes() > 0 || !each.stream->is_quiet();
+}
+
+void inbound_server::state::report(const connection& closed, closing_reason why) const
+{
+    if (!this->handlers.closing)
+        return;
+    connection_closing made;
+    made.reason = why;
+    made.phase = closed.phase;
+    made.exchange = closed.exchange;
+    made.age = this->on.now() - closed.since;
+    made.unsent_bytes = closed.stream->unsent_bytes();
+    this->handlers.closing(made);
 }
 
 void inbound_server::state::received(connection& from, std::string_view bytes)
@@ -263,11 +332,12 @@
         this->bury(of);
         return;
     }
-    of.phase = connection_phase::idle;
-    of.since = this->on.now();
+    this->become_idle(of);
+    of.resuming = true;
     // The next request is read from the loop, not from inside the handler of this one.
     const auto kept = this->connections.at(of.id);
     run_after_turn(this->on, [this, kept] {
+        kept->resuming = false;
         if (kept->dead || kept->phase != connection_phase::idle)
             return;
         kept->reader->set_limits(this->limits.message);
@@ -280,24 +350,66 @@
     });
 }
 
+void inbound_server::state::become_idle(connection& each) const
+{
+    each.phase = connection_phase::idle;
+    each.since = this->on.now();
+    each.idle_time = this->limits.idle_time;
+    if (each.since < this->earlier_until)
+        each.idle_time = std::max(each.idle_time, this->earlier_idle_time);
+}
+
+bool inbound_server::state::is_unused(const connection& each)
+{
+    return each.phase == connection_phase::idle && !each.resuming && each.stream->is_quiet();
+}
+
+void inbound_server::state::close(connection& unused)
+{
+    unused.stream->close_after_writes();
+    this->bury(unused);
+}
+
+bool inbound_server::state::is_clogged(connection& each) const
+{
+    const std::size_t unsent = each.stream->unsent_bytes();
+    const bool progresses = each.stream->sent_bytes() != each.sent_bytes;
+    if (progresses || unsent <= this->limits.unsent_bytes) {
+        each.sent_bytes = each.stream->sent_bytes();
+        each.sent_at = this->on.now();
+    }
+    return unsent > this->limits.max_unsent_bytes ||
+           this->on.now() - each.sent_at > this->limits.clogged_time;
+}
+
 void inbound_server::state::sweep()
 {
     const microseconds now = this->on.now();
+    this->forget_ended();
     std::vector<std::shared_ptr<connection>> late;
+    std::vector<std::shared_ptr<connection>> clogged;
     for (const auto& [id, each] : this->connections) {
         const microseconds age = now - each->since;
         const bool slow =
             each->phase == connection_phase::reading && age > this->limits.header_time;
-        const bool unused = each->phase == connection_phase::idle && age > this->limits.idle_time;
-        const bool clogged = each->stream->unsent_bytes() > this->limits.unsent_bytes;
-        if (slow || unused || clogged)
+        const bool idle_too_long =
+            age > std::max<microseconds>(each->idle_time, this->limits.idle_time);
+        const bool unused = idle_too_long && is_unused(*each);
+        if (this->is_clogged(*each))
+            clogged.push_back(each);
+        else if (slow || unused)
             late.push_back(each);
     }
     for (const auto& each : late) {
         if (each->phase == connection_phase::reading) {
+            this->report(*each, closing_reason::slow_request);
             this->reject(*each, 408);
             continue;
         }
+        this->close(*each);
+    }
+    for (const auto& each : clogged) {
+        this->report(*each, closing_reason::clogged);
         each->stream->reset();
         this->ended(*each);
     }
@@ -333,7 +445,19 @@
 
 void inbound_server::set_limits(const inbound_limits& limits)
 {
-    this->self->limits = limits;
+    state& own = *this->self;
+    const microseconds now = own.on.now();
+    const microseconds before = std::max<microseconds>(
+        own.limits.idle_time,
+        now < own.earlier_until ? own.earlier_idle_time : microseconds::zero());
+    if (limits.idle_time < own.limits.idle_time) {
+        own.earlier_idle_time = before;
+        own.earlier_until = now + limits.idle_notice_time;
+    }
+    // A caller may count on a raised limit at once, and it may be lowered again meanwhile.
+    for (const auto& [id, each] : own.connections)
+        each->idle_time = std::max<microseconds>(each->idle_time, limits.idle_time);
+    own.limits = limits;
 }
 
 void inbound_server::start_response(inbound_exchange exchange, inbound_response&& head)
@@ -377,6 +501,7 @@
     connection* const of = this->self->find(exchange);
     if (of == nullptr)
         return;
+    this->self->report(*of, closing_reason::aborted);
     of->stream->reset();
     this->self->bury(*of);
 }
@@ -390,13 +515,11 @@
 {
     std::vector<std::shared_ptr<connection>> idle;
     for (const auto& [id, each] : this->self->connections) {
-        if (each->phase == connection_phase::idle)
+        if (state::is_unused(*each))
             idle.push_back(each);
     }
-    for (const auto& each : idle) {
-        each->stream->close_after_writes();
-        this->self->bury(*each);
-    }
+    for (const auto& each : idle)
+        this->self->close(*each);
 }
 
 std::size_t inbound_server::connections() const
@@ -404,4 +527,29 @@
     return this->self->connections.size();
 }
 
+std::size_t inbound_server::unfinished() const
+{
+    this->self->forget_ended();
+    std::size_t count = this->self->ending.size();
+    for (const auto& [id, each] : this->self->connections)
+        count += state::is_unfinished(*each) ? 1 : 0;
+    return count;
+}
+
+void inbound_server::close_all()
+{
+    this->self->forget_ended();
+    std::vector<std::shared_ptr<connection>> open = this->self->ending;
+    for (const auto& [id, each] : this->self->connections)
+        open.push_back(each);
+    for (const auto& each : open) {
+        if (state::is_unfinished(*each)) {
+            this->self->report(*each, closing_reason::server_ended);
+            each->stream->reset();
+        }
+        this->self->bury(*each);
+    }
+    this->self->ending.clear();
+}
+
 } // namespace ragwortcove::http
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -17,6 +17,7 @@
     std::vector<inbound_exchange> waiting;
     std::vector<inbound_exchange> abandoned;
     std::vector<int> rejected;
+    std::vector<connection_closing> closings;
     std::unique_ptr<inbound_server> server;
 
     explicit listening_server(const inbound_limits& limits = {})
@@ -34,6 +35,9 @@
             this->abandoned.push_back(exchange);
         };
         handlers.rejected = [this](int status) { this->rejected.push_back(status); };
+        handlers.closing = [this](const connection_closing& closing) {
+            this->closings.push_back(closing);
+        };
         this->server = std::make_unique<inbound_server>(this->on, socket_address{"127.0.0.1", 0},
                                                         limits, std::move(handlers));
         REQUIRE(this->server->listening());
@@ -223,6 +227,264 @@
     CHECK(cut_off);
 }
 
+TEST_CASE("a caller that reads a long answer steadily gets all of it")
+{
+    constexpr std::size_t answer_bytes = 12U << 20U;
+    listening_server serving;
+    std::string request = "GET /wait HTTP/1.1\r\nHost: h\r\n";
+    SUBCASE("on a connection that is kept") {}
+    SUBCASE("on a connection that closes after it")
+    {
+        request += "Connection: close\r\n";
+    }
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(request + "\r\n");
+        std::string part = connection.receive_some(256U << 10U);
+        while (!part.empty() && answer.size() < answer_bytes) {
+            answer += part;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            part = connection.receive_some(256U << 10U);
+        }
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->respond(serving.waiting[0], 200, {}, std::string(answer_bytes, 'x'));
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.size() >= answer_bytes);
+    CHECK(serving.closings.empty());
+}
+
+namespace {
+
+constexpr std::string_view kept_request = "GET /kept HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Runs the loop for that long.
+void run_for(loop& on, std::chrono::milliseconds time)
+{
+    static_cast<void>(run_until(
+        on, [] { return false; }, time));
+}
+
+} // namespace
+
+TEST_CASE("a lowered idle limit closes no connection sooner than its caller could know")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(5000);
+    listening_server serving(limits);
+    std::atomic<int> step{0};
+    std::string second;
+    bool in_order = false;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(milliseconds(2));
+        connection.send(kept_request);
+        second = connection.receive_until("\r\n\r\n");
+        in_order = connection.ends_in_order();
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    limits.idle_time = milliseconds(100);
+    limits.idle_notice_time = milliseconds(0);
+    serving.server->set_limits(limits);
+    // The connection became idle under the longer limit.
+    run_for(serving.on, milliseconds(900));
+    step = 2;
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+    // It was used under the shorter one since.
+    CHECK(in_order);
+    CHECK(serving.closings.empty());
+}
+
+TEST_CASE("callers may not know of a lowered idle limit yet")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(5000);
+    listening_server serving(limits);
+    limits.idle_time = milliseconds(100);
+    limits.idle_notice_time = milliseconds(2000);
+    serving.server->set_limits(limits);
+    std::string second;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        std::this_thread::sleep_for(milliseconds(900));
+        connection.send(kept_request);
+        second = connection.receive_until("\r\n\r\n");
+    });
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("a connection whose next request is there already is not closed as idle")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.idle_time = milliseconds(300);
+    listening_server serving(limits);
+    std::atomic<int> step{0};
+    std::string second;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send(kept_request);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(milliseconds(2));
+        connection.send(kept_request);
+        step = 3;
+        second = connection.receive_until("\r\n\r\n");
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    run_for(serving.on, milliseconds(20));
+    step = 2;
+    // The loop stands still meanwhile, as it does while it handles something else.
+    while (step != 3)
+        std::this_thread::sleep_for(milliseconds(2));
+    SUBCASE("by the sweep")
+    {
+        std::this_thread::sleep_for(milliseconds(400));
+    }
+    SUBCASE("by a server that ends")
+    {
+        serving.server->begin_drain();
+        serving.server->close_idle();
+    }
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(second.find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("a process that ends when its server is finished has sent every answer whole")
+{
+    constexpr std::size_t answer_bytes = 12U << 20U;
+    std::string answer;
+    std::unique_ptr<raw_client> caller;
+    {
+        listening_server serving;
+        caller =
+            std::make_unique<raw_client>(serving.server->port(), [&](raw_connection& connection) {
+                connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+                std::string part = connection.receive_some(256U << 10U);
+                while (!part.empty()) {
+                    answer += part;
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    part = connection.receive_some(256U << 10U);
+                }
+            });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->begin_drain();
+        serving.server->respond(serving.waiting[0], 200, {}, std::string(answer_bytes, 'x'));
+        REQUIRE(run_until(serving.on, [&] {
+            serving.server->close_idle();
+            return serving.server->unfinished() == 0;
+        }));
+    }
+    caller.reset();
+    CHECK(answer.size() > answer_bytes);
+}
+
+TEST_CASE("a server is not finished while a request is read or waits to be read")
+{
+    listening_server serving;
+    std::atomic<int> step{0};
+    std::string answer;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /kept HTTP/1.1\r\nHost:");
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        connection.send(" h\r\n\r\n");
+        answer = connection.receive_all();
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    run_for(serving.on, std::chrono::milliseconds(50));
+    serving.server->begin_drain();
+    serving.server->close_idle();
+    CHECK(serving.server->unfinished() == 1);
+    step = 2;
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(answer.find("HTTP/1.1 200") == 0);
+    CHECK(serving.server->unfinished() == 0);
+}
+
+TEST_CASE("connections that a server ends with do not look whole")
+{
+    listening_server serving;
+    bool in_order = true;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("GET /wait HTTP/1.0\r\nHost: h\r\n\r\n");
+        static_cast<void>(connection.receive_until("part"));
+        in_order = connection.ends_in_order();
+    });
+    REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+    serving.server->start_response(serving.waiting[0], {});
+    serving.server->write(serving.waiting[0], "part");
+    run_for(serving.on, std::chrono::milliseconds(100));
+    serving.server->close_all();
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK_FALSE(in_order);
+    REQUIRE(serving.closings.size() == 1);
+    CHECK(serving.closings[0].reason == closing_reason::server_ended);
+    CHECK(serving.closings[0].exchange == serving.waiting[0]);
+}
+
+TEST_CASE("a server tells why it closes a connection before the end of its use")
+{
+    inbound_limits limits;
+    limits.unsent_bytes = 64U << 10U;
+    limits.header_time = std::chrono::milliseconds(300);
+    listening_server serving(limits);
+    SUBCASE("a request that is not whole in time")
+    {
+        CHECK(serving.ask("GET / HTTP/1.1\r\nHost:").find("HTTP/1.1 408") == 0);
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::slow_request);
+        CHECK(serving.closings[0].phase == connection_phase::reading);
+        CHECK(serving.closings[0].age >= limits.header_time);
+    }
+    SUBCASE("an answer that is aborted, with its exchange")
+    {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            static_cast<void>(connection.receive_all());
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->abort(serving.waiting[0]);
+        REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::aborted);
+        CHECK(serving.closings[0].exchange == serving.waiting[0]);
+    }
+    SUBCASE("a caller that does not take its answer, with the bytes that it lacks")
+    {
+        std::atomic<bool> enough{false};
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            while (!enough)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->start_response(serving.waiting[0], {});
+        serving.server->write(serving.waiting[0], std::string(32U << 20U, 'x'));
+        const bool cut_off = run_until(serving.on, [&] { return !serving.abandoned.empty(); });
+        enough = true;
+        REQUIRE(cut_off);
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].reason == closing_reason::clogged);
+        CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
+    }
+    SUBCASE("the end of a kept connection is none of these")
+    {
+        CHECK(serving.ask("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                  .find("HTTP/1.1 200") == 0);
+        CHECK(serving.closings.empty());
+    }
+}
+
 TEST_CASE("a server that drains says so on every answer and closes only idle connections")
 {
     listening_server serving;
