--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -58,6 +58,12 @@
     core::call_history history;
     std::vector<core::upstream_name> avoid;
     std::optional<dispatch> active_dispatch;
+    /// The upstream of the last dispatch, empty before the first one, and when it last sent a byte;
+    /// until then, when the request was sent to it.
+    core::upstream_name last_upstream;
+    core::time_point last_byte_at;
+    /// How the last dispatch that failed ended.
+    std::optional<core::dispatch_end> last_failure;
     std::optional<std::uint64_t> last_event_number;
 };
 
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -83,7 +83,8 @@
                     "a caller has its whole answer", "none"},
     log_event_entry{log_event::answer_cut, "answer_cut", log_level::warning,
                     "an answer that had begun could not be completed; the caller was told",
-                    "look for `attempt_failed` lines of the same request"},
+                    "`last_failure`, `silent_ms`, `time_left_ms`, `rules` and `rules_now` tell the "
+                    "causes apart; look for `attempt_failed` lines of the same request"},
     log_event_entry{log_event::call_rejected, "call_rejected", log_level::info,
                     "a call was malformed or named something unknown",
                     "tell the caller's developers; `detail` says what was expected"},
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -284,6 +284,8 @@
     call.active_dispatch.emplace();
     call.active_dispatch->upstream = upstream.name;
     call.active_dispatch->sent_at = at;
+    call.last_upstream = upstream.name;
+    call.last_byte_at = at;
     daemon::write_log(log_event::request_placed,
                       {{"request", call.facts.attempt},
                        {"route", call.route->name.value},
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -37,6 +37,7 @@
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
+    call->last_byte_at = this->now();
     call->active_dispatch->facts = adapter::read_response_headers(head, call->facts.attempt);
     call->active_dispatch->head = std::move(head);
     if (this->is_streaming(*call) && !is_usable(call->active_dispatch->facts)) {
@@ -50,6 +51,7 @@
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
+    call->last_byte_at = this->now();
     if (!this->is_streaming(*call)) {
         call->active_dispatch->body.append(bytes);
         return;
@@ -208,6 +210,45 @@
     return "unknown";
 }
 
+static std::string_view to_text(bool value)
+{
+    return value ? "true" : "false";
+}
+
+static std::string version_text(const core::rule_index* rules)
+{
+    return rules == nullptr ? "none" : std::to_string(rules->rules().version);
+}
+
+namespace {
+
+/// Fields of the log with which the causes of an ending can be told apart.
+struct ending_facts {
+    std::string_view last_failure = "none";
+    /// Time since the last upstream sent a byte.
+    std::string silent_ms = "none";
+    std::string time_left_ms = "none";
+    std::string rules;
+    std::string rules_now;
+};
+
+} // namespace
+
+static ending_facts describe_ending(const open_call& call, const core::rule_index* rules_now,
+                                    time_point at)
+{
+    ending_facts facts;
+    if (call.last_failure)
+        facts.last_failure = describe(*call.last_failure);
+    if (!call.last_upstream.empty())
+        facts.silent_ms = to_ms_text(at - call.last_byte_at);
+    if (call.deadline != time_point{})
+        facts.time_left_ms = to_ms_text(call.deadline - at);
+    facts.rules = version_text(call.rules.get());
+    facts.rules_now = version_text(rules_now);
+    return facts;
+}
+
 void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
 {
     const time_point at = this->now();
@@ -218,6 +259,7 @@
     history.sent += end == core::dispatch_end::not_sent ? 0 : 1;
     history.may_have_run = history.may_have_run || !known_not_run;
     history.time_left = call.deadline - at;
+    call.last_failure = end;
     const core::upstream_name upstream = call.active_dispatch->upstream;
     this->release_placement(call, outcome_of(end));
     // The retry budget is spent only on a retry that would otherwise take place.
@@ -235,9 +277,11 @@
          {"status",
           call.active_dispatch->head ? std::to_string(call.active_dispatch->head->status) : "none"},
          {"after_ms", to_ms_text(at - call.active_dispatch->sent_at)},
-         {"may_have_run", history.may_have_run ? "true" : "false"},
-         {"budget_left", budget_left ? "true" : "false"},
-         {"again", step == core::next_step::place_again ? "true" : "false"}});
+         {"silent_ms", to_ms_text(at - call.last_byte_at)},
+         {"part_sent", to_text(history.response_started)},
+         {"may_have_run", to_text(history.may_have_run)},
+         {"budget_left", to_text(budget_left)},
+         {"again", to_text(step == core::next_step::place_again)}});
     this->env.metrics.count("failed_attempts", "how", describe(end));
     switch (step) {
     case core::next_step::place_again:
@@ -337,15 +381,21 @@
 
 void call_handler::fail(open_call& call, int status, std::string_view reason)
 {
-    daemon::write_log(
-        log_event::request_failed,
-        {{"request", call.facts.attempt},
-         {"route", call.route == nullptr ? "" : call.route->name.value},
-         {"status", std::to_string(status)},
-         {"reason", reason},
-         {"verdict", to_string(core::verdict_of(call.history))},
-         {"age_ms", to_ms_text(this->now() - call.arrived_at)},
-         {"rules", call.rules == nullptr ? "none" : std::to_string(call.rules->rules().version)}});
+    const time_point at = this->now();
+    const ending_facts facts = describe_ending(call, this->env.rules().get(), at);
+    daemon::write_log(log_event::request_failed,
+                      {{"request", call.facts.attempt},
+                       {"route", call.route == nullptr ? "" : call.route->name.value},
+                       {"status", std::to_string(status)},
+                       {"reason", reason},
+                       {"verdict", to_string(core::verdict_of(call.history))},
+                       {"upstream", call.last_upstream.value},
+                       {"last_failure", facts.last_failure},
+                       {"silent_ms", facts.silent_ms},
+                       {"age_ms", to_ms_text(at - call.arrived_at)},
+                       {"time_left_ms", facts.time_left_ms},
+                       {"rules", facts.rules},
+                       {"rules_now", facts.rules_now}});
     this->env.metrics.count("failures", "reason", reason);
     this->env.callers.respond(call.exchange, status, {{"Content-Type", "text/plain"}}, reason);
     this->end_call(call);
@@ -353,12 +403,21 @@
 
 void call_handler::abort_response(open_call& call, std::string_view reason)
 {
+    const time_point at = this->now();
+    const ending_facts facts = describe_ending(call, this->env.rules().get(), at);
     daemon::write_log(
         log_event::answer_cut,
         {{"request", call.facts.attempt},
          {"route", call.route->name.value},
          {"reason", reason},
-         {"age_ms", to_ms_text(this->now() - call.arrived_at)},
+         {"upstream", call.last_upstream.value},
+         {"last_failure", facts.last_failure},
+         {"silent_ms", facts.silent_ms},
+         {"part_sent", to_text(call.history.response_started)},
+         {"age_ms", to_ms_text(at - call.arrived_at)},
+         {"time_left_ms", facts.time_left_ms},
+         {"rules", facts.rules},
+         {"rules_now", facts.rules_now},
          {"last_event",
           call.last_event_number ? std::to_string(*call.last_event_number) : "none"}});
     this->env.metrics.count("cuts", "reason", reason);
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -1,9 +1,12 @@
 #include "../http/loopback.hpp"
+#include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/gateway/call_handler.hpp"
 
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 
 namespace ragwortcove::gateway {
@@ -76,10 +79,10 @@
     }
 
     /// Sets routes /once/, /again/ and /stream/ of host h, for a team with key k.
-    void set_test_rules()
+    void set_test_rules(std::uint64_t version = 3)
     {
         core::ruleset ruleset;
-        ruleset.version = 3;
+        ruleset.version = version;
         const auto add = [&](std::string prefix, bool idempotent, bool streams) {
             core::http_route route;
             route.name.value = prefix;
@@ -174,6 +177,91 @@
     return text.find(part) != std::string::npos;
 }
 
+const std::string stream_head = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string last_chunk = "0\r\n\r\n";
+
+std::string make_chunk(const std::string& text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return std::string(size.data()) + text + "\r\n";
+}
+
+std::string make_event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+/// Bytes that an upstream sends after a pause.
+struct paced_bytes {
+    std::chrono::milliseconds pause{0};
+    std::string bytes;
+};
+
+/// An upstream that responds to every request with the same bytes, and closes the connection.
+struct paced_upstream {
+    std::atomic<int> request_count{0};
+    raw_server server;
+
+    explicit paced_upstream(std::vector<paced_bytes> given)
+        : server([this, steps = std::move(given)](raw_connection& connection) {
+              if (connection.receive_until("\r\n\r\n").empty())
+                  return;
+              ++this->request_count;
+              for (const paced_bytes& each : steps) {
+                  std::this_thread::sleep_for(each.pause);
+                  connection.send(each.bytes);
+              }
+          })
+    {
+    }
+};
+
+/// Collects the log of the process while it exists.
+class captured_log {
+public:
+    captured_log()
+        : path(std::filesystem::temp_directory_path() /
+               ("call_handler_test_" + std::to_string(::getpid()) + ".log"))
+    {
+        std::filesystem::remove(this->path);
+        daemon::configure_log({daemon::log_level::info, this->path.string()});
+    }
+    ~captured_log()
+    {
+        daemon::configure_log({});
+        std::filesystem::remove(this->path);
+    }
+    captured_log(const captured_log&) = delete;
+    captured_log& operator=(const captured_log&) = delete;
+
+    /// The first line of an event, or nothing.
+    [[nodiscard]] std::string find(const std::string& event) const
+    {
+        std::ifstream file(this->path);
+        std::string line;
+        while (std::getline(file, line)) {
+            if (contains(line, " name=" + event + " "))
+                return line;
+        }
+        return {};
+    }
+
+    /// Value of a field that is written without quotes.
+    [[nodiscard]] static std::string field(const std::string& line, const std::string& key)
+    {
+        const std::size_t at = line.find(" " + key + "=");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t start = at + key.size() + 2;
+        return line.substr(start, line.find(' ', start) - start);
+    }
+
+private:
+    std::filesystem::path path;
+};
+
 } // namespace
 
 TEST_CASE("a request and its response are forwarded unchanged")
@@ -339,6 +427,51 @@
     }
 }
 
+TEST_CASE("the log tells the causes of a cut answer apart")
+{
+    const captured_log log;
+    gateway_fixture node;
+    SUBCASE("an upstream broke off, and newer rules were in force by then")
+    {
+        paced_upstream breaking({{0ms, stream_head + make_chunk(make_event(1))}, {300ms, ""}});
+        node.add_upstream("i-1", breaking.server);
+        node.event_loop.after(100ms, [&] { node.set_test_rules(4); });
+        CHECK_FALSE(contains(node.send_request("/stream/"), last_chunk));
+        const std::string line = log.find("answer_cut");
+        CHECK(captured_log::field(line, "upstream") == "i-1");
+        CHECK(captured_log::field(line, "last_failure") == "broken");
+        CHECK(captured_log::field(line, "part_sent") == "true");
+        CHECK(captured_log::field(line, "rules") == "3");
+        CHECK(captured_log::field(line, "rules_now") == "4");
+        REQUIRE_FALSE(captured_log::field(line, "silent_ms").empty());
+        CHECK(std::stoi(captured_log::field(line, "silent_ms")) >= 250);
+        CHECK(captured_log::field(log.find("attempt_failed"), "part_sent") == "true");
+    }
+    SUBCASE("the deadline was reached")
+    {
+        paced_upstream slow({{0ms, stream_head + make_chunk(make_event(1))},
+                             {1400ms, make_chunk(make_event(2))},
+                             {1s, ""}});
+        node.add_upstream("i-1", slow.server);
+        CHECK_FALSE(contains(node.send_request("/stream/"), last_chunk));
+        const std::string line = log.find("answer_cut");
+        CHECK(contains(line, "reason=\"time is up\""));
+        CHECK(captured_log::field(line, "last_failure") == "none");
+        CHECK(captured_log::field(line, "rules_now") == "3");
+        REQUIRE_FALSE(captured_log::field(line, "time_left_ms").empty());
+        CHECK(std::stoi(captured_log::field(line, "time_left_ms")) <= 0);
+    }
+    SUBCASE("no response had begun")
+    {
+        paced_upstream breaking({{0ms, ""}});
+        node.add_upstream("i-1", breaking.server);
+        CHECK(contains(node.send_request("/once/"), "HTTP/1.1 502"));
+        const std::string line = log.find("request_failed");
+        CHECK(captured_log::field(line, "upstream") == "i-1");
+        CHECK(captured_log::field(line, "last_failure") == "broken");
+    }
+}
+
 TEST_CASE("a request is cancelled when its caller disconnects")
 {
     gateway_fixture node;
