[gateway] a silent upstream keeps its request until another one has a slot

What callers saw: an upstream that was sound but sent nothing for 1.5 s (a stream) or three goals (a plain request) lost the request before another upstream was found. Without one, without a free slot or with the repeat budget spent, a stream that had begun was reset (answer_cut) and any other request got 502, although the upstream went on a moment later.

Cause: on_idle_timeout cancelled the exchange first and placed the request again afterwards; the budget was spent by then, too.

Now the silence only requests a second slot (waiting_placement), while the exchange stays open. A byte of the upstream withdraws that request. A grant spends one repeat, ends the old exchange and sends to the new upstream in one step, so that two upstreams never work on the request at once. A denial, a spent budget or a grant without budget leave the request where it is, and the next silence time-out asks again, until the deadline. Silence is counted from any byte of the response, also for plain requests, whose timer ran on while bytes came. An upstream that is silent when its caller leaves or at the deadline is released as silent, so that its health still counts. New event 307 `upstream_silent`.

No existing test asserted the earlier behaviour.

--- a/include/ragwortcove/core/call_policy.hpp
+++ b/include/ragwortcove/core/call_policy.hpp
@@ -58,6 +58,8 @@
 /// Decides what to do after a dispatch. `budget_left` matters only when a repeat would count.
 [[nodiscard]] next_step decide_next_step(const http_route& route, const call_history& history,
                                          dispatch_end end, bool budget_left);
+/// Whether a request at a silent upstream may move to another one, if the repeat budget allows it.
+[[nodiscard]] bool may_replace_silent(const http_route& route, const call_history& history);
 /// Verdict for a caller that gets no complete response.
 [[nodiscard]] verdict verdict_of(const call_history& history);
 
@@ -65,7 +67,7 @@
 [[nodiscard]] duration max_placement_wait(const http_route& route, duration time_left);
 /// Longest time that a request waits for units of its team's quota.
 [[nodiscard]] duration max_quota_wait(const http_route& route, duration time_left);
-/// Longest silence of an upstream before a request that may be repeated is sent to another one.
+/// Longest silence of an upstream before another one is sought for a request that may be repeated.
 [[nodiscard]] duration silence_timeout(const http_route& route);
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/repeat_budget.hpp
+++ b/include/ragwortcove/core/repeat_budget.hpp
@@ -26,6 +26,8 @@
     explicit repeat_budget(const repeat_limits& given) : limits{given} {}
 
     void count_request(const target_name& target, time_point now);
+    /// Whether `spend` would succeed.
+    [[nodiscard]] bool has_left(const target_name& target, std::size_t nodes, time_point now);
     /// Spends one repeat; false when the budget is used up. `nodes` is the number of nodes that
     /// share the allowance.
     [[nodiscard]] bool spend(const target_name& target, std::size_t nodes, time_point now);
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -58,6 +58,7 @@
     order_failed = 304,
     upstream_changed = 305,
     upstream_unreadable = 306,
+    upstream_silent = 307,
 
     member_changed = 400,
     peer_disconnected = 401,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -70,10 +70,17 @@
     [[nodiscard]] core::placement_request make_placement_request(const open_call& call);
     void on_placement_response(http::inbound_exchange exchange, placement_number number,
                                const core::placement_response& response);
-    void on_granted(open_call& call, const core::placement_grant& grant);
+    void on_granted(open_call& call, placement_number number, const core::placement_grant& grant);
     void on_denied(open_call& call, const core::placement_denial& denial);
     void send_to_upstream(open_call& call, const core::announced_upstream& upstream);
     void arm_idle_timer(open_call& call);
+    /// Whether the active dispatch may give way to one at another upstream.
+    [[nodiscard]] bool may_replace(open_call& call);
+    /// Requests a slot at another upstream, while the silent one keeps the request.
+    void seek_replacement(open_call& call);
+    void withdraw_waiting(open_call& call);
+    [[nodiscard]] bool take_from_silent(open_call& call);
+    void on_upstream_bytes(open_call& call);
 
     void on_response_head(http::inbound_exchange exchange, http::status_line_and_headers&& head);
     void on_response_body(http::inbound_exchange exchange, std::string_view bytes);
@@ -85,6 +92,9 @@
     void on_idle_timeout(http::inbound_exchange exchange);
     void on_deadline(http::inbound_exchange exchange);
     void handle_failed_dispatch(open_call& call, core::dispatch_end end);
+    /// Records that the active dispatch has failed, and releases its slot.
+    void record_failure(open_call& call, core::dispatch_end end);
+    void log_failure(const open_call& call, core::dispatch_end end, bool budget_left, bool again);
 
     void release_placement(open_call& call, core::placement_outcome outcome);
     void forward_response(open_call& call);
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -32,6 +32,8 @@
     adapter::response_facts facts;
     std::string body;
     event_splitter splitter;
+    /// Whether the upstream has been silent for the time-out of the route.
+    bool silent = false;
 };
 struct open_call {
     http::inbound_exchange exchange = 0;
@@ -52,7 +54,11 @@
     core::duration earlier_attempts_time{0};
     http::timer_id deadline_timer = 0;
     http::timer_id idle_timer = 0;
+    /// Slot of the active dispatch.
     placement_number placement = 0;
+    /// Request for a slot that has no response yet. Beside an active dispatch it is for another
+    /// upstream, to which the request moves once it has a slot there.
+    placement_number waiting_placement = 0;
     std::uint32_t uncached_tokens = 0;
     std::uint32_t stale_grants = 0;
     core::call_history history;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -67,6 +67,8 @@
     /// Requests an upstream and fills in the id of `wanted`. `handler` is called once, possibly
     /// before this function returns, unless the request is withdrawn first.
     placement_number place(core::placement_request&& wanted, placement_handler&& handler);
+    /// Whether a request has no response yet.
+    [[nodiscard]] bool is_waiting(placement_number request) const;
     /// Cancels a request that waits, or releases its upstream if one was granted.
     void withdraw(placement_number request);
     void started(placement_number request, core::duration after);
--- a/lib/core/call_policy.cpp
+++ b/lib/core/call_policy.cpp
@@ -78,6 +78,14 @@
     return give_up(history, end);
 }
 
+bool may_replace_silent(const http_route& route, const call_history& history)
+{
+    call_history given_up = history;
+    ++given_up.sent;
+    given_up.may_have_run = true;
+    return decide_next_step(route, given_up, dispatch_end::silent, true) == next_step::place_again;
+}
+
 verdict verdict_of(const call_history& history)
 {
     return history.may_have_run ? verdict::may_have_run : verdict::not_run;
--- a/lib/core/repeat_budget.cpp
+++ b/lib/core/repeat_budget.cpp
@@ -25,16 +25,21 @@
     counts.requests.push_back(now);
 }
 
-bool repeat_budget::spend(const target_name& target, std::size_t nodes, time_point now)
+bool repeat_budget::has_left(const target_name& target, std::size_t nodes, time_point now)
 {
     window_counts& counts = this->by_target[target];
     this->expire(counts, now);
     const double earned = this->limits.share * static_cast<double>(counts.requests.size());
     const double allowance =
         this->limits.allowance / static_cast<double>(std::max<std::size_t>(nodes, 1));
-    if (static_cast<double>(counts.repeats.size()) + 1.0 > usable_share * (earned + allowance))
+    return static_cast<double>(counts.repeats.size()) + 1.0 <= usable_share * (earned + allowance);
+}
+
+bool repeat_budget::spend(const target_name& target, std::size_t nodes, time_point now)
+{
+    if (!this->has_left(target, nodes, now))
         return false;
-    counts.repeats.push_back(now);
+    this->by_target[target].repeats.push_back(now);
     return true;
 }
 
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -124,6 +124,10 @@
     log_event_entry{log_event::upstream_unreadable, "upstream_unreadable", log_level::warning,
                     "an upstream's announcement cannot be read; it is not used",
                     "look at who writes the announcement"},
+    log_event_entry{log_event::upstream_silent, "upstream_silent", log_level::info,
+                    "an upstream with a request sends nothing; it keeps the request until another "
+                    "upstream has a slot for it",
+                    "look at the upstream when it is named often"},
 
     log_event_entry{log_event::member_changed, "member_changed", log_level::info,
                     "another instance joined, left, is suspected or is dead",
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -180,6 +180,8 @@
     request.longest_pause = call.route->longest_pause;
     request.failure_domain = this->env.failure_domain;
     request.avoid = call.avoid;
+    if (call.active_dispatch)
+        request.avoid.push_back(call.active_dispatch->upstream);
     std::erase_if(this->unreachable_until, [at](const auto& each) { return each.second <= at; });
     for (const auto& [name, until] : this->unreachable_until)
         request.avoid.push_back(name);
@@ -197,8 +199,8 @@
         });
     // The response may have arrived inside the call to `place` and may have ended the request.
     open_call* const placed_call = this->find(exchange);
-    if (placed_call != nullptr && !placed_call->active_dispatch && placed_call->placement == 0)
-        placed_call->placement = number;
+    if (placed_call != nullptr && this->env.placement.is_waiting(number))
+        placed_call->waiting_placement = number;
 }
 
 void call_handler::on_placement_response(http::inbound_exchange exchange, placement_number number,
@@ -209,27 +211,36 @@
         this->env.placement.withdraw(number);
         return;
     }
+    call->waiting_placement = 0;
     if (const auto* denial = std::get_if<core::placement_denial>(&response)) {
-        call->placement = 0;
         this->on_denied(*call, *denial);
         return;
     }
-    call->placement = number;
-    this->on_granted(*call, std::get<core::placement_grant>(response));
+    this->on_granted(*call, number, std::get<core::placement_grant>(response));
 }
 
-void call_handler::on_granted(open_call& call, const core::placement_grant& grant)
+void call_handler::on_granted(open_call& call, placement_number number,
+                              const core::placement_grant& grant)
 {
     const core::announced_upstream* upstream = this->env.find_upstream(grant.upstream);
     if (upstream != nullptr && !upstream->leaving) {
+        if (call.active_dispatch && !this->take_from_silent(call)) {
+            this->env.placement.withdraw(number);
+            return;
+        }
+        call.placement = number;
         call.uncached_tokens = grant.uncached_tokens;
         this->send_to_upstream(call, *upstream);
         return;
     }
     // The owner does not know yet that the upstream was removed or is leaving.
-    this->release_placement(call, core::placement_outcome::cancelled);
+    this->env.placement.withdraw(number);
     call.avoid.push_back(grant.upstream);
     if (++call.stale_grants > max_stale_grants) {
+        if (call.active_dispatch) {
+            this->arm_idle_timer(call);
+            return;
+        }
         this->refuse(call, status_unavailable, "no upstream", retry_after_refusal);
         return;
     }
@@ -238,6 +249,10 @@
 
 void call_handler::on_denied(open_call& call, const core::placement_denial& denial)
 {
+    if (call.active_dispatch) {
+        this->arm_idle_timer(call);
+        return;
+    }
     const bool no_upstream = denial.reason == core::denial_reason::no_upstream;
     const std::string_view reason = no_upstream ? "no upstream" : "no place in time";
     if (call.history.response_started) {
@@ -304,16 +319,76 @@
     this->arm_idle_timer(call);
 }
 
-// Giving up an upstream before the deadline is useful only if the request may be retried.
+bool call_handler::may_replace(open_call& call)
+{
+    call.history.time_left = call.deadline - this->now();
+    return core::may_replace_silent(*call.route, call.history);
+}
+
 void call_handler::arm_idle_timer(open_call& call)
 {
     this->env.event_loop.cancel(call.idle_timer);
     call.idle_timer = 0;
-    if (!call.route->idempotent || call.history.sent + 1 >= call.route->max_upstreams)
+    if (!this->may_replace(call))
         return;
     call.idle_timer = this->env.event_loop.after(
         core::silence_timeout(*call.route),
         [this, exchange = call.exchange] { this->on_idle_timeout(exchange); });
 }
 
+void call_handler::on_idle_timeout(http::inbound_exchange exchange)
+{
+    open_call* const call = this->find(exchange);
+    if (call == nullptr || !call->active_dispatch)
+        return;
+    call->idle_timer = 0;
+    call->active_dispatch->silent = true;
+    this->seek_replacement(*call);
+}
+
+// The silent upstream may be sound and go on at any time: it keeps the request until another one
+// has a slot for it.
+void call_handler::seek_replacement(open_call& call)
+{
+    if (!this->may_replace(call))
+        return;
+    const time_point at = this->now();
+    const bool budget_left =
+        this->env.repeats.has_left(call.target, this->env.serving_node_count(), at);
+    daemon::write_log(log_event::upstream_silent,
+                      {{"request", call.facts.attempt},
+                       {"route", call.route->name.value},
+                       {"upstream", call.active_dispatch->upstream.value},
+                       {"silent_ms", to_ms_text(at - call.last_byte_at)},
+                       {"part_sent", to_text(call.history.response_started)},
+                       {"budget_left", to_text(budget_left)}});
+    if (budget_left)
+        this->place(call);
+    else
+        this->arm_idle_timer(call);
+}
+
+void call_handler::withdraw_waiting(open_call& call)
+{
+    if (call.waiting_placement != 0)
+        this->env.placement.withdraw(std::exchange(call.waiting_placement, 0));
+}
+
+/// Ends the active dispatch so that another upstream can take the request; returns false if the
+/// request has to stay where it is.
+bool call_handler::take_from_silent(open_call& call)
+{
+    if (!this->may_replace(call) ||
+        !this->env.repeats.spend(call.target, this->env.serving_node_count(), this->now())) {
+        this->arm_idle_timer(call);
+        return false;
+    }
+    this->env.upstreams.cancel(call.active_dispatch->exchange);
+    this->record_failure(call, core::dispatch_end::silent);
+    this->log_failure(call, core::dispatch_end::silent, true, true);
+    call.avoid.push_back(call.active_dispatch->upstream);
+    call.active_dispatch.reset();
+    return true;
+}
+
 } // namespace ragwortcove::gateway
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -31,13 +31,21 @@
     return facts.is_signed && facts.is_for_attempt && !facts.has_content_encoding;
 }
 
+void call_handler::on_upstream_bytes(open_call& call)
+{
+    call.last_byte_at = this->now();
+    call.active_dispatch->silent = false;
+    this->withdraw_waiting(call);
+    this->arm_idle_timer(call);
+}
+
 void call_handler::on_response_head(http::inbound_exchange exchange,
                                     http::status_line_and_headers&& head)
 {
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
-    call->last_byte_at = this->now();
+    this->on_upstream_bytes(*call);
     call->active_dispatch->facts = adapter::read_response_headers(head, call->facts.attempt);
     call->active_dispatch->head = std::move(head);
     if (this->is_streaming(*call) && !is_usable(call->active_dispatch->facts)) {
@@ -51,7 +59,7 @@
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
-    call->last_byte_at = this->now();
+    this->on_upstream_bytes(*call);
     if (!this->is_streaming(*call)) {
         call->active_dispatch->body.append(bytes);
         return;
@@ -66,7 +74,6 @@
             call->last_event_number = number;
         this->env.callers.write(exchange, event);
     }
-    this->arm_idle_timer(*call);
 }
 
 void call_handler::begin_stream(open_call& call)
@@ -163,16 +170,6 @@
                                                  : core::dispatch_end::broken);
 }
 
-void call_handler::on_idle_timeout(http::inbound_exchange exchange)
-{
-    open_call* const call = this->find(exchange);
-    if (call == nullptr || !call->active_dispatch)
-        return;
-    call->idle_timer = 0;
-    this->env.upstreams.cancel(call->active_dispatch->exchange);
-    this->handle_failed_dispatch(*call, core::dispatch_end::silent);
-}
-
 static core::placement_outcome outcome_of(core::dispatch_end end)
 {
     switch (end) {
@@ -210,11 +207,6 @@
     return "unknown";
 }
 
-static std::string_view to_text(bool value)
-{
-    return value ? "true" : "false";
-}
-
 static std::string version_text(const core::rule_index* rules)
 {
     return rules == nullptr ? "none" : std::to_string(rules->rules().version);
@@ -249,44 +241,56 @@
     return facts;
 }
 
-void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
+void call_handler::record_failure(open_call& call, core::dispatch_end end)
 {
-    const time_point at = this->now();
     core::call_history& history = call.history;
     const bool known_not_run = end == core::dispatch_end::not_sent ||
                                end == core::dispatch_end::refused ||
                                end == core::dispatch_end::wrong_upstream;
     history.sent += end == core::dispatch_end::not_sent ? 0 : 1;
     history.may_have_run = history.may_have_run || !known_not_run;
-    history.time_left = call.deadline - at;
+    history.time_left = call.deadline - this->now();
     call.last_failure = end;
-    const core::upstream_name upstream = call.active_dispatch->upstream;
     this->release_placement(call, outcome_of(end));
+}
+
+void call_handler::log_failure(const open_call& call, core::dispatch_end end, bool budget_left,
+                               bool again)
+{
+    const time_point at = this->now();
+    const dispatch& failed = *call.active_dispatch;
+    daemon::write_log(log_event::attempt_failed,
+                      {{"request", call.facts.attempt},
+                       {"upstream", failed.upstream.value},
+                       {"how", describe(end)},
+                       {"status", failed.head ? std::to_string(failed.head->status) : "none"},
+                       {"after_ms", to_ms_text(at - failed.sent_at)},
+                       {"silent_ms", to_ms_text(at - call.last_byte_at)},
+                       {"part_sent", to_text(call.history.response_started)},
+                       {"may_have_run", to_text(call.history.may_have_run)},
+                       {"budget_left", to_text(budget_left)},
+                       {"again", to_text(again)}});
+    this->env.metrics.count("failed_attempts", "how", describe(end));
+}
+
+void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
+{
+    this->withdraw_waiting(call);
+    this->record_failure(call, end);
+    const core::call_history& history = call.history;
     // The retry budget is spent only on a retry that would otherwise take place.
     bool budget_left = true;
     const bool would_repeat =
         core::decide_next_step(*call.route, history, end, true) == core::next_step::place_again;
     if (would_repeat && core::counts_as_repeat(end))
-        budget_left = this->env.repeats.spend(call.target, this->env.serving_node_count(), at);
+        budget_left =
+            this->env.repeats.spend(call.target, this->env.serving_node_count(), this->now());
     const core::next_step step = core::decide_next_step(*call.route, history, end, budget_left);
-    daemon::write_log(
-        log_event::attempt_failed,
-        {{"request", call.facts.attempt},
-         {"upstream", upstream.value},
-         {"how", describe(end)},
-         {"status",
-          call.active_dispatch->head ? std::to_string(call.active_dispatch->head->status) : "none"},
-         {"after_ms", to_ms_text(at - call.active_dispatch->sent_at)},
-         {"silent_ms", to_ms_text(at - call.last_byte_at)},
-         {"part_sent", to_text(history.response_started)},
-         {"may_have_run", to_text(history.may_have_run)},
-         {"budget_left", to_text(budget_left)},
-         {"again", to_text(step == core::next_step::place_again)}});
-    this->env.metrics.count("failed_attempts", "how", describe(end));
+    this->log_failure(call, end, budget_left, step == core::next_step::place_again);
     switch (step) {
     case core::next_step::place_again:
+        call.avoid.push_back(call.active_dispatch->upstream);
         call.active_dispatch.reset();
-        call.avoid.push_back(upstream);
         this->place(call);
         return;
     case core::next_step::pass_answer:
@@ -432,7 +436,8 @@
         return;
     call->deadline_timer = 0;
     const bool was_sent = call->active_dispatch.has_value();
-    const bool was_silent = was_sent && !call->active_dispatch->head;
+    const bool was_silent =
+        was_sent && (call->active_dispatch->silent || !call->active_dispatch->head);
     if (was_sent) {
         this->env.upstreams.cancel(call->active_dispatch->exchange);
         call->history.may_have_run = true;
@@ -463,11 +468,13 @@
          {"age_ms", to_ms_text(this->now() - call->arrived_at)}});
     this->env.metrics.count("callers_gone", "route",
                             call->route == nullptr ? "" : call->route->name.value);
-    if (call->active_dispatch)
+    const bool was_silent = call->active_dispatch && call->active_dispatch->silent;
+    if (call->active_dispatch) {
         this->env.upstreams.cancel(call->active_dispatch->exchange);
-    if (call->active_dispatch)
         call->history.may_have_run = true;
-    this->release_placement(*call, core::placement_outcome::cancelled);
+    }
+    this->release_placement(*call, was_silent ? core::placement_outcome::silent
+                                              : core::placement_outcome::cancelled);
     this->end_call(*call);
 }
 
@@ -475,6 +482,7 @@
 {
     this->env.event_loop.cancel(call.deadline_timer);
     this->env.event_loop.cancel(call.idle_timer);
+    this->withdraw_waiting(call);
     if (call.placement != 0)
         this->env.placement.withdraw(std::exchange(call.placement, 0));
     if (call.quota_charged && !call.history.may_have_run)
--- a/lib/gateway/call_responses.hpp
+++ b/lib/gateway/call_responses.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace ragwortcove::gateway {
 
@@ -19,6 +20,11 @@
 /// Time after which a caller may retry when an upstream refused the request.
 inline constexpr core::duration retry_after_refusal = std::chrono::milliseconds{300};
 
+inline std::string_view to_text(bool value)
+{
+    return value ? "true" : "false";
+}
+
 /// Formats a duration in whole milliseconds, for the log.
 inline std::string to_ms_text(core::duration value)
 {
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -197,6 +197,12 @@
     handler(number, response);
 }
 
+bool placement_service::is_waiting(placement_number request) const
+{
+    const auto found = this->requests.find(request);
+    return found != this->requests.end() && !found->second.grant;
+}
+
 void placement_service::withdraw(placement_number request)
 {
     this->release(request, core::placement_outcome::cancelled, {}, {});
--- a/unittests/core/call_policy_test.cpp
+++ b/unittests/core/call_policy_test.cpp
@@ -91,6 +91,38 @@
     }
 }
 
+TEST_CASE("a request leaves a silent upstream only for another one that may take it")
+{
+    http_route route;
+    route.idempotent = true;
+    route.max_upstreams = 2;
+    call_history history;
+    history.time_left = 1s;
+    CHECK(may_replace_silent(route, history));
+    SUBCASE("not when it may run only once")
+    {
+        route.idempotent = false;
+        CHECK_FALSE(may_replace_silent(route, history));
+    }
+    SUBCASE("not when its route allows no further upstream")
+    {
+        history.sent = 1;
+        CHECK_FALSE(may_replace_silent(route, history));
+    }
+    SUBCASE("not in the middle of a response that cannot be resumed")
+    {
+        history.response_started = true;
+        CHECK_FALSE(may_replace_silent(route, history));
+        route.resumable = true;
+        CHECK(may_replace_silent(route, history));
+    }
+    SUBCASE("not when too little time is left")
+    {
+        history.time_left = 1ms;
+        CHECK_FALSE(may_replace_silent(route, history));
+    }
+}
+
 TEST_CASE("a request waits for a slot only while the response can still be useful")
 {
     http_route route;
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -30,6 +30,8 @@
     std::unique_ptr<placement_service> placement;
     std::unique_ptr<http::inbound_server> callers;
     std::unique_ptr<call_handler> calls;
+    /// Slots that the test itself has taken.
+    std::vector<placement_number> held;
 
     gateway_fixture()
     {
@@ -78,12 +80,14 @@
         return nullptr;
     }
 
-    /// Sets routes /once/, /again/ and /stream/ of host h, for a team with key k.
+    /// Sets routes /once/, /again/ and /stream/ of host h, and two of them with a longer time-out
+    /// under /long/, for a team with key k.
     void set_test_rules(std::uint64_t version = 3)
     {
         core::ruleset ruleset;
         ruleset.version = version;
-        const auto add = [&](std::string prefix, bool idempotent, bool streams) {
+        const auto add = [&](std::string prefix, bool idempotent, bool streams,
+                             core::duration timeout = 2s) {
             core::http_route route;
             route.name.value = prefix;
             route.host = "h";
@@ -93,13 +97,15 @@
             route.streams = streams;
             route.resumable = streams;
             route.max_upstreams = 2;
-            route.timeout = 2s;
+            route.timeout = timeout;
             route.goal = 200ms;
             ruleset.routes.push_back(route);
         };
         add("/once/", false, false);
         add("/again/", true, false);
         add("/stream/", true, true);
+        add("/long/again/", true, false, 6s);
+        add("/long/stream/", true, true, 6s);
         core::team_rule team;
         team.name.value = "team";
         team.keys = {"k"};
@@ -109,30 +115,87 @@
     }
 
     void add_upstream(const std::string& name, const raw_server& server)
+    {
+        this->add_upstream(name, server.port());
+    }
+
+    void add_upstream(const std::string& name, std::uint16_t port)
     {
         core::announced_upstream upstream;
         upstream.name.value = name;
         upstream.target.value = "t";
-        upstream.address = {"127.0.0.1", server.port()};
+        upstream.address = {"127.0.0.1", port};
         upstream.slots = 4;
         this->announced.push_back(upstream);
         this->placement->set_upstreams(this->announced);
     }
 
+    /// Takes all free slots of an upstream.
+    void fill_slots(const std::string& name)
+    {
+        for (bool granted = true; granted;) {
+            core::placement_request wanted;
+            wanted.target.value = "t";
+            wanted.max_wait = 1s;
+            for (const core::announced_upstream& each : this->announced) {
+                if (each.name.value != name)
+                    wanted.avoid.push_back(each.name);
+            }
+            granted = false;
+            const placement_number number = this->placement->place(
+                std::move(wanted),
+                [&granted](placement_number, const core::placement_response& response) {
+                    granted = std::holds_alternative<core::placement_grant>(response);
+                });
+            // A new owner grants nothing at first.
+            this->run([&] { return granted; }, 100ms);
+            if (granted)
+                this->held.push_back(number);
+            else
+                this->placement->withdraw(number);
+        }
+    }
+
+    void free_slots()
+    {
+        for (const placement_number number : this->held)
+            this->placement->withdraw(number);
+        this->held.clear();
+    }
+
+    /// Runs the node until `done` holds; false when that takes longer than `limit`.
+    bool run(const std::function<bool()>& done, std::chrono::microseconds limit = 20s)
+    {
+        return run_until(
+            this->event_loop,
+            [&] {
+                this->placement->tick();
+                return done();
+            },
+            limit);
+    }
+
+    /// Whether no call is open, and no slot taken or requested for one.
+    [[nodiscard]] bool is_empty() const
+    {
+        const core::placement_scheduler& scheduler = this->placement->owned_placements();
+        return this->calls->open_calls() == 0 && scheduler.in_flight() == this->held.size() &&
+               scheduler.waiting() == 0;
+    }
+
     /// Sends one request as a caller and returns the bytes of the response.
     std::string send_request(const std::string& path,
-                             const std::string& headers = "Authorization: Bearer k\r\n")
+                             const std::string& headers = "Authorization: Bearer k\r\n",
+                             int deadline_ms = 1500)
     {
         std::string response;
         raw_client caller(this->callers->port(), [&](raw_connection& connection) {
             connection.send("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n" +
-                            "X-Deadline-Ms: 1500\r\nConnection: close\r\n" + headers + "\r\n");
+                            "X-Deadline-Ms: " + std::to_string(deadline_ms) +
+                            "\r\nConnection: close\r\n" + headers + "\r\n");
             response = connection.receive_all();
         });
-        REQUIRE(run_until(this->event_loop, [&] {
-            this->placement->tick();
-            return caller.done();
-        }));
+        REQUIRE(this->run([&] { return caller.done(); }));
         return response;
     }
 };
@@ -199,20 +262,37 @@
     std::string bytes;
 };
 
-/// An upstream that responds to every request with the same bytes, and closes the connection.
+/// What an upstream does once it has sent all its bytes.
+enum class ending { closes, hangs };
+
+/// An upstream that responds to every request with the same bytes.
 struct paced_upstream {
+    using clock = std::chrono::steady_clock;
+
     std::atomic<int> request_count{0};
+    /// The last request, and when it came.
+    std::string request;
+    std::atomic<clock::time_point> requested_at{clock::time_point{}};
+    /// When the other side closed the connection of an upstream that hangs.
+    std::atomic<clock::time_point> closed_at{clock::time_point{}};
     raw_server server;
 
-    explicit paced_upstream(std::vector<paced_bytes> given)
-        : server([this, steps = std::move(given)](raw_connection& connection) {
-              if (connection.receive_until("\r\n\r\n").empty())
+    explicit paced_upstream(std::vector<paced_bytes> given, ending end = ending::closes)
+        : server([this, steps = std::move(given), end](raw_connection& connection) {
+              const std::string received = connection.receive_until("\r\n\r\n");
+              if (received.empty())
                   return;
+              this->request = received;
+              this->requested_at = clock::now();
               ++this->request_count;
               for (const paced_bytes& each : steps) {
                   std::this_thread::sleep_for(each.pause);
                   connection.send(each.bytes);
               }
+              if (end == ending::closes)
+                  return;
+              static_cast<void>(connection.receive_all());
+              this->closed_at = clock::now();
           })
     {
     }
@@ -500,6 +580,238 @@
     CHECK(node.placement->owned_placements().in_flight() == 0);
 }
 
+TEST_CASE("silence of a sound upstream ends no response")
+{
+    constexpr int deadline_ms = 5000;
+    const std::string key = "Authorization: Bearer k\r\n";
+    const std::string rest = make_chunk(make_event(2)) + last_chunk;
+    const std::string begun = stream_head + make_chunk(make_event(1));
+    gateway_fixture node;
+
+    SUBCASE("a stream without another upstream is silent")
+    {
+        std::vector<paced_bytes> steps;
+        SUBCASE("after its first event")
+        {
+            steps = {{0ms, begun}, {1800ms, rest}};
+        }
+        SUBCASE("before its first event")
+        {
+            steps = {{1800ms, begun + rest}};
+        }
+        SUBCASE("between its head and its first event")
+        {
+            steps = {{0ms, stream_head}, {1800ms, make_chunk(make_event(1)) + rest}};
+        }
+        SUBCASE("twice")
+        {
+            steps = {{0ms, begun}, {1800ms, make_chunk(make_event(2))}, {1800ms, last_chunk}};
+        }
+        paced_upstream sound(steps);
+        node.add_upstream("i-1", sound.server);
+        const std::string response = node.send_request("/long/stream/", key, deadline_ms);
+        CHECK(contains(response, make_event(1)));
+        CHECK(contains(response, make_event(2)));
+        CHECK(contains(response, last_chunk));
+        CHECK(sound.request_count == 1);
+        CHECK(node.is_empty());
+    }
+    SUBCASE("the other upstream of a stream cannot be used")
+    {
+        paced_upstream sound({{0ms, begun}, {1800ms, rest}});
+        paced_upstream other({{0ms, begun + rest}});
+        SUBCASE("it has no free slot")
+        {
+            node.add_upstream("i-2", other.server);
+            node.fill_slots("i-2");
+        }
+        SUBCASE("the budget of repeats is spent")
+        {
+            node.repeats = core::repeat_budget{core::repeat_limits{0.0, 0.0, 10s}};
+            node.add_upstream("i-2", other.server);
+            node.fill_slots("i-2");
+            node.event_loop.after(500ms, [&] { node.free_slots(); });
+        }
+        SUBCASE("it is leaving")
+        {
+            node.add_upstream("i-2", other.server);
+            node.fill_slots("i-2");
+            node.announced.back().leaving = true;
+            node.event_loop.after(500ms, [&] { node.free_slots(); });
+        }
+        node.add_upstream("i-1", sound.server);
+        const std::string response = node.send_request("/long/stream/", key, deadline_ms);
+        CHECK(contains(response, make_event(2)));
+        CHECK(contains(response, last_chunk));
+        CHECK(sound.request_count == 1);
+        CHECK(other.request_count == 0);
+        CHECK(node.is_empty());
+    }
+    SUBCASE("a plain request is slow")
+    {
+        paced_upstream slow({{900ms, make_response(200, "late")}});
+        paced_upstream other({{0ms, make_response(200, "other")}});
+        SUBCASE("there is no other upstream") {}
+        SUBCASE("the other upstream has no free slot")
+        {
+            node.add_upstream("i-2", other.server);
+            node.fill_slots("i-2");
+        }
+        SUBCASE("the budget of repeats is spent")
+        {
+            node.repeats = core::repeat_budget{core::repeat_limits{0.0, 0.0, 10s}};
+            node.add_upstream("i-2", other.server);
+            node.fill_slots("i-2");
+            node.event_loop.after(300ms, [&] { node.free_slots(); });
+        }
+        node.add_upstream("i-1", slow.server);
+        const std::string response = node.send_request("/long/again/", key, deadline_ms);
+        CHECK(contains(response, "HTTP/1.1 200"));
+        CHECK(contains(response, "late"));
+        CHECK(slow.request_count == 1);
+        CHECK(other.request_count == 0);
+        CHECK(node.is_empty());
+    }
+    SUBCASE("no attempt is left for a third upstream")
+    {
+        paced_upstream failing({{0ms, ""}});
+        paced_upstream sound({{1800ms, begun + rest}});
+        paced_upstream other({{0ms, begun + rest}});
+        node.add_upstream("i-1", failing.server);
+        node.event_loop.after(300ms, [&] { node.add_upstream("i-3", other.server); });
+        node.add_upstream("i-2", sound.server);
+        node.fill_slots("i-2");
+        node.event_loop.after(100ms, [&] { node.free_slots(); });
+        const std::string response = node.send_request("/long/stream/", key, deadline_ms);
+        CHECK(contains(response, last_chunk));
+        CHECK(failing.request_count == 1);
+        CHECK(sound.request_count == 1);
+        CHECK(other.request_count == 0);
+        CHECK(node.is_empty());
+    }
+}
+
+TEST_CASE("a request moves from a silent upstream to another one with a free slot")
+{
+    constexpr int deadline_ms = 5000;
+    const std::string key = "Authorization: Bearer k\r\n";
+    const std::string begun = stream_head + make_chunk(make_event(1));
+    const std::string rest = make_chunk(make_event(2)) + last_chunk;
+    gateway_fixture node;
+
+    SUBCASE("a stream goes on at the other one, and two upstreams never work on it at once")
+    {
+        paced_upstream silent({{0ms, begun}}, ending::hangs);
+        paced_upstream other({{0ms, begun + rest}});
+        node.add_upstream("i-1", silent.server);
+        node.event_loop.after(500ms, [&] { node.add_upstream("i-2", other.server); });
+        const std::string response = node.send_request("/long/stream/", key, deadline_ms);
+        CHECK(response.find(make_event(1)) == response.rfind(make_event(1)));
+        CHECK(contains(response, make_event(2)));
+        CHECK(contains(response, last_chunk));
+        REQUIRE(other.request_count == 1);
+        CHECK(contains(other.request, "Last-Event-Id: 1\r\n"));
+        REQUIRE(run_until(node.event_loop, [&] {
+            return silent.closed_at.load() != paced_upstream::clock::time_point{};
+        }));
+        CHECK(silent.closed_at.load() - other.requested_at.load() <= 100ms);
+        CHECK(other.requested_at.load() - silent.requested_at.load() >= 1400ms);
+        CHECK(node.is_empty());
+    }
+    SUBCASE("the other one has a slot only later: the silent one keeps the request until then")
+    {
+        paced_upstream silent({}, ending::hangs);
+        paced_upstream other({{0ms, make_response(200, "other")}});
+        node.add_upstream("i-2", other.server);
+        node.fill_slots("i-2");
+        node.add_upstream("i-1", silent.server);
+        std::chrono::milliseconds free_after{0};
+        SUBCASE("while the request waits for it")
+        {
+            free_after = 1s;
+        }
+        SUBCASE("after the request was denied it once")
+        {
+            free_after = 1700ms;
+        }
+        node.event_loop.after(free_after, [&] {
+            CHECK(silent.closed_at.load() == paced_upstream::clock::time_point{});
+            node.free_slots();
+        });
+        CHECK(contains(node.send_request("/long/again/", key, deadline_ms), "other"));
+        CHECK(silent.request_count == 1);
+        CHECK(other.request_count == 1);
+        CHECK(node.is_empty());
+    }
+    SUBCASE("the silent one breaks while the request waits for the other one")
+    {
+        paced_upstream breaking({{0ms, begun}, {1800ms, ""}});
+        paced_upstream other({{0ms, begun + rest}});
+        node.add_upstream("i-2", other.server);
+        node.fill_slots("i-2");
+        node.add_upstream("i-1", breaking.server);
+        node.event_loop.after(2200ms, [&] { node.free_slots(); });
+        const std::string response = node.send_request("/long/stream/", key, deadline_ms);
+        CHECK(contains(response, last_chunk));
+        CHECK(other.request_count == 1);
+        CHECK(node.is_empty());
+    }
+}
+
+TEST_CASE("a request for another upstream ends with its reason")
+{
+    constexpr int deadline_ms = 5000;
+    const std::string key = "Authorization: Bearer k\r\n";
+    const std::string begun = stream_head + make_chunk(make_event(1));
+    gateway_fixture node;
+    paced_upstream other({{0ms, stream_head + last_chunk}});
+    node.add_upstream("i-2", other.server);
+    node.fill_slots("i-2");
+    const auto waiting = [&] { return node.placement->owned_placements().waiting(); };
+
+    SUBCASE("the silent upstream goes on")
+    {
+        paced_upstream sound({{0ms, begun},
+                              {1800ms, make_chunk(make_event(2))},
+                              {600ms, make_chunk(make_event(3)) + last_chunk}});
+        node.add_upstream("i-1", sound.server);
+        std::size_t waiting_in_silence = 0;
+        std::size_t waiting_afterwards = 1;
+        node.event_loop.after(1700ms, [&] { waiting_in_silence = waiting(); });
+        node.event_loop.after(2100ms, [&] {
+            waiting_afterwards = waiting();
+            node.free_slots();
+        });
+        CHECK(contains(node.send_request("/long/stream/", key, deadline_ms), make_event(3)));
+        CHECK(waiting_in_silence == 1);
+        CHECK(waiting_afterwards == 0);
+    }
+    SUBCASE("the deadline is reached")
+    {
+        paced_upstream silent({{0ms, begun}}, ending::hangs);
+        node.add_upstream("i-1", silent.server);
+        const std::string response = node.send_request("/long/stream/", key, 2000);
+        CHECK(contains(response, make_event(1)));
+        CHECK_FALSE(contains(response, last_chunk));
+    }
+    SUBCASE("the caller disconnects")
+    {
+        paced_upstream silent({{0ms, begun}}, ending::hangs);
+        node.add_upstream("i-1", silent.server);
+        raw_client caller(node.callers->port(), [&](raw_connection& connection) {
+            connection.send("GET /long/stream/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n" + key +
+                            "\r\n");
+            std::this_thread::sleep_for(1700ms);
+        });
+        std::size_t waiting_in_silence = 0;
+        node.event_loop.after(1600ms, [&] { waiting_in_silence = waiting(); });
+        CHECK(node.run([&] { return caller.done() && node.calls->open_calls() == 0; }, 3s));
+        CHECK(waiting_in_silence == 1);
+    }
+    CHECK(other.request_count == 0);
+    CHECK(node.is_empty());
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
