[gateway] every ending without a response follows from the call's history

What callers saw: 503, which promises that the request has not run, after an upstream had taken it and broke off; within a stream, the bytes of a 503 head after the events.

Cause: after max_stale_grants grants for upstreams that this node knows to be gone, on_granted refused the call whatever had happened before. on_denied, on_deadline and handle_failed_dispatch each chose between refuse, fail and cut on their own.

core::ending_of chooses; end_without_response carries it out for all four. on_unplaced serves a denial and too many stale grants alike, also for a call that a silent upstream still has.

--- a/include/ragwortcove/core/call_policy.hpp
+++ b/include/ragwortcove/core/call_policy.hpp
@@ -52,6 +52,8 @@
     duration time_left{0};
 };
 
+/// The step that ends a request without a complete response: `cut`, `fail` or `refuse`.
+[[nodiscard]] next_step ending_of(const call_history& history);
 /// Whether another dispatch would be a second arrival at an upstream, which the repeat budget
 /// counts.
 [[nodiscard]] bool counts_as_repeat(dispatch_end end);
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -98,6 +98,20 @@
 
     void release_placement(open_call& call, core::placement_outcome outcome);
     void forward_response(open_call& call);
+    /// What a caller is told that gets no complete response; the call's history selects one.
+    struct ending {
+        /// While the request has not run.
+        std::string_view refusal;
+        core::duration retry_after{0};
+        /// Once it may have run.
+        int failure_status = 0;
+        std::string_view failure;
+        /// Once its response has begun; only for the log.
+        std::string_view cut;
+    };
+    void end_without_response(open_call& call, const ending& why);
+    /// Ends a call that no upstream can take, unless a silent one still has it.
+    void on_unplaced(open_call& call, std::string_view reason, core::duration retry_after);
     void refuse(open_call& call, int status, std::string_view reason, core::duration retry_after);
     void fail(open_call& call, int status, std::string_view reason);
     void abort_response(open_call& call, std::string_view reason);
--- a/lib/core/call_policy.cpp
+++ b/lib/core/call_policy.cpp
@@ -53,15 +53,20 @@
     return false;
 }
 
-static next_step give_up(const call_history& history, dispatch_end end)
+next_step ending_of(const call_history& history)
 {
     if (history.response_started)
         return next_step::cut;
-    if (end == dispatch_end::error_answer)
-        return next_step::pass_answer;
     return history.may_have_run ? next_step::fail : next_step::refuse;
 }
 
+static next_step give_up(const call_history& history, dispatch_end end)
+{
+    if (end == dispatch_end::error_answer && !history.response_started)
+        return next_step::pass_answer;
+    return ending_of(history);
+}
+
 next_step decide_next_step(const http_route& route, const call_history& history, dispatch_end end,
                            bool budget_left)
 {
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -17,7 +17,7 @@
 static constexpr duration retry_after_no_rules = 500ms;
 /// Time after which a caller may retry at another node while this one shuts down.
 static constexpr duration retry_after_shutdown = 50ms;
-/// Number of grants for removed or leaving upstreams after which the next one refuses the request.
+/// Number of grants for removed or leaving upstreams after which the next one counts as a denial.
 static constexpr std::uint32_t max_stale_grants = 4;
 /// Time-out for connecting to an upstream.
 static constexpr std::chrono::milliseconds connect_timeout{250};
@@ -237,33 +237,26 @@
     this->env.placement.withdraw(number);
     call.avoid.push_back(grant.upstream);
     if (++call.stale_grants > max_stale_grants) {
-        if (call.active_dispatch) {
-            this->arm_idle_timer(call);
-            return;
-        }
-        this->refuse(call, status_unavailable, "no upstream", retry_after_refusal);
+        this->on_unplaced(call, "no upstream", retry_after_refusal);
         return;
     }
     this->place(call);
 }
 
 void call_handler::on_denied(open_call& call, const core::placement_denial& denial)
+{
+    const bool no_upstream = denial.reason == core::denial_reason::no_upstream;
+    this->on_unplaced(call, no_upstream ? "no upstream" : "no place in time", denial.retry_after);
+}
+
+void call_handler::on_unplaced(open_call& call, std::string_view reason, duration retry_after)
 {
     if (call.active_dispatch) {
         this->arm_idle_timer(call);
         return;
     }
-    const bool no_upstream = denial.reason == core::denial_reason::no_upstream;
-    const std::string_view reason = no_upstream ? "no upstream" : "no place in time";
-    if (call.history.response_started) {
-        this->abort_response(call, reason);
-        return;
-    }
-    if (call.history.may_have_run) {
-        this->fail(call, status_bad_gateway, "failed, and no other upstream has a place");
-        return;
-    }
-    this->refuse(call, status_unavailable, reason, denial.retry_after);
+    this->end_without_response(call, {reason, retry_after, status_bad_gateway,
+                                      "failed, and no other upstream has a place", reason});
 }
 
 void call_handler::send_to_upstream(open_call& call, const core::announced_upstream& upstream)
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -297,14 +297,26 @@
         this->forward_response(call);
         return;
     case core::next_step::refuse:
-        this->refuse(call, status_unavailable, "the upstream did not take the request",
-                     retry_after_refusal);
-        return;
     case core::next_step::fail:
-        this->fail(call, status_bad_gateway, "the upstream failed");
+    case core::next_step::cut:
+        this->end_without_response(call,
+                                   {"the upstream did not take the request", retry_after_refusal,
+                                    status_bad_gateway, "the upstream failed", describe(end)});
         return;
+    }
+}
+
+void call_handler::end_without_response(open_call& call, const ending& why)
+{
+    switch (core::ending_of(call.history)) {
     case core::next_step::cut:
-        this->abort_response(call, describe(end));
+        this->abort_response(call, why.cut);
+        return;
+    case core::next_step::refuse:
+        this->refuse(call, status_unavailable, why.refusal, why.retry_after);
+        return;
+    default:
+        this->fail(call, why.failure_status, why.failure);
         return;
     }
 }
@@ -444,15 +456,8 @@
     }
     this->release_placement(*call, was_silent ? core::placement_outcome::silent
                                               : core::placement_outcome::cancelled);
-    if (call->history.response_started) {
-        this->abort_response(*call, "time is up");
-        return;
-    }
-    if (call->history.may_have_run) {
-        this->fail(*call, status_gateway_timeout, "no answer in time");
-        return;
-    }
-    this->refuse(*call, status_unavailable, "no place in time", retry_after_refusal);
+    this->end_without_response(*call, {"no place in time", retry_after_refusal,
+                                       status_gateway_timeout, "no answer in time", "time is up"});
 }
 
 void call_handler::on_caller_disconnected(http::inbound_exchange exchange)
--- a/unittests/core/call_policy_test.cpp
+++ b/unittests/core/call_policy_test.cpp
@@ -123,6 +123,16 @@
     }
 }
 
+TEST_CASE("a request without a complete response ends as its history demands")
+{
+    call_history history;
+    CHECK(ending_of(history) == next_step::refuse);
+    history.may_have_run = true;
+    CHECK(ending_of(history) == next_step::fail);
+    history.response_started = true;
+    CHECK(ending_of(history) == next_step::cut);
+}
+
 TEST_CASE("a request waits for a slot only while the response can still be useful")
 {
     http_route route;
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -812,6 +812,51 @@
     CHECK(node.is_empty());
 }
 
+TEST_CASE("a request that may have run is never refused when only upstreams that are gone are left")
+{
+    constexpr int stale_count = 6;
+    gateway_fixture node;
+    const std::string begun = stream_head + make_chunk(make_event(1));
+    // Upstreams that the placement still knows and this node does not.
+    const auto add_stale = [&] {
+        std::vector<core::announced_upstream> all = node.announced;
+        for (int index = 0; index < stale_count; ++index) {
+            all.push_back(node.announced.front());
+            all.back().name.value = "gone-" + std::to_string(index);
+        }
+        node.placement->set_upstreams(all);
+    };
+
+    SUBCASE("after one that broke")
+    {
+        std::string path = "/again/";
+        std::vector<paced_bytes> steps{{300ms, ""}};
+        SUBCASE("before the response") {}
+        SUBCASE("within a stream")
+        {
+            path = "/stream/";
+            steps = {{0ms, begun}, {300ms, ""}};
+        }
+        paced_upstream breaking(steps);
+        node.add_upstream("i-1", breaking.server);
+        node.event_loop.after(150ms, add_stale);
+        const std::string response = node.send_request(path);
+        CHECK(contains(response, path == "/again/" ? "HTTP/1.1 502" : make_event(1)));
+        CHECK_FALSE(contains(response, "HTTP/1.1 503"));
+        CHECK_FALSE(contains(response, last_chunk));
+    }
+    SUBCASE("a request that was never sent is still refused")
+    {
+        paced_upstream unused({{0ms, make_response(200, "unused")}});
+        node.add_upstream("i-1", unused.server);
+        add_stale();
+        node.announced.clear();
+        CHECK(contains(node.send_request("/again/"), "HTTP/1.1 503"));
+        CHECK(unused.request_count == 0);
+    }
+    CHECK(node.is_empty());
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
