[gateway] a stream that has begun gets no second response head

What callers saw: in the middle of an event stream, the head and body of a 404 or a redirect, and then a connection that looked complete.

Cause: when a stream went on at another upstream and that one answered with a signed status from 300 to 499, on_response_complete took it for the final response and forwarded it, although the caller had the head and events of the first upstream. A 5xx and a refusal took the path of a failed attempt.

With a begun response every complete response that is no stream now counts as a failed attempt: another upstream, or a cut.

Failed before on the previous commit: gateway_unittest -tc="a stream that has begun gets no second head*", the subcases with 404 and 302 (second "HTTP/1.1" at byte 128); those with 500 and a refusal passed. All four pass now.

Checked beside it, each call of refuse, fail, abort_response, respond and forward_response: admit and on_quota_decision act before the first dispatch; on_denied, too many stale grants, on_deadline and handle_failed_dispatch go through end_without_response; forward_response is reached from on_response_complete and from pass_answer, and both only while no response has begun; its own change of an unsigned 408, 421, 429 or 503 to 502 needs no history, since the request was sent.

--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -122,7 +122,9 @@
         this->handle_failed_dispatch(*call, core::dispatch_end::broken);
         return;
     }
-    if (status >= first_server_error || !active_dispatch.facts.is_signed) {
+    // Nothing but further events can complete a response that has begun.
+    if (call->history.response_started || status >= first_server_error ||
+        !active_dispatch.facts.is_signed) {
         this->handle_failed_dispatch(*call, core::dispatch_end::error_answer);
         return;
     }
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -857,6 +857,39 @@
     CHECK(node.is_empty());
 }
 
+TEST_CASE("a stream that has begun gets no second head from the upstream that is to go on")
+{
+    gateway_fixture node;
+    const std::string begun = stream_head + make_chunk(make_event(1));
+    std::string answer;
+    SUBCASE("does not know the request")
+    {
+        answer = make_response(404, "unknown");
+    }
+    SUBCASE("sends the caller elsewhere")
+    {
+        answer = make_response(302, "");
+    }
+    SUBCASE("fails")
+    {
+        answer = make_response(500, "why");
+    }
+    SUBCASE("does not run it")
+    {
+        answer = make_response(503, "", "X-Not-Executed: 1\r\n");
+    }
+    paced_upstream breaking({{0ms, begun}, {300ms, ""}});
+    paced_upstream other({{0ms, answer}});
+    node.add_upstream("i-1", breaking.server);
+    node.event_loop.after(150ms, [&] { node.add_upstream("i-2", other.server); });
+    const std::string response = node.send_request("/stream/");
+    CHECK(other.request_count == 1);
+    CHECK(contains(response, make_event(1)));
+    CHECK(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
+    CHECK_FALSE(contains(response, last_chunk));
+    CHECK(node.is_empty());
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
