--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -83,7 +83,8 @@
                     "a caller has its whole answer", "none"},
     log_event_entry{log_event::answer_cut, "answer_cut", log_level::warning,
                     "an answer that had begun could not be completed; the caller was told",
-                    "look for `attempt_failed` lines of the same request"},
+                    "`last_failure`, `silent_ms`, `time_left_ms`, `rules` and `rules_now` tell the "
+                    "causes apart; look for `attempt_failed` lines of the same request"},
     log_event_entry{log_event::call_rejected, "call_rejected", log_level::info,
                     "a call was malformed or named something unknown",
                     "tell the caller's developers; `detail` says what was expected"},
@@ -127,6 +128,10 @@
     log_event_entry{log_event::upstream_unreadable, "upstream_unreadable", log_level::warning,
                     "an upstream's announcement cannot be read; it is not used",
                     "look at who writes the announcement"},
+    log_event_entry{log_event::upstream_silent, "upstream_silent", log_level::info,
+                    "an upstream with a request sends nothing; it keeps the request until another "
+                    "upstream has a slot for it",
+                    "look at the upstream when it is named often"},
     log_event_entry{log_event::response_too_long, "response_too_long", log_level::warning,
                     "an upstream sent more bytes than a response may have; the attempt has failed",
                     "look at the upstream; docs/OPERATIONS.md lists the limits by `bound`"},
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -31,12 +31,21 @@
     return facts.is_signed && facts.is_for_attempt && !facts.has_content_encoding;
 }
 
+void call_handler::on_upstream_progress(open_call& call)
+{
+    call.last_byte_at = this->now();
+    call.active_dispatch->silent = false;
+    this->withdraw_waiting(call);
+    this->arm_idle_timer(call);
+}
+
 void call_handler::on_response_head(http::inbound_exchange exchange,
                                     http::status_line_and_headers&& head)
 {
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
+    this->on_upstream_progress(*call);
     call->active_dispatch->facts = adapter::read_response_headers(head, call->facts.attempt);
     call->active_dispatch->head = std::move(head);
     if (this->is_streaming(*call) && !is_usable(call->active_dispatch->facts)) {
@@ -51,11 +60,14 @@
     if (call == nullptr || !call->active_dispatch)
         return;
     if (!this->is_streaming(*call)) {
+        this->on_upstream_progress(*call);
         call->active_dispatch->body.append(bytes);
         this->end_too_long_responses(*call);
         return;
     }
     const auto events = call->active_dispatch->splitter.add_bytes(bytes);
+    if (!events.empty())
+        this->on_upstream_progress(*call);
     for (const std::string& event : events) {
         const std::optional<std::uint64_t> number = adapter::read_event_number(event);
         // An upstream that resumes a stream may repeat events that the caller already has.
@@ -66,8 +78,6 @@
             call->last_event_number = number;
         this->env.callers.write(exchange, event);
     }
-    if (!events.empty())
-        this->arm_idle_timer(*call);
     this->end_too_long_responses(*call);
 }
 
@@ -117,7 +127,9 @@
         this->handle_failed_dispatch(*call, core::dispatch_end::broken);
         return;
     }
-    if (status >= first_server_error || !active_dispatch.facts.is_signed) {
+    // Nothing but further events can complete a response that has begun.
+    if (call->history.response_started || status >= first_server_error ||
+        !active_dispatch.facts.is_signed) {
         this->handle_failed_dispatch(*call, core::dispatch_end::error_answer);
         return;
     }
@@ -165,16 +177,6 @@
                                                  : core::dispatch_end::broken);
 }
 
-void call_handler::on_idle_timeout(http::inbound_exchange exchange)
-{
-    open_call* const call = this->find(exchange);
-    if (call == nullptr || !call->active_dispatch)
-        return;
-    call->idle_timer = 0;
-    this->env.upstreams.cancel(call->active_dispatch->exchange);
-    this->handle_failed_dispatch(*call, core::dispatch_end::silent);
-}
-
 static core::placement_outcome outcome_of(core::dispatch_end end)
 {
     switch (end) {
@@ -212,55 +214,118 @@
     return "unknown";
 }
 
-void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
+static std::string version_text(const core::rule_index* rules)
+{
+    return rules == nullptr ? "none" : std::to_string(rules->rules().version);
+}
+
+namespace {
+
+/// Fields of the log with which the causes of an ending can be told apart.
+struct ending_facts {
+    std::string_view last_failure = "none";
+    /// Time since the last upstream sent a byte.
+    std::string silent_ms = "none";
+    std::string time_left_ms = "none";
+    std::string rules;
+    std::string rules_now;
+};
+
+} // namespace
+
+static ending_facts describe_ending(const open_call& call, const core::rule_index* rules_now,
+                                    time_point at)
+{
+    ending_facts facts;
+    if (call.last_failure)
+        facts.last_failure = describe(*call.last_failure);
+    if (!call.last_upstream.empty())
+        facts.silent_ms = to_ms_text(at - call.last_byte_at);
+    if (call.deadline != time_point{})
+        facts.time_left_ms = to_ms_text(call.deadline - at);
+    facts.rules = version_text(call.rules.get());
+    facts.rules_now = version_text(rules_now);
+    return facts;
+}
+
+void call_handler::record_failure(open_call& call, core::dispatch_end end)
 {
-    const time_point at = this->now();
     core::call_history& history = call.history;
     const bool known_not_run = end == core::dispatch_end::not_sent ||
                                end == core::dispatch_end::refused ||
                                end == core::dispatch_end::wrong_upstream;
     history.sent += end == core::dispatch_end::not_sent ? 0 : 1;
     history.may_have_run = history.may_have_run || !known_not_run;
-    history.time_left = call.deadline - at;
-    const core::upstream_name upstream = call.active_dispatch->upstream;
+    history.time_left = call.deadline - this->now();
+    call.last_failure = end;
     this->release_placement(call, outcome_of(end));
+}
+
+void call_handler::log_failure(const open_call& call, core::dispatch_end end, bool budget_left,
+                               bool again)
+{
+    const time_point at = this->now();
+    const dispatch& failed = *call.active_dispatch;
+    daemon::write_log(log_event::attempt_failed,
+                      {{"request", call.facts.attempt},
+                       {"upstream", failed.upstream.value},
+                       {"how", describe(end)},
+                       {"status", failed.head ? std::to_string(failed.head->status) : "none"},
+                       {"after_ms", to_ms_text(at - failed.sent_at)},
+                       {"silent_ms", to_ms_text(at - call.last_byte_at)},
+                       {"part_sent", to_text(call.history.response_started)},
+                       {"may_have_run", to_text(call.history.may_have_run)},
+                       {"budget_left", to_text(budget_left)},
+                       {"again", to_text(again)}});
+    this->env.metrics.count("failed_attempts", "how", describe(end));
+}
+
+void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
+{
+    this->withdraw_waiting(call);
+    this->record_failure(call, end);
+    const core::call_history& history = call.history;
     // The retry budget is spent only on a retry that would otherwise take place.
     bool budget_left = true;
     const bool would_repeat =
         core::decide_next_step(*call.route, history, end, true) == core::next_step::place_again;
     if (would_repeat && core::counts_as_repeat(end))
-        budget_left = this->env.repeats.spend(call.target, this->env.serving_node_count(), at);
+        budget_left =
+            this->env.repeats.spend(call.target, this->env.serving_node_count(), this->now());
     const core::next_step step = core::decide_next_step(*call.route, history, end, budget_left);
-    daemon::write_log(
-        log_event::attempt_failed,
-        {{"request", call.facts.attempt},
-         {"upstream", upstream.value},
-         {"how", describe(end)},
-         {"status",
-          call.active_dispatch->head ? std::to_string(call.active_dispatch->head->status) : "none"},
-         {"after_ms", to_ms_text(at - call.active_dispatch->sent_at)},
-         {"may_have_run", history.may_have_run ? "true" : "false"},
-         {"budget_left", budget_left ? "true" : "false"},
-         {"again", step == core::next_step::place_again ? "true" : "false"}});
-    this->env.metrics.count("failed_attempts", "how", describe(end));
+    this->log_failure(call, end, budget_left, step == core::next_step::place_again);
     switch (step) {
     case core::next_step::place_again:
+        call.avoid.push_back(call.active_dispatch->upstream);
         call.active_dispatch.reset();
-        call.avoid.push_back(upstream);
         this->place(call);
         return;
     case core::next_step::pass_answer:
         this->forward_response(call);
         return;
     case core::next_step::refuse:
-        this->refuse(call, status_unavailable, "the upstream did not take the request",
-                     retry_after_refusal);
-        return;
     case core::next_step::fail:
-        this->fail(call, status_bad_gateway, "the upstream failed");
+    case core::next_step::cut:
+        this->end_without_response(call,
+                                   {"the upstream did not take the request", retry_after_refusal,
+                                    status_bad_gateway, "the upstream failed", describe(end)});
         return;
+    }
+}
+
+void call_handler::end_without_response(open_call& call, const ending& why)
+{
+    switch (core::ending_of(call.history)) {
     case core::next_step::cut:
-        this->abort_response(call, describe(end));
+        this->abort_response(call, why.cut);
+        return;
+    case core::next_step::refuse:
+        this->refuse(call, status_unavailable, why.refusal, why.retry_after);
+        return;
+    case core::next_step::fail:
+    case core::next_step::place_again:
+    case core::next_step::pass_answer:
+        this->fail(call, why.failure_status, why.failure);
         return;
     }
 }
@@ -341,15 +406,21 @@
 
 void call_handler::fail(open_call& call, int status, std::string_view reason)
 {
-    daemon::write_log(
-        log_event::request_failed,
-        {{"request", call.facts.attempt},
-         {"route", call.route == nullptr ? "" : call.route->name.value},
-         {"status", std::to_string(status)},
-         {"reason", reason},
-         {"verdict", to_string(core::verdict_of(call.history))},
-         {"age_ms", to_ms_text(this->now() - call.arrived_at)},
-         {"rules", call.rules == nullptr ? "none" : std::to_string(call.rules->rules().version)}});
+    const time_point at = this->now();
+    const ending_facts facts = describe_ending(call, this->env.rules().get(), at);
+    daemon::write_log(log_event::request_failed,
+                      {{"request", call.facts.attempt},
+                       {"route", call.route == nullptr ? "" : call.route->name.value},
+                       {"status", std::to_string(status)},
+                       {"reason", reason},
+                       {"verdict", to_string(core::verdict_of(call.history))},
+                       {"upstream", call.last_upstream.value},
+                       {"last_failure", facts.last_failure},
+                       {"silent_ms", facts.silent_ms},
+                       {"age_ms", to_ms_text(at - call.arrived_at)},
+                       {"time_left_ms", facts.time_left_ms},
+                       {"rules", facts.rules},
+                       {"rules_now", facts.rules_now}});
     this->env.metrics.count("failures", "reason", reason);
     this->env.callers.respond(call.exchange, status, {{"Content-Type", "text/plain"}}, reason);
     this->end_call(call);
@@ -357,12 +428,21 @@
 
 void call_handler::abort_response(open_call& call, std::string_view reason)
 {
+    const time_point at = this->now();
+    const ending_facts facts = describe_ending(call, this->env.rules().get(), at);
     daemon::write_log(
         log_event::answer_cut,
         {{"request", call.facts.attempt},
          {"route", call.route->name.value},
          {"reason", reason},
-         {"age_ms", to_ms_text(this->now() - call.arrived_at)},
+         {"upstream", call.last_upstream.value},
+         {"last_failure", facts.last_failure},
+         {"silent_ms", facts.silent_ms},
+         {"part_sent", to_text(call.history.response_started)},
+         {"age_ms", to_ms_text(at - call.arrived_at)},
+         {"time_left_ms", facts.time_left_ms},
+         {"rules", facts.rules},
+         {"rules_now", facts.rules_now},
          {"last_event",
           call.last_event_number ? std::to_string(*call.last_event_number) : "none"}});
     this->env.metrics.count("cuts", "reason", reason);
@@ -377,22 +457,16 @@
         return;
     call->deadline_timer = 0;
     const bool was_sent = call->active_dispatch.has_value();
-    const bool was_silent = was_sent && !call->active_dispatch->head;
+    const bool was_silent =
+        was_sent && (call->active_dispatch->silent || !call->active_dispatch->head);
     if (was_sent) {
         this->env.upstreams.cancel(call->active_dispatch->exchange);
         call->history.may_have_run = true;
     }
     this->release_placement(*call, was_silent ? core::placement_outcome::silent
                                               : core::placement_outcome::cancelled);
-    if (call->history.response_started) {
-        this->abort_response(*call, "time is up");
-        return;
-    }
-    if (call->history.may_have_run) {
-        this->fail(*call, status_gateway_timeout, "no answer in time");
-        return;
-    }
-    this->refuse(*call, status_unavailable, "no place in time", retry_after_refusal);
+    this->end_without_response(*call, {"no place in time", retry_after_refusal,
+                                       status_gateway_timeout, "no answer in time", "time is up"});
 }
 
 void call_handler::on_caller_disconnected(http::inbound_exchange exchange)
@@ -408,11 +482,13 @@
          {"age_ms", to_ms_text(this->now() - call->arrived_at)}});
     this->env.metrics.count("callers_gone", "route",
                             call->route == nullptr ? "" : call->route->name.value);
-    if (call->active_dispatch)
+    const bool was_silent = call->active_dispatch && call->active_dispatch->silent;
+    if (call->active_dispatch) {
         this->env.upstreams.cancel(call->active_dispatch->exchange);
-    if (call->active_dispatch)
         call->history.may_have_run = true;
-    this->release_placement(*call, core::placement_outcome::cancelled);
+    }
+    this->release_placement(*call, was_silent ? core::placement_outcome::silent
+                                              : core::placement_outcome::cancelled);
     this->end_call(*call);
 }
 
@@ -420,6 +496,7 @@
 {
     this->env.event_loop.cancel(call.deadline_timer);
     this->env.event_loop.cancel(call.idle_timer);
+    this->withdraw_waiting(call);
     if (call.placement != 0)
         this->env.placement.withdraw(std::exchange(call.placement, 0));
     if (call.quota_charged && !call.history.may_have_run)
