[http] a connection that closes after its answer is given up too when its caller takes none of it

Failed before (http_unittest, "a server tells why it closes a connection before the end of its use"): no closing within 3 s.

--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -408,6 +408,10 @@
         }
         this->close(*each);
     }
+    for (const auto& each : this->ending) {
+        if (this->is_clogged(*each))
+            clogged.push_back(each);
+    }
     for (const auto& each : clogged) {
         this->report(*each, closing_reason::clogged);
         each->stream->reset();
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -477,6 +477,24 @@
         CHECK(serving.closings[0].reason == closing_reason::clogged);
         CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
     }
+    SUBCASE("a caller that does not take its answer, after which its connection closes")
+    {
+        std::atomic<bool> enough{false};
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            while (!enough)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->respond(serving.waiting[0], 200, {}, std::string(20U << 20U, 'x'));
+        const bool told = run_until(
+            serving.on, [&] { return !serving.closings.empty(); }, std::chrono::seconds(3));
+        enough = true;
+        REQUIRE(told);
+        CHECK(serving.closings[0].reason == closing_reason::clogged);
+        CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
+        CHECK(serving.server->unfinished() == 0);
+    }
     SUBCASE("the end of a kept connection is none of these")
     {
         CHECK(serving.ask("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
