--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 
@@ -394,6 +395,47 @@
         node.add_upstream("i-1", upstream.server);
         CHECK(contains(node.send_request("/once/"), "HTTP/1.1 502"));
     }
+    SUBCASE("the bodies of many requests: one of the longest is given up")
+    {
+        const std::string part = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n"
+                                 "Content-Length: 16000000\r\n\r\n" +
+                                 std::string(15U << 20U, 'x');
+        std::vector<std::unique_ptr<raw_server>> upstreams;
+        std::vector<std::unique_ptr<raw_client>> callers;
+        std::atomic<int> failed{0};
+        for (int count = 0; count < 5; ++count) {
+            upstreams.push_back(std::make_unique<raw_server>([&](raw_connection& connection) {
+                static_cast<void>(connection.receive_until("\r\n\r\n"));
+                connection.send(part);
+                static_cast<void>(connection.receive_all());
+            }));
+            node.add_upstream("i-" + std::to_string(count), *upstreams.back());
+            node.announced.back().slots = 1;
+        }
+        node.placement->set_upstreams(node.announced);
+        for (int count = 0; count < 5; ++count) {
+            callers.push_back(
+                std::make_unique<raw_client>(node.callers->port(), [&](raw_connection& connection) {
+                    connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                                    "Authorization: Bearer k\r\nConnection: close\r\n\r\n");
+                    if (contains(connection.receive_all(), "HTTP/1.1 502"))
+                        ++failed;
+                }));
+        }
+        CHECK(run_until(
+            node.event_loop,
+            [&] {
+                node.placement->tick();
+                return failed == 1;
+            },
+            1500ms));
+        CHECK(node.calls->open_calls() == 4);
+        REQUIRE(run_until(node.event_loop, [&] {
+            node.placement->tick();
+            return std::ranges::all_of(callers, [](const auto& each) { return each->done(); });
+        }));
+        CHECK(failed == 1);
+    }
     SUBCASE("an event: the stream is taken from another upstream")
     {
         endless_upstream upstream(head, piece);
