[http] a body that keeps coming is read to its end

header_time, by its comment the time for a head, covered the body too: a caller on a slow link whose body came steadily got 408 after it. Now it bounds the head and each pause within a body; a whole request has 60 s. A body that stops still gets 408, which is true: the request was not handed on.

Failed before (http_unittest, "a body that keeps coming is read to its end, and one that stops gets 408"): no 200 for a body of 800 ms under a header_time of 300 ms.

--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -23,8 +23,10 @@
 /// What clients may send, and how long they may take.
 struct inbound_limits {
     message_limits message;
-    /// From the first byte of a head to its last.
+    /// From the first byte of a head to its last, and the longest pause within a body.
     std::chrono::milliseconds header_time{5000};
+    /// From the first byte of a request to its last.
+    std::chrono::milliseconds request_time{60000};
     /// How long a kept connection may lie idle.
     std::chrono::milliseconds idle_time{15000};
     /// How long after `idle_time` was lowered callers may still count on the longer one.
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -27,6 +27,9 @@
     std::unique_ptr<request_reader> reader;
     connection_phase phase = connection_phase::idle;
     microseconds since{0};
+    /// When the last bytes of a request under way came, from the end of its head on.
+    microseconds body_at{0};
+    bool head_read = false;
     /// How long the connection may lie idle since `since`, whatever the limit is later.
     microseconds idle_time{0};
     /// Whether the bytes that follow the last request are still to be looked at.
@@ -85,6 +88,7 @@
     /// Whether the connection may be closed without harm to a request.
     [[nodiscard]] static bool is_unused(const connection& each);
     void close(connection& unused);
+    [[nodiscard]] bool is_slow(const connection& each) const;
     [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
     void send_head(connection& of, inbound_response&& head);
@@ -195,6 +199,7 @@
         from.phase = connection_phase::reading;
         from.since = this->on.now();
     }
+    from.body_at = this->on.now();
     this->check(from, from.reader->take(bytes));
 }
 
@@ -259,11 +264,14 @@
         from.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
     from.request.head = std::move(head);
     from.request.body.clear();
+    from.head_read = true;
+    from.body_at = this->on.now();
 }
 
 void inbound_server::state::complete(connection& from)
 {
     from.phase = connection_phase::answering;
+    from.head_read = false;
     from.exchange = ++this->last_exchange;
     from.head_sent = false;
     from.chunked = false;
@@ -370,6 +378,16 @@
     this->bury(unused);
 }
 
+bool inbound_server::state::is_slow(const connection& each) const
+{
+    if (each.phase != connection_phase::reading)
+        return false;
+    const microseconds now = this->on.now();
+    const microseconds awaited_since = each.head_read ? each.body_at : each.since;
+    return now - awaited_since > this->limits.header_time ||
+           now - each.since > this->limits.request_time;
+}
+
 bool inbound_server::state::is_clogged(connection& each) const
 {
     const std::size_t unsent = each.stream->unsent_bytes();
@@ -390,8 +408,7 @@
     std::vector<std::shared_ptr<connection>> clogged;
     for (const auto& [id, each] : this->connections) {
         const microseconds age = now - each->since;
-        const bool slow =
-            each->phase == connection_phase::reading && age > this->limits.header_time;
+        const bool slow = this->is_slow(*each);
         const bool idle_too_long =
             age > std::max<microseconds>(each->idle_time, this->limits.idle_time);
         const bool unused = idle_too_long && is_unused(*each);
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -162,6 +162,44 @@
     CHECK(serving.requests.empty());
 }
 
+TEST_CASE("a body that keeps coming is read to its end, and one that stops gets 408")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.header_time = milliseconds(300);
+    listening_server serving(limits);
+    std::string answer;
+    const auto ask = [&](int pieces, milliseconds pause) {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n"
+                            "Connection: close\r\n\r\n");
+            for (int count = 0; count < pieces; ++count) {
+                std::this_thread::sleep_for(pause);
+                connection.send("b");
+            }
+            answer = connection.receive_all();
+        });
+        REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    };
+    SUBCASE("it keeps coming for longer than a head may")
+    {
+        ask(8, milliseconds(100));
+        CHECK(answer.find("HTTP/1.1 200") == 0);
+    }
+    SUBCASE("it stops")
+    {
+        ask(3, milliseconds(10));
+        CHECK(answer.find("HTTP/1.1 408") == 0);
+    }
+    SUBCASE("it keeps coming for longer than a request may")
+    {
+        limits.request_time = milliseconds(500);
+        serving.server->set_limits(limits);
+        ask(8, milliseconds(150));
+        CHECK(answer.find("HTTP/1.1 408") == 0);
+    }
+}
+
 TEST_CASE("a server tells when a caller leaves")
 {
     listening_server serving;
