--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -162,6 +162,44 @@
     CHECK(serving.requests.empty());
 }
 
+TEST_CASE("a body that keeps coming is read to its end, and one that stops gets 408")
+{
+    using std::chrono::milliseconds;
+    inbound_limits limits;
+    limits.header_time = milliseconds(300);
+    listening_server serving(limits);
+    std::string answer;
+    const auto ask = [&](int pieces, milliseconds pause) {
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n"
+                            "Connection: close\r\n\r\n");
+            for (int count = 0; count < pieces; ++count) {
+                std::this_thread::sleep_for(pause);
+                connection.send("b");
+            }
+            answer = connection.receive_all();
+        });
+        REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    };
+    SUBCASE("it keeps coming for longer than a head may")
+    {
+        ask(8, milliseconds(100));
+        CHECK(answer.find("HTTP/1.1 200") == 0);
+    }
+    SUBCASE("it stops")
+    {
+        ask(3, milliseconds(10));
+        CHECK(answer.find("HTTP/1.1 408") == 0);
+    }
+    SUBCASE("it keeps coming for longer than a request may")
+    {
+        limits.request_time = milliseconds(500);
+        serving.server->set_limits(limits);
+        ask(8, milliseconds(150));
+        CHECK(answer.find("HTTP/1.1 408") == 0);
+    }
+}
+
 TEST_CASE("a server tells when a caller leaves")
 {
     listening_server serving;
@@ -477,6 +515,24 @@
         CHECK(serving.closings[0].reason == closing_reason::clogged);
         CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
     }
+    SUBCASE("a caller that does not take its answer, after which its connection closes")
+    {
+        std::atomic<bool> enough{false};
+        raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            while (!enough)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        });
+        REQUIRE(run_until(serving.on, [&] { return !serving.waiting.empty(); }));
+        serving.server->respond(serving.waiting[0], 200, {}, std::string(20U << 20U, 'x'));
+        const bool told = run_until(
+            serving.on, [&] { return !serving.closings.empty(); }, std::chrono::seconds(3));
+        enough = true;
+        REQUIRE(told);
+        CHECK(serving.closings[0].reason == closing_reason::clogged);
+        CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
+        CHECK(serving.server->unfinished() == 0);
+    }
     SUBCASE("the end of a kept connection is none of these")
     {
         CHECK(serving.ask("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
