[core] a request waits in one cell only when the cells change

What it does to callers: slots were taken by nobody, so that requests waited or were refused while upstreams were free. The answer of a request was not lost by it.

Cause: when the number of a target's cells changes, or its upstreams go and come back, a request that waits is sent again for another cell, up to 400 ms later. The scheduler queued it there as well and kept it in the first queue. Each queue granted it; the second grant was for a request that had ended, or counted one request at two upstreams.

submit now takes the request out of every other queue of this owner first.

Failed before: gateway_unittest -tc="a request that waits while the cells change*" on with 24 requests for 4 slots: 27 to 29 requests queued, granted or denied of 24 in all three subcases, and 120 of 300 looks at the slots in flight found some that no request had (up to 3 of 4). Now the case passes, and core_unittest (77 cases).

Each request got exactly one response before and after.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -287,6 +287,7 @@
                time_point now, responses& out);
     void grant_waiting(cell& own_cell, time_point now, responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
+    void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
     void update_health(upstream_state& state, const cell& own_cell, placement_outcome outcome,
                        time_point now);
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -166,6 +166,8 @@
         each->refreshed_at = now;
         return;
     }
+    // After a change of the number of cells, an entry sends a request that waits to another cell.
+    this->remove_queued(message.id);
     const bool any_allowed = std::any_of(
         own_cell.members.begin(), own_cell.members.end(), [&](const upstream_name& name) {
             const upstream_state& state = this->upstreams.at(name);
@@ -274,10 +276,15 @@
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
-void placement_scheduler::withdraw(const placement_id& id, time_point now, responses& out)
+void placement_scheduler::remove_queued(const placement_id& id)
 {
     for (auto& [key, own_cell] : this->cells)
         std::erase_if(own_cell.queue, [&](const auto& each) { return each->request.id == id; });
+}
+
+void placement_scheduler::withdraw(const placement_id& id, time_point now, responses& out)
+{
+    this->remove_queued(id);
     this->release({id, placement_outcome::cancelled, {}, {}}, now, out);
 }
 
--- a/unittests/gateway/placement_service_test.cpp
+++ b/unittests/gateway/placement_service_test.cpp
@@ -7,6 +7,8 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
+#include <utility>
 
 namespace ragwortcove::gateway {
 
@@ -245,6 +247,75 @@
         CHECK(each->service->owned_placements().in_flight() == 0);
 }
 
+TEST_CASE("a request that waits while the cells change is granted once and leaves no slot taken")
+{
+    simulated_network network(1);
+    placement_service& service = *network.nodes[0]->service;
+    std::vector<core::announced_upstream> few;
+    std::vector<core::announced_upstream> all;
+    // One usable upstream for each of two cells, and so many leaving ones that there are two cells.
+    std::set<core::cell_index> cells;
+    for (int index = 0; index < 30; ++index) {
+        core::announced_upstream upstream;
+        upstream.name.value = "u" + std::to_string(index);
+        upstream.target.value = "engines";
+        upstream.leaving = !cells.insert(core::placement_cell_of(upstream.name, 2)).second;
+        all.push_back(upstream);
+        if (!upstream.leaving)
+            few.push_back(upstream);
+    }
+    REQUIRE(few.size() == 2);
+    service.set_upstreams(all);
+    constexpr std::size_t slot_count = 4;
+    constexpr std::size_t request_count = 24;
+    std::vector<int> responses(request_count, 0);
+    std::vector<placement_number> granted;
+    std::size_t denied = 0;
+    for (std::size_t index = 0; index < request_count; ++index) {
+        service.place(network.make_request(), [&, index](placement_number number,
+                                                         const core::placement_response& response) {
+            ++responses[index];
+            if (std::holds_alternative<core::placement_grant>(response))
+                granted.push_back(number);
+            else
+                ++denied;
+        });
+    }
+    network.pass(200ms);
+    REQUIRE(granted.size() == slot_count);
+    REQUIRE(service.owned_placements().waiting() == request_count - slot_count);
+    SUBCASE("two cells become one")
+    {
+        service.set_upstreams(few);
+    }
+    SUBCASE("two cells become one and two again")
+    {
+        service.set_upstreams(few);
+        service.set_upstreams(all);
+    }
+    SUBCASE("no upstream is left, and then all are back")
+    {
+        service.set_upstreams({});
+        network.pass(100ms);
+        service.set_upstreams(all);
+    }
+    // Long enough for each request that waits to be sent again.
+    network.pass(500ms);
+    const std::size_t waiting = service.owned_placements().waiting();
+    CHECK(waiting + granted.size() + denied <= request_count);
+    for (int round = 0; round < 100; ++round) {
+        for (const placement_number number : std::exchange(granted, {}))
+            service.release(number, core::placement_outcome::completed, 10ms, 0ms);
+        network.pass(50ms);
+        CHECK(service.owned_placements().in_flight() == granted.size());
+    }
+    CHECK(std::all_of(responses.begin(), responses.end(), [](int count) { return count == 1; }));
+    CHECK(service.owned_placements().waiting() == 0);
+    CHECK(service.owned_placements().in_flight() == 0);
+    for (const core::upstream_view& each : service.owned_placements().views())
+        CHECK(each.in_flight == 0);
+}
+
 TEST_CASE("slots of a node are released when its process ends")
 {
     simulated_network network{2};
