[http] bytes that wait for all callers are bounded

Over 64 MiB together the caller for which most wait is cut off (clogged).

Failed before (http_unittest, "a server tells why it closes a connection before the end of its use", callers that together take too much memory): none was cut off within 3 s.

--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -36,6 +36,8 @@
     std::chrono::milliseconds clogged_time{1000};
     /// Bytes that may wait for a client that reads slowly.
     std::size_t max_unsent_bytes = 24U << 20U;
+    /// Bytes that may wait for all clients; over it the one for which most wait is cut off.
+    std::size_t max_all_unsent_bytes = 64U << 20U;
 };
 
 struct inbound_request {
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -88,6 +88,7 @@
     /// Whether the connection may be closed without harm to a request.
     [[nodiscard]] static bool is_unused(const connection& each);
     void close(connection& unused);
+    [[nodiscard]] std::vector<std::shared_ptr<connection>> find_clogged() const;
     [[nodiscard]] bool is_slow(const connection& each) const;
     [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
@@ -400,21 +401,37 @@
            this->on.now() - each.sent_at > this->limits.clogged_time;
 }
 
+std::vector<std::shared_ptr<connection>> inbound_server::state::find_clogged() const
+{
+    std::vector<std::shared_ptr<connection>> all = this->ending;
+    for (const auto& [id, each] : this->connections)
+        all.push_back(each);
+    std::size_t unsent = 0;
+    std::vector<std::shared_ptr<connection>> found;
+    for (const auto& each : all) {
+        unsent += each->stream->unsent_bytes();
+        if (this->is_clogged(*each))
+            found.push_back(each);
+    }
+    if (!found.empty() || unsent <= this->limits.max_all_unsent_bytes)
+        return found;
+    return {*std::ranges::max_element(
+        all, {}, [](const auto& each) { return each->stream->unsent_bytes(); })};
+}
+
 void inbound_server::state::sweep()
 {
     const microseconds now = this->on.now();
     this->forget_ended();
     std::vector<std::shared_ptr<connection>> late;
-    std::vector<std::shared_ptr<connection>> clogged;
+    const std::vector<std::shared_ptr<connection>> clogged = this->find_clogged();
     for (const auto& [id, each] : this->connections) {
         const microseconds age = now - each->since;
         const bool slow = this->is_slow(*each);
         const bool idle_too_long =
             age > std::max<microseconds>(each->idle_time, this->limits.idle_time);
         const bool unused = idle_too_long && is_unused(*each);
-        if (this->is_clogged(*each))
-            clogged.push_back(each);
-        else if (slow || unused)
+        if (slow || unused)
             late.push_back(each);
     }
     for (const auto& each : late) {
@@ -425,10 +442,6 @@
         }
         this->close(*each);
     }
-    for (const auto& each : this->ending) {
-        if (this->is_clogged(*each))
-            clogged.push_back(each);
-    }
     for (const auto& each : clogged) {
         this->report(*each, closing_reason::clogged);
         each->stream->reset();
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -533,6 +533,33 @@
         CHECK(serving.closings[0].unsent_bytes > limits.unsent_bytes);
         CHECK(serving.server->unfinished() == 0);
     }
+    SUBCASE("callers that together take too much memory: the one that lacks most")
+    {
+        limits.unsent_bytes = 64U << 20U;
+        limits.max_unsent_bytes = 64U << 20U;
+        limits.max_all_unsent_bytes = 24U << 20U;
+        serving.server->set_limits(limits);
+        std::atomic<bool> enough{false};
+        const auto wait = [&](raw_connection& connection) {
+            connection.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+            while (!enough)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        };
+        raw_client first(serving.server->port(), wait);
+        raw_client second(serving.server->port(), wait);
+        REQUIRE(run_until(serving.on, [&] { return serving.waiting.size() == 2; }));
+        serving.server->start_response(serving.waiting[0], {});
+        serving.server->start_response(serving.waiting[1], {});
+        serving.server->write(serving.waiting[0], std::string(16U << 20U, 'x'));
+        serving.server->write(serving.waiting[1], std::string(24U << 20U, 'x'));
+        const bool cut_off = run_until(
+            serving.on, [&] { return !serving.abandoned.empty(); }, std::chrono::seconds(3));
+        run_for(serving.on, std::chrono::milliseconds(600));
+        enough = true;
+        REQUIRE(cut_off);
+        REQUIRE(serving.closings.size() == 1);
+        CHECK(serving.closings[0].exchange == serving.waiting[1]);
+    }
     SUBCASE("the end of a kept connection is none of these")
     {
         CHECK(serving.ask("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
