[gateway] test: a request that waits gets one response when rules change

Each caller gets exactly one response head with the expected status, no call stays open, no slot is taken or requested.

--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <filesystem>
 #include <fstream>
@@ -30,6 +31,8 @@
     std::unique_ptr<placement_service> placement;
     std::unique_ptr<http::inbound_server> callers;
     std::unique_ptr<call_handler> calls;
+    /// Node that accounts for the quotas; no other node than "n" answers.
+    core::node_name quota_owner{"n"};
     /// Slots that the test itself has taken.
     std::vector<placement_number> held;
 
@@ -50,7 +53,7 @@
         dependencies.run.value = 1;
         dependencies.now = [this] { return core::time_point{this->event_loop.now()}; };
         dependencies.owner_of = [](std::string_view) { return core::node_name{"n"}; };
-        dependencies.quota_owner_of = dependencies.owner_of;
+        dependencies.quota_owner_of = [this](std::string_view) { return this->quota_owner; };
         dependencies.is_discovery_finished = [] { return true; };
         dependencies.mark_unreachable = [](const core::node_name&) {};
         dependencies.send = [](const core::node_name&, wire::PeerDatagram&) {};
@@ -175,6 +178,16 @@
             limit);
     }
 
+    /// Changes the rules in force.
+    void change_rules(const std::function<void(core::ruleset&)>& change)
+    {
+        core::ruleset changed = this->rules->rules();
+        ++changed.version;
+        change(changed);
+        this->rules = std::make_shared<const core::rule_index>(std::move(changed));
+        this->placement->set_rules(this->rules);
+    }
+
     /// Whether no call is open, and no slot taken or requested for one.
     [[nodiscard]] bool is_empty() const
     {
@@ -890,6 +903,171 @@
     CHECK(node.is_empty());
 }
 
+/// Whether some bytes are one response with a status.
+static bool is_one_response(const std::string& bytes, int status)
+{
+    return bytes.starts_with("HTTP/1.1 " + std::to_string(status) + " ") &&
+           bytes.find("HTTP/1.1") == bytes.rfind("HTTP/1.1") && contains(bytes, "\r\n\r\n");
+}
+
+TEST_CASE("a request that waits gets one response when the rules or the upstreams change")
+{
+    const std::vector<std::string> paths{"/once/", "/again/", "/stream/"};
+    gateway_fixture node;
+    const std::string answer = stream_head + make_chunk(make_event(1)) + last_chunk;
+    paced_upstream upstream({{0ms, answer}});
+    paced_upstream elsewhere({{0ms, answer}});
+    std::function<void()> change;
+    int expected = 200;
+    bool slots_come_free = true;
+    node.add_upstream("i-1", upstream.server);
+    // So long that no request is denied for its estimated wait.
+    node.change_rules([](core::ruleset& rules) {
+        for (core::http_route& each : rules.routes)
+            each.goal = 1s;
+    });
+
+    SUBCASE("while it waits for a slot")
+    {
+        node.fill_slots("i-1");
+        SUBCASE("the route moves to another target")
+        {
+            change = [&] {
+                node.change_rules([](core::ruleset& rules) {
+                    for (core::http_route& each : rules.routes)
+                        each.targets = {{{"other"}, 1.0}};
+                });
+            };
+        }
+        SUBCASE("the route and its team are removed")
+        {
+            change = [&] {
+                node.change_rules([](core::ruleset& rules) {
+                    rules.routes.clear();
+                    rules.teams.clear();
+                });
+            };
+        }
+        SUBCASE("the target gets a rule and loses it")
+        {
+            change = [&] {
+                node.change_rules([](core::ruleset& rules) {
+                    core::target_rule rule;
+                    rule.name.value = "t";
+                    rule.slots = 1;
+                    rules.targets = {rule};
+                });
+                node.change_rules([](core::ruleset& rules) { rules.targets.clear(); });
+            };
+        }
+        SUBCASE("all upstreams are removed")
+        {
+            expected = 503;
+            slots_come_free = false;
+            change = [&] {
+                node.announced.clear();
+                node.placement->set_upstreams(node.announced);
+            };
+        }
+        SUBCASE("the upstream is replaced")
+        {
+            slots_come_free = false;
+            change = [&] {
+                node.announced.clear();
+                node.add_upstream("i-2", elsewhere.server);
+            };
+        }
+        SUBCASE("the target gets more cells, and fewer again")
+        {
+            slots_come_free = false;
+            change = [&] {
+                constexpr int added_count = 60;
+                const std::vector<core::announced_upstream> few = node.announced;
+                for (int index = 0; index < added_count; ++index) {
+                    node.announced.push_back(few.front());
+                    node.announced.back().name.value = "j-" + std::to_string(index);
+                    node.announced.back().leaving = index % 2 == 0;
+                }
+                node.placement->set_upstreams(node.announced);
+                node.placement->set_upstreams(few);
+                node.placement->set_upstreams(node.announced);
+            };
+        }
+    }
+    SUBCASE("while it waits for its quota")
+    {
+        node.change_rules([](core::ruleset& rules) {
+            rules.teams.front().rate = 1000.0;
+            rules.teams.front().burst = 1000.0;
+        });
+        node.quota_owner.value = "m";
+        SUBCASE("the quota gets another owner")
+        {
+            change = [&] {
+                node.quota_owner.value = "n";
+                node.placement->owners_changed();
+            };
+        }
+        SUBCASE("the quota gets another owner, and the first one again")
+        {
+            change = [&] {
+                node.quota_owner.value = "o";
+                node.placement->owners_changed();
+                node.quota_owner.value = "m";
+                node.placement->owners_changed();
+            };
+        }
+        SUBCASE("its team is removed")
+        {
+            change = [&] { node.change_rules([](core::ruleset& rules) { rules.teams.clear(); }); };
+        }
+        SUBCASE("its team is removed and the quota gets another owner")
+        {
+            change = [&] {
+                node.change_rules([](core::ruleset& rules) { rules.teams.clear(); });
+                node.quota_owner.value = "n";
+                node.placement->owners_changed();
+            };
+        }
+        SUBCASE("the team loses its quota")
+        {
+            change = [&] {
+                node.change_rules([](core::ruleset& rules) { rules.teams.front().rate = 0.0; });
+            };
+        }
+    }
+    REQUIRE(change);
+    std::vector<std::string> responses(paths.size());
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (std::size_t index = 0; index < paths.size(); ++index) {
+        std::string& response = responses[index];
+        const std::string& path = paths[index];
+        callers.push_back(std::make_unique<raw_client>(
+            node.callers->port(), [&response, &path](raw_connection& connection) {
+                connection.send("GET " + path +
+                                " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                                "X-Deadline-Ms: 3000\r\nConnection: close\r\n"
+                                "Authorization: Bearer k\r\n\r\n");
+                response = connection.receive_all();
+            }));
+    }
+    REQUIRE(node.run([&] { return node.calls->open_calls() == paths.size(); }, 5s));
+    change();
+    if (slots_come_free)
+        node.event_loop.after(200ms, [&] { node.free_slots(); });
+    CHECK(node.run([&] {
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const auto& each) { return each->done(); });
+    }));
+    for (const std::string& response : responses) {
+        CHECK(is_one_response(response, expected));
+        CHECK(contains(response, "id: 1") == (expected == 200));
+    }
+    CHECK(node.calls->open_calls() == 0);
+    node.free_slots();
+    CHECK(node.is_empty());
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
