[gateway] units of a quota return when the caller has left before the grant

What it does to callers: a team got less than its quota.

Cause: a request that waits for the answer of its quota's owner ends when its caller leaves or at its deadline; the grant that came afterwards, for example after a change of the owner, found no call, and its units were neither used nor refunded.

The handler of the grant now keeps team and cost, and refunds the units when the call is gone.

Failed before on the previous commit, two runs of two: gateway_unittest -tc="units of a quota*": the next request was denied its unit. Now granted, three runs of three.

--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -122,8 +122,12 @@
     this->env.placement.acquire_quota(
         *call.team, call.target, call.quota_cost,
         core::max_quota_wait(*call.route, call.deadline - call.arrived_at),
-        [this, exchange = call.exchange](const core::quota_decision& decision) {
-            this->on_quota_decision(exchange, decision);
+        [this, exchange = call.exchange, rules = call.rules, team = call.team,
+         cost = call.quota_cost](const core::quota_decision& decision) {
+            if (this->find(exchange) != nullptr)
+                this->on_quota_decision(exchange, decision);
+            else if (decision.granted)
+                this->env.placement.refund_quota(*team, cost);
         });
 }
 
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -1068,6 +1068,35 @@
     CHECK(node.is_empty());
 }
 
+TEST_CASE("units of a quota are not lost when a caller leaves before they are granted")
+{
+    gateway_fixture node;
+    node.change_rules([](core::ruleset& rules) {
+        rules.teams.front().rate = 1.0;
+        rules.teams.front().burst = 1.0;
+    });
+    // The bucket fills up, and units that come back no longer count as those of an earlier owner.
+    node.run([] { return false; }, 1100ms);
+    node.quota_owner.value = "m";
+    std::atomic<bool> leaves{false};
+    raw_client caller(node.callers->port(), [&](raw_connection& connection) {
+        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "Authorization: Bearer k\r\n\r\n");
+        while (!leaves)
+            std::this_thread::sleep_for(1ms);
+    });
+    CHECK(node.run([&] { return node.calls->open_calls() == 1; }, 5s));
+    leaves = true;
+    REQUIRE(node.run([&] { return node.calls->open_calls() == 0; }, 5s));
+    node.quota_owner.value = "n";
+    node.placement->owners_changed();
+    bool granted = false;
+    node.placement->acquire_quota(
+        node.rules->rules().teams.front(), {"t"}, 1.0, 0ms,
+        [&](const core::quota_decision& decision) { granted = decision.granted; });
+    CHECK(granted);
+}
+
 TEST_CASE("a request is responded to at its deadline")
 {
     gateway_fixture node;
