[adapter] a refusal that names another request does not count as one

What callers saw: a request that may run only once could run twice, or be refused with 503 though it ran.

Cause: a server may send a late extra response where the next one is expected; its attempt id tells. `not_run` was taken from the header or the status 421 of any response, and handle_failed_dispatch was told `refused` before the id was looked at, so the request went to another upstream as not run.

--- a/unittests/adapter/headers_test.cpp
+++ b/unittests/adapter/headers_test.cpp
@@ -104,6 +104,7 @@
     head.headers.push_back({"x-not-executed", "1"});
     head.headers.push_back({"Content-Encoding", "gzip"});
     CHECK(read_response_headers(head, "9c41").not_run);
+    CHECK_FALSE(read_response_headers(head, "other").not_run);
     CHECK(read_response_headers(head, "9c41").has_content_encoding);
 }
 
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -421,6 +421,16 @@
         CHECK_FALSE(contains(response, "not"));
         CHECK(upstream.request_count == 1);
     }
+    SUBCASE("a refusal of another request says nothing of this one")
+    {
+        scripted_upstream upstream({"HTTP/1.1 503 Full\r\nX-Attempt-Id: other\r\n"
+                                    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"});
+        node.add_upstream("i-1", upstream.server);
+        scripted_upstream other({make_response(200, "ran twice")});
+        node.add_upstream("i-2", other.server);
+        CHECK(contains(node.send_request("/once/"), "HTTP/1.1 502"));
+        CHECK(upstream.request_count + other.request_count == 1);
+    }
     SUBCASE("a 503 without a signature does not show that the request has not run")
     {
         scripted_upstream upstream({"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"});
