--- /dev/null
+++ b/include/ragwortcove/core/rollout.hpp
@@ -0,0 +1,91 @@
+/// \file
+/// Roll-outs that operators order on the users' platform: the order, what entries count during it,
+/// and what its controller tells the entries.
+#pragma once
+
+#include "ragwortcove/core/types.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace ragwortcove::core {
+
+/// Stored state of a roll-out.
+enum class rollout_state {
+    /// No state is stored for this order yet.
+    pending,
+    running,
+    /// All requests of the target go to the new version; its other upstreams may stop at once.
+    complete,
+    /// The new version gets no requests.
+    reverted,
+};
+
+/// An operator's order to move a target's requests to the upstreams of one version.
+struct rollout_order {
+    target_name target;
+    version_name version;
+    /// Time from the order until the roll-out must be complete or reverted.
+    duration time_limit{0};
+    /// Pending if the stored state belongs to an order for another version.
+    rollout_state state = rollout_state::pending;
+    /// Revision of the order's document; a write of the state is conditional on it.
+    revision at;
+    bool operator==(const rollout_order&) const = default;
+
+    [[nodiscard]] bool has_ended() const
+    {
+        return this->state == rollout_state::complete || this->state == rollout_state::reverted;
+    }
+};
+
+/// What one entry has counted on one version of a target, on one route; all counts only grow.
+struct version_counts {
+    /// Requests sent.
+    std::uint32_t sent = 0;
+    /// Responses that ended well, and attempts that failed.
+    std::uint32_t passed = 0;
+    std::uint32_t failed = 0;
+    /// First parts of responses that came in a usual time, and late ones.
+    std::uint32_t first_parts_on_time = 0;
+    std::uint32_t first_parts_late = 0;
+    /// Streams with the usual time between events, and with a longer one.
+    std::uint32_t streams_on_time = 0;
+    std::uint32_t streams_late = 0;
+    bool operator==(const version_counts&) const = default;
+};
+
+struct rollout_route_counts {
+    route_name route;
+    version_counts old_version;
+    version_counts new_version;
+    bool operator==(const rollout_route_counts&) const = default;
+};
+
+/// One entry's report to the controller of a roll-out.
+struct rollout_report {
+    target_name target;
+    version_name version;
+    /// How long the entry has known the order. Entries that start late know it for a shorter time,
+    /// so the longest one counts.
+    duration order_age{0};
+    /// Share that the entry applies now, in thousandths.
+    std::uint32_t share_permille = 0;
+    /// Requests that the entry has in flight on other versions than the new one.
+    std::uint32_t old_in_flight = 0;
+    std::vector<rollout_route_counts> routes;
+    bool operator==(const rollout_report&) const = default;
+};
+
+/// What the controller of a roll-out tells every entry.
+struct rollout_directive {
+    target_name target;
+    version_name version;
+    /// Share of the target's requests that may go to the new version, in thousandths.
+    std::uint32_t share_permille = 0;
+    /// The new version is bad and gets no more requests. Never taken back.
+    bool halted = false;
+    bool operator==(const rollout_directive&) const = default;
+};
+
+} // namespace ragwortcove::core
