--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -207,6 +207,7 @@
                               {{"upstream", name.value},
                                {"state", state},
                                {"target", known == nullptr ? "" : known->target.value},
+                               {"version", known == nullptr ? "" : known->version.value},
                                {"revision", std::to_string(this->directory.at().value)}});
         }
     };
