[core] canaries of a roll-out are placed in a pool of their own

Upstreams now have a pool: the target's own, or that of its canaries. A request that waits in a canary pool without upstreams is denied at once, since it can be placed elsewhere; one that waits for a target's own upstreams goes on waiting, as before. Requests in flight follow their upstream into its new pool.

--- a/include/ragwortcove/core/placement_cells.hpp
+++ b/include/ragwortcove/core/placement_cells.hpp
@@ -1,6 +1,7 @@
 /// \file
-/// Splits the upstreams of a target into small cells, each with its own owner, and chooses the cell
-/// that a request is sent to.
+/// Splits the upstreams of a placement pool into small cells, each with its own owner, and chooses
+/// the cell that a request is sent to. A pool holds the upstreams of a target, or the canaries of
+/// its roll-out.
 #pragma once
 
 #include "ragwortcove/core/context.hpp"
@@ -16,15 +17,15 @@
 
 namespace ragwortcove::core {
 
-/// Index of a cell among those of its target.
+/// Index of a cell among those of its pool.
 using cell_index = std::uint32_t;
 
-/// Number of cells of a target with this many upstreams; a power of two.
+/// Number of cells of a pool with this many upstreams; a power of two.
 [[nodiscard]] cell_index placement_cell_count(std::size_t upstreams);
-/// Cell of an upstream when its target has `count` cells.
+/// Cell of an upstream when its pool has `count` cells.
 [[nodiscard]] cell_index placement_cell_of(const upstream_name& upstream, cell_index count);
 
-/// Number of cells of each target that has upstreams.
+/// Number of cells of each pool that has upstreams.
 [[nodiscard]] std::map<target_name, cell_index>
 count_cells(std::span<const announced_upstream> all);
 
@@ -36,19 +37,19 @@
     bool operator==(const cell_load&) const = default;
 };
 
-/// Spreads one node's requests over the cells of their target, by the latest known load of each.
+/// Spreads one node's requests over the cells of their pool, by the latest known load of each.
 class cell_chooser {
 public:
     /// Records the load that the owner of a cell reported.
-    void record_load(const target_name& target, cell_index cell, const cell_load& load,
+    void record_load(const target_name& pool, cell_index cell, const cell_load& load,
                      time_point now);
     /// Chooses the next cell for a request, other than those already tried. When all have been
     /// tried, any of them may be chosen.
-    [[nodiscard]] cell_index choose(const target_name& target, cell_index count,
+    [[nodiscard]] cell_index choose(const target_name& pool, cell_index count,
                                     std::span<const cell_index> tried, random_engine& random,
                                     time_point now);
     /// The same, but chooses only a cell that is known to have a free slot.
-    [[nodiscard]] std::optional<cell_index> choose_free(const target_name& target, cell_index count,
+    [[nodiscard]] std::optional<cell_index> choose_free(const target_name& pool, cell_index count,
                                                         std::span<const cell_index> tried,
                                                         random_engine& random, time_point now);
 
@@ -58,10 +59,10 @@
         time_point received_at;
         bool known = false;
     };
-    [[nodiscard]] std::vector<known_load>& loads_for(const target_name& target, cell_index count);
+    [[nodiscard]] std::vector<known_load>& loads_for(const target_name& pool, cell_index count);
     void count_placement(known_load& estimate) const;
 
-    std::map<target_name, std::vector<known_load>> by_target;
+    std::map<target_name, std::vector<known_load>> by_pool;
 };
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -1,6 +1,6 @@
 /// \file
 /// Places requests on the upstreams of the cells that this node owns. A cell is a small group of
-/// upstreams of one target, with one owner. Keeps one queue for each cell, exact counts of requests
+/// upstreams of one pool, with one owner. Keeps one queue for each cell, exact counts of requests
 /// in flight, and estimates of each upstream's speed and health.
 #pragma once
 
@@ -40,8 +40,9 @@
 /// Asks an owner to place one request.
 struct placement_request {
     placement_id id;
-    target_name target;
-    /// Index among the cells of the target.
+    /// Pool: the target, or its canaries during a roll-out.
+    target_name pool;
+    /// Index among the cells of the pool.
     cell_index cell = 0;
     team_name team;
     /// Requests with a lower rank are served first.
@@ -72,7 +73,7 @@
 };
 
 enum class denial_reason {
-    /// No upstream of the target is known, or the request avoids all of them.
+    /// No upstream of the pool is known, or the request avoids all of them.
     no_upstream,
     /// The wait for an upstream exceeds `max_wait`, or is estimated to.
     overloaded,
@@ -119,7 +120,7 @@
 /// owners' counts agree with theirs.
 struct placement_report {
     placement_id id;
-    target_name target;
+    target_name pool;
     upstream_name upstream;
     std::uint32_t uncached_tokens = 0;
     /// Whether the first part of the response has been received.
@@ -201,9 +202,9 @@
         /// Value of `use_counter` at the last use.
         std::uint64_t last_used = 0;
     };
-    /// Identifies a cell of a target.
+    /// Identifies a cell of a pool.
     struct cell_key {
-        target_name target;
+        target_name pool;
         cell_index index = 0;
         auto operator<=>(const cell_key&) const = default;
     };
@@ -266,6 +267,9 @@
         time_point grants_start_at;
         /// Whether a request has been submitted for the cell; the first one sets `grants_start_at`.
         bool in_use = false;
+        /// Whether the cell belongs to the canaries of a roll-out. Its upstreams do not come back,
+        /// and its requests can be placed in the target's own pool.
+        bool is_canary = false;
     };
 
     [[nodiscard]] std::vector<candidate> list_candidates(const cell& own_cell, time_point now);
--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -27,9 +27,17 @@
     std::int64_t started_at = 0;
     /// Revision of the announcement.
     revision at;
+    /// Placement pool: the target, or its canaries during a roll-out. Empty stands for the target;
+    /// an announcement does not state it.
+    target_name pool;
     bool operator==(const announced_upstream&) const = default;
 };
 
+/// Pool in which the requests for an upstream are placed.
+[[nodiscard]] const target_name& pool_of(const announced_upstream& upstream);
+/// Pool of the canaries of a target's roll-out.
+[[nodiscard]] target_name canary_pool_of(const target_name& target);
+
 /// Effects of a change of the directory.
 struct directory_changes {
     std::vector<upstream_name> added;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Places this node's requests at the owners of the cells of their targets, and other nodes'
+/// Places this node's requests at the owners of the cells of their pools, and other nodes'
 /// requests in the cells that this node owns. Charges quotas in the same way.
 #pragma once
 
@@ -118,16 +118,16 @@
     };
 
     void send_to_owner(tracked_request& request);
-    [[nodiscard]] core::node_name owner_of_cell(const core::target_name& target,
+    [[nodiscard]] core::node_name owner_of_cell(const core::target_name& pool,
                                                 core::cell_index cell) const;
-    [[nodiscard]] core::cell_index cell_count_of(const core::target_name& target) const;
+    [[nodiscard]] core::cell_index cell_count_of(const core::target_name& pool) const;
     /// Sends a denied request to another cell; returns false if none is known to have free slots.
     bool try_other_cell(tracked_request& request);
     /// Moves a queued request to another cell; returns false if none is known to have free slots.
     bool move_queued_request(tracked_request& request);
     void withdraw_from_owner(const tracked_request& request);
     /// Assigns requests to cells again after the number of cells has changed; a request that has an
-    /// upstream belongs to the cell of that upstream.
+    /// upstream belongs to the pool and the cell of that upstream.
     void apply_cell_counts();
     void record_load(const tracked_request& request, const core::cell_load& load);
     void deliver_responses(core::placement_scheduler::responses& responses);
@@ -164,7 +164,7 @@
     std::map<core::node_name, core::time_point> unresponsive_until;
     std::map<placement_number, tracked_request> requests;
     std::map<placement_number, pending_quota> quota_requests;
-    /// Targets whose requests had to wait for a slot, and until when each counts as congested.
+    /// Pools whose requests had to wait for a slot, and until when each counts as congested.
     std::map<core::target_name, core::time_point> congested_until;
     placement_number last_number = 0;
     core::time_point next_report_at;
--- a/lib/core/placement_cells.cpp
+++ b/lib/core/placement_cells.cpp
@@ -35,27 +35,27 @@
 {
     std::map<target_name, std::size_t> upstreams;
     for (const announced_upstream& each : all)
-        ++upstreams[each.target];
+        ++upstreams[pool_of(each)];
     std::map<target_name, cell_index> cell_counts;
-    for (const auto& [target, count] : upstreams)
-        cell_counts[target] = placement_cell_count(count);
+    for (const auto& [pool, count] : upstreams)
+        cell_counts[pool] = placement_cell_count(count);
     return cell_counts;
 }
 
-std::vector<cell_chooser::known_load>& cell_chooser::loads_for(const target_name& target,
+std::vector<cell_chooser::known_load>& cell_chooser::loads_for(const target_name& pool,
                                                                cell_index count)
 {
-    std::vector<known_load>& loads = this->by_target[target];
+    std::vector<known_load>& loads = this->by_pool[pool];
     if (loads.size() != count)
         loads.assign(count, {});
     return loads;
 }
 
-void cell_chooser::record_load(const target_name& target, cell_index cell, const cell_load& load,
+void cell_chooser::record_load(const target_name& pool, cell_index cell, const cell_load& load,
                                time_point now)
 {
-    const auto found = this->by_target.find(target);
-    if (found != this->by_target.end() && cell < found->second.size())
+    const auto found = this->by_pool.find(pool);
+    if (found != this->by_pool.end() && cell < found->second.size())
         found->second[cell] = {load, now, true};
 }
 
@@ -93,13 +93,13 @@
         ++estimate.load.waiting;
 }
 
-cell_index cell_chooser::choose(const target_name& target, cell_index count,
+cell_index cell_chooser::choose(const target_name& pool, cell_index count,
                                 std::span<const cell_index> tried, random_engine& random,
                                 time_point now)
 {
     if (count <= 1)
         return 0;
-    std::vector<known_load>& loads = this->loads_for(target, count);
+    std::vector<known_load>& loads = this->loads_for(pool, count);
     std::vector<double> weights(count, 0.0);
     for (cell_index cell = 0; cell < count; ++cell) {
         const known_load& each = loads[cell];
@@ -118,13 +118,13 @@
     return chosen;
 }
 
-std::optional<cell_index> cell_chooser::choose_free(const target_name& target, cell_index count,
+std::optional<cell_index> cell_chooser::choose_free(const target_name& pool, cell_index count,
                                                     std::span<const cell_index> tried,
                                                     random_engine& random, time_point now)
 {
     if (count <= 1)
         return std::nullopt;
-    std::vector<known_load>& loads = this->loads_for(target, count);
+    std::vector<known_load>& loads = this->loads_for(pool, count);
     std::vector<double> weights(count, 0.0);
     bool any_free = false;
     for (cell_index cell = 0; cell < count; ++cell) {
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -46,14 +46,16 @@
         present.insert(upstream.name);
         upstream_state& state = this->upstreams[upstream.name];
         state.info = upstream;
-        state.cell = placement_cell_of(upstream.name, this->cell_counts.at(upstream.target));
+        state.cell = placement_cell_of(upstream.name, this->cell_counts.at(pool_of(upstream)));
         const target_rule* rule = rules == nullptr ? nullptr : rules->find_target(upstream.target);
         state.is_engine = rule != nullptr && rule->is_engine;
         const bool rule_states_slots = rule != nullptr && rule->slots > 0;
         state.slots = std::max(1U, rule_states_slots ? rule->slots : upstream.slots);
         state.cache_tokens = rule == nullptr ? 0 : rule->cache_tokens;
         state.event_tokens = rule == nullptr ? 1 : rule->event_tokens;
-        this->cells[{upstream.target, state.cell}].members.push_back(upstream.name);
+        cell& own_cell = this->cells[{pool_of(upstream), state.cell}];
+        own_cell.members.push_back(upstream.name);
+        own_cell.is_canary = pool_of(upstream) != upstream.target;
     }
     std::erase_if(this->upstreams, [&](const auto& each) { return !present.contains(each.first); });
 }
@@ -61,8 +63,8 @@
 // An entry that knows more or fewer upstreams may assume another number of cells than this node.
 placement_scheduler::cell_key placement_scheduler::key_of(const placement_request& request) const
 {
-    const auto found = this->cell_counts.find(request.target);
-    return {request.target, found == this->cell_counts.end() ? 0 : request.cell % found->second};
+    const auto found = this->cell_counts.find(request.pool);
+    return {request.pool, found == this->cell_counts.end() ? 0 : request.cell % found->second};
 }
 
 cell_load placement_scheduler::load_for(const placement_request& request) const
@@ -324,7 +326,7 @@
     const auto state = this->upstreams.find(ended_request.upstream);
     if (state == this->upstreams.end())
         return;
-    cell& own_cell = this->cells[{state->second.info.target, state->second.cell}];
+    cell& own_cell = this->cells[{pool_of(state->second.info), state->second.cell}];
     update_end_estimates(state->second, message);
     this->update_health(state->second, own_cell, message.outcome, now);
     this->grant_waiting(own_cell, now, out);
@@ -377,18 +379,20 @@
 
 void placement_scheduler::expire(cell& own_cell, time_point now, responses& out)
 {
+    const bool has_vanished = own_cell.is_canary && own_cell.members.empty();
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const queued_request& waiting = **at;
         const bool abandoned = now - waiting.refreshed_at > refresh_timeout;
-        if (!abandoned && waiting.expires_at > now) {
+        if (!abandoned && !has_vanished && waiting.expires_at > now) {
             ++at;
             continue;
         }
         if (!abandoned)
-            out.emplace_back(
-                placement_denial{waiting.request.id, denial_reason::overloaded,
-                                 retry_hint(this->estimated_wait(own_cell, waiting.request)),
-                                 this->load_of(own_cell)});
+            out.emplace_back(placement_denial{
+                waiting.request.id,
+                has_vanished ? denial_reason::no_upstream : denial_reason::overloaded,
+                retry_hint(this->estimated_wait(own_cell, waiting.request)),
+                this->load_of(own_cell)});
         at = own_cell.queue.erase(at);
     }
 }
--- a/lib/core/upstream_directory.cpp
+++ b/lib/core/upstream_directory.cpp
@@ -11,6 +11,16 @@
 /// announcements.
 static constexpr duration announcements_return_within = 2200ms;
 
+const target_name& pool_of(const announced_upstream& upstream)
+{
+    return upstream.pool.empty() ? upstream.target : upstream.pool;
+}
+
+target_name canary_pool_of(const target_name& target)
+{
+    return {target.value + "/canary"};
+}
+
 void upstream_directory::restart_removal_grace(time_point now)
 {
     this->extend_removal_grace(now + announcements_return_within);
--- a/lib/gateway/placement_inbox.cpp
+++ b/lib/gateway/placement_inbox.cpp
@@ -38,7 +38,7 @@
     for (const wire::PlacementHeld::Request& each : message.held().requests()) {
         core::placement_report report;
         report.id = {from, run, each.sequence()};
-        report.target.value = each.target();
+        report.pool.value = each.target();
         report.upstream.value = each.upstream();
         report.uncached_tokens = each.uncached_tokens();
         report.started = each.started();
@@ -141,6 +141,8 @@
     }
     case wire::PeerDatagram::kDigest:
     case wire::PeerDatagram::kDelta:
+    case wire::PeerDatagram::kRolloutReport:
+    case wire::PeerDatagram::kRolloutDirective:
     case wire::PeerDatagram::BODY_NOT_SET:
         return;
     }
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -7,7 +7,7 @@
 void write_placement_request(const core::placement_request& from, wire::PlacementAsk& to)
 {
     to.set_sequence(from.id.sequence);
-    to.set_target(from.target.value);
+    to.set_target(from.pool.value);
     to.set_cell(from.cell);
     to.set_team(from.team.value);
     to.set_rank(from.rank);
@@ -31,7 +31,7 @@
 {
     core::placement_request result;
     result.id = id;
-    result.target.value = from.target();
+    result.pool.value = from.target();
     result.cell = from.cell();
     result.team.value = from.team();
     result.rank = from.rank();
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -52,22 +52,29 @@
     this->tick();
 }
 
-core::cell_index placement_service::cell_count_of(const core::target_name& target) const
+core::cell_index placement_service::cell_count_of(const core::target_name& pool) const
 {
-    const auto found = this->cell_counts.find(target);
+    const auto found = this->cell_counts.find(pool);
     return found == this->cell_counts.end() ? 1 : found->second;
 }
 
-core::node_name placement_service::owner_of_cell(const core::target_name& target,
+core::node_name placement_service::owner_of_cell(const core::target_name& pool,
                                                  core::cell_index cell) const
 {
-    return this->env.owner_of("placement/" + target.value + "/" + std::to_string(cell));
+    return this->env.owner_of("placement/" + pool.value + "/" + std::to_string(cell));
 }
 
 void placement_service::apply_cell_counts()
 {
+    std::map<core::upstream_name, const core::target_name*> pools;
+    for (const core::announced_upstream& each : this->upstreams)
+        pools[each.name] = &core::pool_of(each);
     for (auto& [number, request] : this->requests) {
-        const core::cell_index count = this->cell_count_of(request.details.target);
+        // An upstream changes its pool when a roll-out begins or ends.
+        const auto pool = request.grant ? pools.find(request.grant->upstream) : pools.end();
+        if (pool != pools.end())
+            request.details.pool = *pool->second;
+        const core::cell_index count = this->cell_count_of(request.details.pool);
         request.denied_cells.clear();
         request.details.cell = request.grant
                                    ? core::placement_cell_of(request.grant->upstream, count)
@@ -78,19 +85,19 @@
 
 void placement_service::record_load(const tracked_request& request, const core::cell_load& load)
 {
-    this->cells.record_load(request.details.target, request.details.cell, load, this->env.now());
+    this->cells.record_load(request.details.pool, request.details.cell, load, this->env.now());
 }
 
 bool placement_service::try_other_cell(tracked_request& request)
 {
     request.denied_cells.push_back(request.details.cell);
     const std::optional<core::cell_index> other =
-        this->cells.choose_free(request.details.target, this->cell_count_of(request.details.target),
+        this->cells.choose_free(request.details.pool, this->cell_count_of(request.details.pool),
                                 request.denied_cells, this->random, this->env.now());
     if (!other)
         return false;
     request.details.cell = *other;
-    request.owner = this->owner_of_cell(request.details.target, *other);
+    request.owner = this->owner_of_cell(request.details.pool, *other);
     request.unanswered_count = 0;
     this->send_to_owner(request); // May end the request.
     return true;
@@ -106,9 +113,9 @@
     request.handler = std::move(handler);
     request.first_sent_at = this->env.now();
     request.details.cell =
-        this->cells.choose(request.details.target, this->cell_count_of(request.details.target), {},
+        this->cells.choose(request.details.pool, this->cell_count_of(request.details.pool), {},
                            this->random, request.first_sent_at);
-    request.owner = this->owner_of_cell(request.details.target, request.details.cell);
+    request.owner = this->owner_of_cell(request.details.pool, request.details.cell);
     this->send_to_owner(request);
     return number;
 }
@@ -187,7 +194,7 @@
     const placement_handler handler = std::move(request.handler);
     const bool had_to_wait = this->env.now() - request.first_sent_at > prompt_response_time;
     if (had_to_wait || denial != nullptr)
-        this->congested_until[request.details.target] = this->env.now() + congestion_duration;
+        this->congested_until[request.details.pool] = this->env.now() + congestion_duration;
     if (const auto* grant = std::get_if<core::placement_grant>(&response)) {
         request.grant = *grant;
         request.last_seen_at = this->env.now();
@@ -262,7 +269,7 @@
         std::vector<core::placement_report> all;
         for (const auto& [number, request] : this->requests) {
             if (request.grant && request.owner == owner)
-                all.push_back({request.details.id, request.details.target, request.grant->upstream,
+                all.push_back({request.details.id, request.details.pool, request.grant->upstream,
                                request.grant->uncached_tokens, request.started});
         }
         core::placement_scheduler::responses responses;
@@ -279,7 +286,7 @@
             return; // Too many for a datagram: the owner relies on the releases alone.
         wire::PlacementHeld::Request& added = *body.add_requests();
         added.set_sequence(number);
-        added.set_target(request.details.target.value);
+        added.set_target(request.details.pool.value);
         added.set_upstream(request.grant->upstream.value);
         added.set_uncached_tokens(request.grant->uncached_tokens);
         added.set_started(request.started);
@@ -293,7 +300,7 @@
     std::vector<placement_number> waiting;
     for (auto& [number, request] : this->requests) {
         const core::node_name owner =
-            this->owner_of_cell(request.details.target, request.details.cell);
+            this->owner_of_cell(request.details.pool, request.details.cell);
         if (owner == request.owner)
             continue;
         request.owner = owner;
@@ -325,14 +332,14 @@
 {
     const std::vector<core::cell_index> excluded_cells{request.details.cell};
     const std::optional<core::cell_index> other =
-        this->cells.choose_free(request.details.target, this->cell_count_of(request.details.target),
+        this->cells.choose_free(request.details.pool, this->cell_count_of(request.details.pool),
                                 excluded_cells, this->random, this->env.now());
     if (!other)
         return false;
     this->withdraw_from_owner(request);
     request.withdrawn_from_queue = true;
     request.details.cell = *other;
-    request.owner = this->owner_of_cell(request.details.target, *other);
+    request.owner = this->owner_of_cell(request.details.pool, *other);
     request.unanswered_count = 0;
     this->send_to_owner(request); // May end the request.
     return true;
--- a/unittests/core/placement_cells_test.cpp
+++ b/unittests/core/placement_cells_test.cpp
@@ -36,6 +36,18 @@
     }
 }
 
+TEST_CASE("the canaries of a target have cells of their own")
+{
+    std::vector<announced_upstream> all(30);
+    for (announced_upstream& each : all)
+        each.target = engines;
+    CHECK(count_cells(all) == std::map<target_name, cell_index>{{engines, 2}});
+    for (std::size_t index = 0; index != 10; ++index)
+        all[index].pool = canary_pool_of(engines);
+    CHECK(count_cells(all) ==
+          std::map<target_name, cell_index>{{engines, 1}, {canary_pool_of(engines), 1}});
+}
+
 TEST_CASE("requests are spread over cells by their known load")
 {
     cell_chooser chooser;
--- a/unittests/core/placement_scheduler_test.cpp
+++ b/unittests/core/placement_scheduler_test.cpp
@@ -43,7 +43,7 @@
     {
         placement_request made;
         made.id = {{"entry"}, {1}, ++this->sequence};
-        made.target.value = "engines";
+        made.pool.value = "engines";
         made.rank = rank;
         made.prompt_tokens = tokens;
         made.output_tokens = 100;
@@ -317,6 +317,81 @@
     }
 }
 
+TEST_CASE("the canaries of a roll-out are placed apart from the target's other upstreams")
+{
+    engine_scheduler fixture{3};
+    fixture.upstreams[2].pool = canary_pool_of({"engines"});
+    fixture.scheduler.set_upstreams(fixture.upstreams, fixture.rules.get());
+    const auto ask_canary = [&] {
+        placement_request request = fixture.make_request(0, 100);
+        request.pool = canary_pool_of({"engines"});
+        return fixture.ask(request);
+    };
+    // The first request to a cell waits for the entries' reports.
+    static_cast<void>(ask_canary());
+    fixture.pass(200ms);
+    fixture.finish_all();
+
+    SUBCASE("each pool has its own slots, as many as the target's rule states")
+    {
+        for (int count = 0; count < 4; ++count)
+            CHECK(fixture.ask(0, 100).size() == 1);
+        CHECK(fixture.ask(0, 100).empty());
+        for (const auto& [id, upstream] : fixture.granted)
+            CHECK(upstream.value != "e2");
+        for (int count = 0; count < 2; ++count) {
+            const auto responses = ask_canary();
+            REQUIRE(responses.size() == 1);
+            CHECK(std::get<placement_grant>(responses[0]).upstream.value == "e2");
+        }
+        CHECK(ask_canary().empty());
+    }
+    SUBCASE("a request that waits for a canary is denied at once when there is none any more")
+    {
+        ask_canary();
+        ask_canary();
+        CHECK(ask_canary().empty());
+        SUBCASE("since the canaries get no more requests")
+        {
+            fixture.upstreams.pop_back();
+        }
+        SUBCASE("since they are the target's regular upstreams now")
+        {
+            fixture.upstreams[2].pool = {};
+        }
+        fixture.scheduler.set_upstreams(fixture.upstreams, fixture.rules.get());
+        const auto responses = fixture.pass(25ms);
+        REQUIRE(responses.size() == 1);
+        CHECK(std::get<placement_denial>(responses[0]).reason == denial_reason::no_upstream);
+        CHECK(fixture.scheduler.waiting() == 0);
+        CHECK(std::get<placement_denial>(ask_canary()[0]).reason == denial_reason::no_upstream);
+    }
+    SUBCASE("requests in flight at an upstream still count after it has changed its pool")
+    {
+        ask_canary();
+        ask_canary();
+        fixture.upstreams[2].pool = {};
+        fixture.scheduler.set_upstreams(fixture.upstreams, fixture.rules.get());
+        for (int count = 0; count < 4; ++count)
+            CHECK(fixture.ask(0, 100).size() == 1);
+        CHECK(fixture.ask(0, 100).empty());
+    }
+}
+
+TEST_CASE("a request that waits for a target's upstreams goes on waiting while there are none")
+{
+    engine_scheduler fixture{1};
+    fixture.ask(0, 100);
+    fixture.ask(0, 100);
+    CHECK(fixture.ask(0, 100).empty());
+    const std::vector<announced_upstream> none;
+    fixture.scheduler.set_upstreams(none, fixture.rules.get());
+    CHECK(fixture.pass(25ms).empty());
+    CHECK(fixture.scheduler.waiting() == 1);
+    fixture.scheduler.set_upstreams(fixture.upstreams, fixture.rules.get());
+    CHECK(fixture.pass(25ms).size() == 1);
+}
+
 TEST_CASE("a request that cannot be placed is denied, with a time to retry after")
 {
     engine_scheduler fixture{1};
--- a/unittests/gateway/placement_service_test.cpp
+++ b/unittests/gateway/placement_service_test.cpp
@@ -150,7 +150,7 @@
     [[nodiscard]] core::placement_request make_request() const
     {
         core::placement_request result;
-        result.target.value = "engines";
+        result.pool.value = "engines";
         result.prompt_tokens = 100;
         result.output_tokens = 50;
         result.latency_budget = 500ms;
