[core] decisions of roll-outs: split of requests and controller

Callers saw versions that answer slowly or fail keep all their requests: nothing carried out the operators' roll-outs. This is the part without input or output: rollout_split decides at an entry which version gets a request and counts how both respond; rollout_controller tests the counts of all entries, moves the share step by step, halts, and says which state to store.

Added to the interface: rollout_split::set_upstreams, to be called at each change of the directory, and rollout_observation::is_warming_up.

--- a/include/ragwortcove/core/rollout.hpp
+++ b/include/ragwortcove/core/rollout.hpp
@@ -77,6 +77,10 @@
     bool operator==(const rollout_report&) const = default;
 };
 
+/// From this share on, in thousandths, requests that may not be repeated are canaries too: the
+/// controller stays below it until some requests have passed.
+inline constexpr std::uint32_t all_requests_share_permille = 40;
+
 /// What the controller of a roll-out tells every entry.
 struct rollout_directive {
     target_name target;
--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -5,6 +5,7 @@
 
 #include "ragwortcove/core/rollout.hpp"
 #include "ragwortcove/core/types.hpp"
+#include "ragwortcove/core/version_evidence.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,47 @@
     std::string reason;
 };
 
+/// Number of bad and of good results.
+struct result_counts {
+    double bad = 0.0;
+    double good = 0.0;
+};
+
+/// Compares one kind of result of the new version with the old version's at the same time.
+class version_comparison {
+public:
+    enum class result_kind { response, first_part, stream };
+    explicit version_comparison(result_kind compared);
+    void add_old(std::uint32_t bad, std::uint32_t good, time_point now);
+    void add_new(std::uint32_t bad, std::uint32_t good, time_point now);
+    [[nodiscard]] double sum() const { return this->test.sum(); }
+
+private:
+    [[nodiscard]] double good_rate() const;
+    void start_burst(time_point now);
+
+    result_kind kind;
+    cumulative_test test;
+    /// Results of the old version; they lose weight with age.
+    result_counts old;
+    time_point old_at;
+    /// New results that came at about the same time: one stall or crash of one upstream makes
+    /// several bad ones, which are not independent.
+    result_counts burst;
+    double burst_counted = 0.0;
+    time_point burst_until;
+};
+
+/// The three comparisons of one route, or of all routes together.
+struct route_comparison {
+    version_comparison responses{version_comparison::result_kind::response};
+    version_comparison first_parts{version_comparison::result_kind::first_part};
+    version_comparison streams{version_comparison::result_kind::stream};
+
+    void add(const rollout_route_counts& added, time_point now);
+    [[nodiscard]] double max_sum() const;
+};
+
 /// Controller of one order. A node that becomes the controller starts with none of the earlier
 /// controller's knowledge; the entries' counts are cumulative and bring it back.
 class rollout_controller {
@@ -43,6 +85,48 @@
     /// `canary_count` the number of ready upstreams of the new version.
     [[nodiscard]] rollout_step decide(const rollout_order& order, std::size_t canary_count,
                                       time_point now);
+
+private:
+    struct known_entry {
+        rollout_report report;
+        time_point received_at;
+    };
+
+    [[nodiscard]] duration age(time_point now) const;
+    /// Age of the order as a part of its time limit.
+    [[nodiscard]] double progress(time_point now) const;
+    /// Requests a second to the target.
+    [[nodiscard]] double request_rate(time_point now) const;
+    /// Requests that the new version may have got by the end, with a margin.
+    [[nodiscard]] double allowed_requests(time_point now) const;
+    [[nodiscard]] std::uint32_t canary_share(time_point now) const;
+    [[nodiscard]] std::uint32_t guarded_share(std::uint32_t share, time_point now) const;
+    [[nodiscard]] double max_sum() const;
+    [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
+    [[nodiscard]] bool all_moved(time_point now) const;
+    [[nodiscard]] bool may_advance(time_point now) const;
+    void adopt_applied_share(time_point now);
+    void advance(time_point now);
+    [[nodiscard]] std::optional<rollout_state> next_state(time_point now) const;
+    [[nodiscard]] rollout_step ended_step(const rollout_order& order) const;
+    [[nodiscard]] std::string describe(time_point now) const;
+
+    rollout_order order;
+    rollout_limits limits;
+    time_point started_at;
+    /// Time at which the order came, as far as any entry knows.
+    time_point ordered_at;
+    std::map<incarnation, known_entry> entries;
+    std::map<route_name, route_comparison> by_route;
+    route_comparison all_routes;
+    version_counts old_total;
+    version_counts new_total;
+    /// Step of the plan, the time since when, and the good results of the new version then.
+    std::size_t step = 0;
+    time_point step_since;
+    std::uint32_t good_results_before = 0;
+    bool adopted = false;
+    bool halted = false;
 };
 
 } // namespace ragwortcove::core
--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/core/rollout.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
+#include "ragwortcove/core/usual_times.hpp"
 
 #include <cstdint>
 #include <map>
@@ -58,10 +59,20 @@
     duration time{0};
     /// Prompt tokens that the upstream had to compute, for `first_part`.
     std::uint32_t uncached_tokens = 0;
+    /// The upstream has said that it is still slow after its start: its times say nothing about the
+    /// version.
+    bool is_warming_up = false;
 };
 
+/// How long a share holds without a new directive.
+inline constexpr duration directive_lifetime = std::chrono::milliseconds{1500};
+/// How long a version that no order names is held out beside others: its order may come later.
+inline constexpr duration unordered_version_hold = std::chrono::seconds{3};
+
 class rollout_split {
 public:
+    /// Sets all upstreams that are known. To be called at each change of the directory.
+    void set_upstreams(std::span<const announced_upstream> all, time_point now);
     /// Sets all orders in force. An order that is not in `all` any more is forgotten.
     void set_orders(std::span<const rollout_order> all, time_point now);
     /// Applies a message of a controller. A halt holds whoever sends it, for as long as the order
@@ -81,6 +92,51 @@
     /// Orders that have not ended.
     [[nodiscard]] std::vector<rollout_order> active_orders() const;
     [[nodiscard]] std::vector<rollout_report> reports(time_point now) const;
+
+private:
+    struct learned_times {
+        usual_times first_part;
+        usual_times between_events;
+        /// Limits from when the order came: they remain as minima, since the old version becomes
+        /// faster as requests leave it.
+        std::optional<double> first_part_floor;
+        std::optional<double> between_events_floor;
+    };
+    struct ordered {
+        rollout_order order;
+        time_point known_since;
+        std::uint32_t share_permille = 0;
+        time_point share_until;
+        bool halted = false;
+        std::map<route_name, rollout_route_counts> counts;
+    };
+    struct version_state {
+        std::uint32_t in_flight = 0;
+        bool is_known = false;
+        /// Held out until then unless other versions are missing.
+        time_point held_until;
+    };
+    struct target_state {
+        std::optional<ordered> rollout;
+        std::map<version_name, version_state> versions;
+        std::map<route_name, learned_times> times;
+        bool has_repeatable = false;
+    };
+
+    [[nodiscard]] const target_state* find(const target_name& target) const;
+    [[nodiscard]] target_state* state_of(const target_name& target);
+    [[nodiscard]] static std::uint32_t share_of(const ordered& rollout, time_point now);
+    [[nodiscard]] bool is_held(const target_state& target, const version_name& version) const;
+    void set_order(const rollout_order& order, time_point now);
+    static void count_in_flight(target_state& target, const rollout_observation& seen);
+    static void classify(target_state& target, const rollout_observation& seen);
+    [[nodiscard]] static version_counts* counts_for(target_state& target,
+                                                    const rollout_observation& seen);
+
+    std::map<target_name, target_state> targets;
+    bool has_upstreams = false;
+    /// Newest time that any call gave.
+    time_point latest;
 };
 
 } // namespace ragwortcove::core
--- /dev/null
+++ b/lib/core/rollout_controller.cpp
@@ -0,0 +1,408 @@
+#include "ragwortcove/core/rollout_controller.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+static constexpr double permille = 1000.0;
+static constexpr std::uint32_t all_permille = 1000;
+
+namespace {
+/// One step of the plan. Times are fractions of the order's time limit.
+struct plan_step {
+    std::uint32_t share_permille = 0;
+    double earliest_at = 0.0;
+};
+/// Rates that a comparison tests against each other.
+struct comparison_rates {
+    /// Bounds of the rate of bad results of a version that is still good.
+    double min_good = 0.0;
+    double max_good = 0.0;
+    /// Minimum rate of a bad version.
+    double min_bad = 0.0;
+    /// Factors of the old version's rate that is still good, and of that one that is bad.
+    double good_factor = 1.0;
+    double bad_factor = 2.0;
+};
+} // namespace
+
+// Until the last step the new version has had about 7.5 in 100 of the requests expected by the
+// deadline (0.52 x 40 + 0.08 x 250 + 0.07 x 600 permille, a little less if `extra_requests` are
+// spent first), so that a version that turns bad at a step can be halted within the limits.
+static constexpr std::array<plan_step, 4> plan{{{40, 0.0}, {250, 0.52}, {600, 0.60}, {1000, 0.67}}};
+static constexpr std::size_t last_step = plan.size() - 1;
+/// Minimum duration of a step, and the time after which no further step begins.
+static constexpr double min_step_part = 0.06;
+static constexpr double latest_step_at = 0.86;
+/// The roll-out ends here at the latest, to leave time for the store.
+static constexpr double latest_end_at = 0.92;
+/// Good results of the new version that a step needs.
+static constexpr std::uint32_t canary_results = 12;
+static constexpr std::uint32_t step_results = 8;
+
+/// While nothing has passed and not much time, only requests that may be repeated are canaries.
+static constexpr std::uint32_t passes_before_all_requests = 3;
+static constexpr double all_requests_at = 0.3;
+/// Part of the extra requests that canaries may use where there is little traffic.
+static constexpr double canary_extra_part = 0.4;
+static constexpr std::uint32_t max_canary_permille = 400;
+/// Parts of the allowed requests, and of the traffic still to come, that the guard relies on.
+static constexpr double usable_extra_part = 0.8;
+static constexpr double expected_traffic_part = 0.8;
+
+/// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
+static constexpr double bad_sum = 6.5;
+static constexpr double suspicious_sum = 3.0;
+static constexpr double max_comparison_sum = 12.0;
+
+static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
+static constexpr comparison_rates late_rates{0.07, 0.40, 0.25, 2.0, 2.5};
+
+/// Half-life of the old version's results, and the weight of the prior.
+static constexpr double old_half_life_s = 3.0;
+static constexpr double prior_results = 20.0;
+
+/// Bad results within this time count as one burst, of which this many count, or this part of all.
+static constexpr duration burst_window = 250ms;
+static constexpr double burst_results = 2.0;
+static constexpr double burst_part = 0.2;
+
+/// An entry without a report for this long is gone, or cut off and sends nothing to the version.
+static constexpr duration entry_lifetime = 2500ms;
+/// A new controller waits so long for reports before it changes a share.
+static constexpr duration adoption_time = 700ms;
+
+static double seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+static const comparison_rates& rates_of(version_comparison::result_kind kind)
+{
+    return kind == version_comparison::result_kind::response ? failure_rates : late_rates;
+}
+
+version_comparison::version_comparison(result_kind compared)
+    : kind{compared}, test{max_comparison_sum}
+{
+}
+
+void version_comparison::add_old(std::uint32_t bad, std::uint32_t good, time_point now)
+{
+    const double kept =
+        std::exp2(-seconds(std::max(now - this->old_at, duration{0})) / old_half_life_s);
+    this->old.bad = this->old.bad * kept + bad;
+    this->old.good = this->old.good * kept + good;
+    this->old_at = now;
+}
+
+double version_comparison::good_rate() const
+{
+    const comparison_rates& rates = rates_of(this->kind);
+    const double results = this->old.bad + this->old.good;
+    const double prior_bad = prior_results * rates.min_good / rates.good_factor;
+    const double seen = (this->old.bad + prior_bad) / (results + prior_results);
+    return std::clamp(rates.good_factor * seen, rates.min_good, rates.max_good);
+}
+
+void version_comparison::start_burst(time_point now)
+{
+    this->burst = {};
+    this->burst_counted = 0.0;
+    this->burst_until = now + burst_window;
+}
+
+void version_comparison::add_new(std::uint32_t bad, std::uint32_t good, time_point now)
+{
+    if (bad + good == 0)
+        return;
+    if (now >= this->burst_until)
+        this->start_burst(now);
+    this->burst.bad += bad;
+    this->burst.good += good;
+    const double max_counted =
+        std::max(burst_results, burst_part * (this->burst.bad + this->burst.good));
+    const double counted = std::floor(std::min(this->burst.bad, max_counted) - this->burst_counted);
+    const auto added = static_cast<std::uint32_t>(std::max(counted, 0.0));
+    this->burst_counted += added;
+    const comparison_rates& rates = rates_of(this->kind);
+    const double good_rate = this->good_rate();
+    this->test.add(added, good, good_rate, std::max(rates.min_bad, rates.bad_factor * good_rate));
+}
+
+void route_comparison::add(const rollout_route_counts& added, time_point now)
+{
+    const version_counts& from = added.old_version;
+    this->responses.add_old(from.failed, from.passed, now);
+    this->first_parts.add_old(from.first_parts_late, from.first_parts_on_time, now);
+    this->streams.add_old(from.streams_late, from.streams_on_time, now);
+    const version_counts& to = added.new_version;
+    this->responses.add_new(to.failed, to.passed, now);
+    this->first_parts.add_new(to.first_parts_late, to.first_parts_on_time, now);
+    this->streams.add_new(to.streams_late, to.streams_on_time, now);
+}
+
+double route_comparison::max_sum() const
+{
+    return std::max({this->responses.sum(), this->first_parts.sum(), this->streams.sum()});
+}
+
+static constexpr std::array<std::uint32_t version_counts::*, 7> all_counts{
+    &version_counts::sent,
+    &version_counts::passed,
+    &version_counts::failed,
+    &version_counts::first_parts_on_time,
+    &version_counts::first_parts_late,
+    &version_counts::streams_on_time,
+    &version_counts::streams_late};
+
+// Reports may arrive out of order: a count that is below an earlier one adds nothing.
+static version_counts added_counts(const version_counts& before, const version_counts& after)
+{
+    version_counts added;
+    for (const auto count : all_counts)
+        added.*count = after.*count > before.*count ? after.*count - before.*count : 0;
+    return added;
+}
+
+static void add_counts(version_counts& to, const version_counts& added)
+{
+    for (const auto count : all_counts)
+        to.*count += added.*count;
+}
+
+static bool is_older(const rollout_report& report, const rollout_report& than)
+{
+    return report.order_age < than.order_age;
+}
+
+static const rollout_route_counts* find_route(const rollout_report& report, const route_name& route)
+{
+    const auto found =
+        std::find_if(report.routes.begin(), report.routes.end(),
+                     [&](const rollout_route_counts& counts) { return counts.route == route; });
+    return found == report.routes.end() ? nullptr : &*found;
+}
+
+rollout_controller::rollout_controller(const rollout_order& of, const rollout_limits& allowed,
+                                       time_point now)
+    : order{of}, limits{allowed}, started_at{now}, ordered_at{now}, step_since{now}
+{
+}
+
+void rollout_controller::on_report(incarnation reporter, const rollout_report& report,
+                                   time_point now)
+{
+    if (report.target != this->order.target || report.version != this->order.version)
+        return;
+    const auto known = this->entries.find(reporter);
+    if (known != this->entries.end() && is_older(report, known->second.report))
+        return;
+    this->ordered_at = std::min(this->ordered_at, now - report.order_age);
+    for (const rollout_route_counts& counts : report.routes) {
+        const rollout_route_counts* before =
+            known == this->entries.end() ? nullptr : find_route(known->second.report, counts.route);
+        const rollout_route_counts none;
+        const rollout_route_counts& last = before == nullptr ? none : *before;
+        const rollout_route_counts added{counts.route,
+                                         added_counts(last.old_version, counts.old_version),
+                                         added_counts(last.new_version, counts.new_version)};
+        add_counts(this->old_total, added.old_version);
+        add_counts(this->new_total, added.new_version);
+        this->by_route[counts.route].add(added, now);
+        this->all_routes.add(added, now);
+    }
+    this->entries.insert_or_assign(reporter, known_entry{report, now});
+}
+
+duration rollout_controller::age(time_point now) const
+{
+    return now - this->ordered_at;
+}
+
+double rollout_controller::progress(time_point now) const
+{
+    return seconds(this->age(now)) / std::max(seconds(this->order.time_limit), 0.001);
+}
+
+double rollout_controller::request_rate(time_point now) const
+{
+    constexpr double min_age_s = 1.0;
+    const double requests = this->old_total.sent + this->new_total.sent;
+    return requests / std::max(seconds(this->age(now)), min_age_s);
+}
+
+double rollout_controller::allowed_requests(time_point now) const
+{
+    const double remaining_s =
+        std::max(0.0, seconds(this->order.time_limit) - seconds(this->age(now)));
+    const double expected = this->old_total.sent + this->new_total.sent +
+                            expected_traffic_part * this->request_rate(now) * remaining_s;
+    return this->limits.max_share * expected + usable_extra_part * this->limits.extra_requests;
+}
+
+// The extra requests are worth most where there is little traffic: there they make up for the few
+// requests of the plan's share.
+std::uint32_t rollout_controller::canary_share(time_point now) const
+{
+    const bool may_open = this->new_total.passed >= passes_before_all_requests ||
+                          (this->progress(now) >= all_requests_at && this->new_total.failed == 0);
+    if (!may_open)
+        return all_requests_share_permille - 1;
+    const double planned_requests =
+        this->request_rate(now) * seconds(this->order.time_limit) * plan.at(1).earliest_at;
+    const double extra =
+        canary_extra_part * this->limits.extra_requests / std::max(planned_requests, 1.0);
+    const double share = plan.front().share_permille + permille * extra;
+    return std::min(static_cast<std::uint32_t>(share), max_canary_permille);
+}
+
+// Until the last step, the requests of the next moments at this share must fit in what is allowed.
+std::uint32_t rollout_controller::guarded_share(std::uint32_t share, time_point now) const
+{
+    const double left = this->allowed_requests(now) - this->new_total.sent;
+    const double soon = this->request_rate(now) * seconds(this->order.time_limit) * min_step_part;
+    const double max_share = permille * std::max(0.0, left) / std::max(soon, 1.0);
+    return static_cast<std::uint32_t>(std::min<double>(share, max_share));
+}
+
+double rollout_controller::max_sum() const
+{
+    double max = this->all_routes.max_sum();
+    for (const auto& [route, comparison] : this->by_route)
+        max = std::max(max, comparison.max_sum());
+    return max;
+}
+
+bool rollout_controller::is_present(const known_entry& entry, time_point now) const
+{
+    return now - entry.received_at < entry_lifetime;
+}
+
+bool rollout_controller::all_moved(time_point now) const
+{
+    std::size_t present = 0;
+    for (const auto& [reporter, entry] : this->entries) {
+        if (!this->is_present(entry, now))
+            continue;
+        ++present;
+        if (entry.report.share_permille < all_permille || entry.report.old_in_flight > 0)
+            return false;
+    }
+    return present > 0;
+}
+
+static std::uint32_t good_results(const version_counts& counts)
+{
+    return std::max(counts.passed, counts.first_parts_on_time);
+}
+
+bool rollout_controller::may_advance(time_point now) const
+{
+    const double progress = this->progress(now);
+    if (this->step == last_step || progress > latest_step_at ||
+        progress < plan.at(this->step + 1).earliest_at)
+        return false;
+    const bool was_held =
+        seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
+    const std::uint32_t results = good_results(this->new_total) - this->good_results_before;
+    const std::uint32_t needed = this->step == 0 ? canary_results : step_results;
+    return was_held && results >= needed && this->max_sum() < suspicious_sum;
+}
+
+// A controller that takes over goes on at the share that the entries still apply.
+void rollout_controller::adopt_applied_share(time_point now)
+{
+    if (this->adopted || now - this->started_at < adoption_time)
+        return;
+    this->adopted = true;
+    std::uint32_t applied = 0;
+    for (const auto& [reporter, entry] : this->entries)
+        applied = std::max(applied, entry.report.share_permille);
+    while (this->step < last_step && plan.at(this->step + 1).share_permille <= applied &&
+           plan.at(this->step + 1).earliest_at <= this->progress(now))
+        ++this->step;
+    this->step_since = now;
+    this->good_results_before = this->step == 0 ? 0 : good_results(this->new_total);
+}
+
+void rollout_controller::advance(time_point now)
+{
+    if (!this->may_advance(now))
+        return;
+    ++this->step;
+    this->step_since = now;
+    this->good_results_before = good_results(this->new_total);
+}
+
+std::optional<rollout_state> rollout_controller::next_state(time_point now) const
+{
+    if (this->halted)
+        return rollout_state::reverted;
+    const bool was_held =
+        seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
+    const bool is_clean = this->max_sum() < suspicious_sum;
+    const bool is_last = this->step == last_step && was_held;
+    if (is_last && is_clean && this->all_moved(now))
+        return rollout_state::complete;
+    if (this->progress(now) >= latest_end_at)
+        return is_last && is_clean ? rollout_state::complete : rollout_state::reverted;
+    return rollout_state::running;
+}
+
+std::string rollout_controller::describe(time_point now) const
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << "progress " << this->progress(now) << " step "
+         << this->step << " old " << this->old_total.sent << " sent " << this->old_total.failed
+         << " failed " << this->old_total.first_parts_late << " late first parts "
+         << this->old_total.streams_late << " late streams, new " << this->new_total.sent
+         << " sent " << this->new_total.passed << " passed " << this->new_total.failed << " failed "
+         << this->new_total.first_parts_late << " late first parts " << this->new_total.streams_late
+         << " late streams, sum " << this->max_sum();
+    return text.str();
+}
+
+rollout_step rollout_controller::ended_step(const rollout_order& ended) const
+{
+    const bool is_complete = ended.state == rollout_state::complete;
+    return {{ended.target, ended.version, is_complete ? all_permille : 0, !is_complete},
+            std::nullopt,
+            is_complete ? "stored as complete" : "stored as reverted"};
+}
+
+rollout_step rollout_controller::decide(const rollout_order& in_force, std::size_t canary_count,
+                                        time_point now)
+{
+    this->order = in_force;
+    if (this->order.has_ended())
+        return this->ended_step(in_force);
+    this->halted = this->halted || this->max_sum() >= bad_sum;
+    this->adopt_applied_share(now);
+    if (this->adopted && canary_count > 0 && !this->halted)
+        this->advance(now);
+    rollout_step made;
+    made.directive = {this->order.target, this->order.version, 0, this->halted};
+    const std::optional<rollout_state> state = this->next_state(now);
+    if (state != this->order.state)
+        made.store_state = state;
+    made.directive.halted = state == rollout_state::reverted;
+    this->halted = made.directive.halted;
+    if (canary_count > 0 && !this->halted && this->adopted) {
+        const std::uint32_t planned =
+            this->step == 0 ? this->canary_share(now) : plan.at(this->step).share_permille;
+        made.directive.share_permille =
+            this->step == last_step ? planned : this->guarded_share(planned, now);
+    }
+    made.reason = this->describe(now);
+    return made;
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/lib/core/rollout_split.cpp
@@ -0,0 +1,304 @@
+#include "ragwortcove/core/rollout_split.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace ragwortcove::core {
+
+using kind = rollout_observation::event_kind;
+
+/// Bounds of what is kept.
+static constexpr std::size_t max_targets = 64;
+static constexpr std::size_t max_routes = 64;
+static constexpr std::size_t max_versions = 16;
+
+/// Time to a first part of a request without prompt tokens to compute, and the rate of computing
+/// them on a usual engine: times are compared after division by what the request would take there.
+static constexpr double first_part_base_us = 20'000.0;
+static constexpr double us_per_token = 1000.0 / 66.0;
+
+static double normalised_first_part(const rollout_observation& seen)
+{
+    const double usual_us = first_part_base_us + us_per_token * seen.uncached_tokens;
+    return static_cast<double>(seen.time.count()) / usual_us;
+}
+
+static double milliseconds_of(const rollout_observation& seen)
+{
+    return static_cast<double>(seen.time.count()) / 1000.0;
+}
+
+const rollout_split::target_state* rollout_split::find(const target_name& target) const
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? nullptr : &found->second;
+}
+
+rollout_split::target_state* rollout_split::state_of(const target_name& target)
+{
+    const auto found = this->targets.find(target);
+    if (found != this->targets.end())
+        return &found->second;
+    return this->targets.size() >= max_targets ? nullptr : &this->targets[target];
+}
+
+// The first list is complete, so that after a start all versions in it count as serving. A version
+// that joins others later is held out.
+void rollout_split::set_upstreams(std::span<const announced_upstream> all, time_point now)
+{
+    this->latest = std::max(this->latest, now);
+    for (auto& [name, target] : this->targets)
+        for (auto& [version, state] : target.versions)
+            state.is_known = false;
+    for (const announced_upstream& upstream : all) {
+        target_state* target = this->state_of(upstream.target);
+        if (target == nullptr)
+            continue;
+        const bool is_new = !target->versions.contains(upstream.version);
+        if (is_new && target->versions.size() >= max_versions)
+            continue;
+        version_state& state = target->versions[upstream.version];
+        state.is_known = true;
+        if (is_new && this->has_upstreams)
+            state.held_until = now + unordered_version_hold;
+    }
+    this->has_upstreams = true;
+    for (auto& [name, target] : this->targets)
+        std::erase_if(target.versions, [](const auto& entry) {
+            return !entry.second.is_known && entry.second.in_flight == 0;
+        });
+}
+
+void rollout_split::set_orders(std::span<const rollout_order> all, time_point now)
+{
+    this->latest = std::max(this->latest, now);
+    std::set<target_name> named;
+    for (const rollout_order& order : all) {
+        named.insert(order.target);
+        this->set_order(order, now);
+    }
+    for (auto& [name, target] : this->targets)
+        if (!named.contains(name))
+            target.rollout.reset();
+}
+
+void rollout_split::set_order(const rollout_order& order, time_point now)
+{
+    target_state* target = this->state_of(order.target);
+    if (target == nullptr)
+        return;
+    std::optional<ordered>& current = target->rollout;
+    const bool is_same = current && current->order.version == order.version &&
+                         (order.has_ended() || !current->order.has_ended());
+    if (is_same) {
+        current->order = order;
+        return;
+    }
+    current = ordered{order, now, 0, now, false, {}};
+    for (auto& [route, times] : target->times) {
+        times.first_part_floor = times.first_part.late_limit();
+        times.between_events_floor = times.between_events.late_limit();
+    }
+}
+
+void rollout_split::on_directive(const rollout_directive& directive, time_point now)
+{
+    this->latest = std::max(this->latest, now);
+    target_state* target = this->state_of(directive.target);
+    if (target == nullptr || !target->rollout ||
+        target->rollout->order.version != directive.version)
+        return;
+    ordered& rollout = *target->rollout;
+    rollout.halted = rollout.halted || directive.halted;
+    rollout.share_permille = directive.share_permille;
+    rollout.share_until = now + directive_lifetime;
+}
+
+std::uint32_t rollout_split::share_of(const ordered& rollout, time_point now)
+{
+    const bool applies = !rollout.halted && !rollout.order.has_ended() && now < rollout.share_until;
+    return applies ? rollout.share_permille : 0;
+}
+
+bool rollout_split::is_held(const target_state& target, const version_name& version) const
+{
+    const auto found = target.versions.find(version);
+    if (found == target.versions.end() || this->latest >= found->second.held_until)
+        return false;
+    return std::any_of(target.versions.begin(), target.versions.end(), [&](const auto& other) {
+        return other.second.is_known && other.first != version &&
+               this->latest >= other.second.held_until;
+    });
+}
+
+upstream_role rollout_split::role_of(const announced_upstream& upstream) const
+{
+    const target_state* target = this->find(upstream.target);
+    if (target == nullptr)
+        return upstream_role::regular;
+    if (!target->rollout)
+        return this->is_held(*target, upstream.version) ? upstream_role::excluded
+                                                        : upstream_role::regular;
+    const ordered& rollout = *target->rollout;
+    const bool is_new = upstream.version == rollout.order.version;
+    switch (rollout.order.state) {
+    case rollout_state::pending:
+    case rollout_state::running:
+        return is_new ? upstream_role::canary : upstream_role::regular;
+    case rollout_state::reverted:
+        return is_new ? upstream_role::excluded : upstream_role::regular;
+    case rollout_state::complete:
+        break;
+    }
+    const auto ordered_version = target->versions.find(rollout.order.version);
+    const bool is_replaced = !this->has_upstreams || (ordered_version != target->versions.end() &&
+                                                      ordered_version->second.is_known);
+    return is_new || !is_replaced ? upstream_role::regular : upstream_role::excluded;
+}
+
+bool rollout_split::choose_canary(const rollout_request& request, random_engine& random,
+                                  time_point now)
+{
+    this->latest = std::max(this->latest, now);
+    target_state* target = this->state_of(request.target);
+    if (target == nullptr)
+        return false;
+    target->has_repeatable = target->has_repeatable || request.may_repeat;
+    if (!target->rollout)
+        return false;
+    const std::uint32_t share = share_of(*target->rollout, now);
+    const bool after_others = !request.may_repeat && target->has_repeatable;
+    if (share == 0 || (after_others && share < all_requests_share_permille))
+        return false;
+    return uniform(random) * 1000.0 < static_cast<double>(share);
+}
+
+bool rollout_split::may_send(const announced_upstream& upstream, time_point now) const
+{
+    const upstream_role role = this->role_of(upstream);
+    if (role != upstream_role::canary)
+        return role == upstream_role::regular;
+    return share_of(*this->find(upstream.target)->rollout, now) > 0;
+}
+
+void rollout_split::count_in_flight(target_state& target, const rollout_observation& seen)
+{
+    const bool is_known = target.versions.contains(seen.version);
+    if (!is_known && (seen.kind != kind::sent || target.versions.size() >= max_versions))
+        return;
+    std::uint32_t& in_flight = target.versions[seen.version].in_flight;
+    if (seen.kind == kind::sent)
+        ++in_flight;
+    const bool has_ended =
+        seen.kind == kind::passed || seen.kind == kind::failed || seen.kind == kind::abandoned;
+    if (has_ended && in_flight > 0)
+        --in_flight;
+}
+
+version_counts* rollout_split::counts_for(target_state& target, const rollout_observation& seen)
+{
+    if (!target.rollout || target.rollout->order.has_ended())
+        return nullptr;
+    ordered& rollout = *target.rollout;
+    auto found = rollout.counts.find(seen.route);
+    if (found == rollout.counts.end()) {
+        if (rollout.counts.size() >= max_routes)
+            return nullptr;
+        found = rollout.counts.emplace(seen.route, rollout_route_counts{seen.route, {}, {}}).first;
+    }
+    return seen.version == rollout.order.version ? &found->second.new_version
+                                                 : &found->second.old_version;
+}
+
+namespace {
+/// A time of a response, what is usual for it, and the counts that it belongs to.
+struct timed_sample {
+    double value = 0.0;
+    usual_times& usual;
+    std::optional<double> floor;
+    std::uint32_t version_counts::*on_time;
+    std::uint32_t version_counts::*late;
+};
+} // namespace
+
+static void count_sample(const timed_sample& sample, version_counts* counts)
+{
+    const std::optional<double> limit = sample.usual.late_limit();
+    if (counts == nullptr || (!limit && !sample.floor))
+        return;
+    const bool is_late = sample.value > std::max(limit.value_or(0.0), sample.floor.value_or(0.0));
+    ++(counts->*(is_late ? sample.late : sample.on_time));
+}
+
+void rollout_split::classify(target_state& target, const rollout_observation& seen)
+{
+    auto found = target.times.find(seen.route);
+    if (found == target.times.end()) {
+        if (target.times.size() >= max_routes)
+            return;
+        found = target.times.emplace(seen.route, learned_times{}).first;
+    }
+    learned_times& times = found->second;
+    const timed_sample sample =
+        seen.kind == kind::first_part
+            ? timed_sample{normalised_first_part(seen), times.first_part, times.first_part_floor,
+                           &version_counts::first_parts_on_time, &version_counts::first_parts_late}
+            : timed_sample{milliseconds_of(seen), times.between_events, times.between_events_floor,
+                           &version_counts::streams_on_time, &version_counts::streams_late};
+    count_sample(sample, counts_for(target, seen));
+    const bool is_regular = !target.rollout || target.rollout->order.version != seen.version ||
+                            target.rollout->order.state == rollout_state::complete;
+    if (is_regular)
+        sample.usual.add(sample.value);
+}
+
+void rollout_split::observe(const rollout_observation& seen, time_point now)
+{
+    this->latest = std::max(this->latest, now);
+    target_state* target = this->state_of(seen.target);
+    if (target == nullptr)
+        return;
+    if (seen.kind == kind::first_part || seen.kind == kind::between_events) {
+        if (!seen.is_warming_up)
+            classify(*target, seen);
+        return;
+    }
+    count_in_flight(*target, seen);
+    version_counts* counts = counts_for(*target, seen);
+    if (counts == nullptr)
+        return;
+    counts->sent += seen.kind == kind::sent ? 1 : 0;
+    counts->passed += seen.kind == kind::passed ? 1 : 0;
+    counts->failed += seen.kind == kind::failed ? 1 : 0;
+}
+
+std::vector<rollout_order> rollout_split::active_orders() const
+{
+    std::vector<rollout_order> active;
+    for (const auto& [name, target] : this->targets)
+        if (target.rollout && !target.rollout->order.has_ended())
+            active.push_back(target.rollout->order);
+    return active;
+}
+
+std::vector<rollout_report> rollout_split::reports(time_point now) const
+{
+    std::vector<rollout_report> made;
+    for (const auto& [name, target] : this->targets) {
+        if (!target.rollout || target.rollout->order.has_ended())
+            continue;
+        const ordered& rollout = *target.rollout;
+        rollout_report report{
+            name, rollout.order.version, now - rollout.known_since, share_of(rollout, now), 0, {}};
+        for (const auto& [version, state] : target.versions)
+            if (version != rollout.order.version)
+                report.old_in_flight += state.in_flight;
+        for (const auto& [route, counts] : rollout.counts)
+            report.routes.push_back(counts);
+        made.push_back(std::move(report));
+    }
+    return made;
+}
+
+} // namespace ragwortcove::core
--- /dev/null
+++ b/lib/core/usual_times.cpp
@@ -0,0 +1,46 @@
+#include "ragwortcove/core/usual_times.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ragwortcove::core {
+
+static constexpr double bins_per_octave = 4.0;
+/// Binary logarithm of the lower end of the first bin.
+static constexpr double first_bin_log = -10.0;
+/// All weights are halved at this total, so that the distribution follows changes.
+static constexpr std::uint32_t max_total = 512;
+static constexpr std::uint32_t min_samples = 16;
+/// A sample is late when it exceeds this quantile of the samples by this factor.
+static constexpr double upper_quantile = 0.95;
+static constexpr double late_factor = 1.4;
+
+void usual_times::add(double sample)
+{
+    const double position = (std::log2(std::max(sample, 1e-6)) - first_bin_log) * bins_per_octave;
+    const double last_bin = static_cast<double>(bin_count - 1);
+    ++this->bins.at(static_cast<std::size_t>(std::clamp(position, 0.0, last_bin)));
+    ++this->total;
+    if (this->total < max_total)
+        return;
+    this->total = 0;
+    for (std::uint16_t& bin : this->bins) {
+        bin /= 2;
+        this->total += bin;
+    }
+}
+
+std::optional<double> usual_times::late_limit() const
+{
+    if (this->total < min_samples)
+        return std::nullopt;
+    const double rank = upper_quantile * static_cast<double>(this->total);
+    std::uint32_t below = 0;
+    std::size_t bin = 0;
+    while (bin + 1 < bin_count && static_cast<double>(below + this->bins.at(bin)) < rank)
+        below += this->bins.at(bin++);
+    const double upper_end = static_cast<double>(bin + 1) / bins_per_octave + first_bin_log;
+    return late_factor * std::exp2(upper_end);
+}
+
+} // namespace ragwortcove::core
