[core] compare an upstream's responses with each other during a roll-out

An entry now sends its canaries to one upstream at first and judges a time also beside the newest ones of the same upstream (rollout_observation::upstream, which the caller has to set). A new controller takes over the share that the entries apply.

--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -104,6 +104,8 @@
     [[nodiscard]] double max_sum() const;
     [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
     [[nodiscard]] bool all_moved(time_point now) const;
+    [[nodiscard]] std::uint32_t needed_results(time_point now) const;
+    [[nodiscard]] std::uint32_t planned_share(time_point now) const;
     [[nodiscard]] bool may_advance(time_point now) const;
     void adopt_applied_share(time_point now);
     void advance(time_point now);
@@ -125,6 +127,8 @@
     std::size_t step = 0;
     time_point step_since;
     std::uint32_t good_results_before = 0;
+    /// Largest share that an entry applied when this controller started.
+    std::uint32_t applied_permille = 0;
     bool adopted = false;
     bool halted = false;
 };
--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -62,6 +62,8 @@
     /// The upstream has said that it is still slow after its start: its times say nothing about the
     /// version.
     bool is_warming_up = false;
+    /// Empty if unknown; then its responses aren't compared with each other.
+    upstream_name upstream;
 };
 
 /// How long a share holds without a new directive.
@@ -102,6 +104,12 @@
         std::optional<double> first_part_floor;
         std::optional<double> between_events_floor;
     };
+    /// Newest times of one upstream. Engines are of unlike speed, so that a slow response of a fast
+    /// one may be usual elsewhere; beside the same upstream's fastest it shows.
+    struct upstream_times {
+        recent_times first_part;
+        recent_times between_events;
+    };
     struct ordered {
         rollout_order order;
         time_point known_since;
@@ -113,6 +121,7 @@
     struct version_state {
         std::uint32_t in_flight = 0;
         bool is_known = false;
+        std::vector<upstream_name> upstreams;
         /// Held out until then unless other versions are missing.
         time_point held_until;
     };
@@ -120,21 +129,30 @@
         std::optional<ordered> rollout;
         std::map<version_name, version_state> versions;
         std::map<route_name, learned_times> times;
+        std::map<upstream_name, upstream_times> by_upstream;
         bool has_repeatable = false;
     };
 
     [[nodiscard]] const target_state* find(const target_name& target) const;
     [[nodiscard]] target_state* state_of(const target_name& target);
     [[nodiscard]] static std::uint32_t share_of(const ordered& rollout, time_point now);
+    [[nodiscard]] upstream_role role_by_version(const announced_upstream& upstream) const;
+    [[nodiscard]] bool is_preferred_canary(const target_state& target,
+                                           const announced_upstream& upstream) const;
     [[nodiscard]] bool is_held(const target_state& target, const version_name& version) const;
     void set_order(const rollout_order& order, time_point now);
     static void count_in_flight(target_state& target, const rollout_observation& seen);
+    [[nodiscard]] static std::optional<bool>
+    compare_at_upstream(target_state& target, const rollout_observation& seen, double value);
     static void classify(target_state& target, const rollout_observation& seen);
     [[nodiscard]] static version_counts* counts_for(target_state& target,
                                                     const rollout_observation& seen);
 
     std::map<target_name, target_state> targets;
     bool has_upstreams = false;
+    /// Decides which upstream gets this entry's canaries; drawn once, and changed when that
+    /// upstream fails.
+    std::uint64_t preference = 0;
     /// Newest time that any call gave.
     time_point latest;
 };
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -23,4 +23,17 @@
     std::uint32_t total = 0;
 };
 
+/// The newest few samples of one upstream.
+class recent_times {
+public:
+    void add(double sample);
+    /// Whether a sample exceeds the smallest of the newest by a factor; unset without samples.
+    [[nodiscard]] std::optional<bool> exceeds(double sample, double factor) const;
+
+private:
+    static constexpr std::size_t max_samples = 4;
+    std::array<double, max_samples> samples{};
+    std::size_t count = 0;
+};
+
 } // namespace ragwortcove::core
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -60,6 +60,8 @@
 /// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
 static constexpr double bad_sum = 6.5;
 static constexpr double suspicious_sum = 3.0;
+/// Maximum share while the version is suspicious.
+static constexpr std::uint32_t suspicious_permille = 150;
 static constexpr double max_comparison_sum = 12.0;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
@@ -205,6 +207,8 @@
     const auto known = this->entries.find(reporter);
     if (known != this->entries.end() && is_older(report, known->second.report))
         return;
+    if (!this->adopted)
+        this->applied_permille = std::max(this->applied_permille, report.share_permille);
     this->ordered_at = std::min(this->ordered_at, now - report.order_age);
     for (const rollout_route_counts& counts : report.routes) {
         const rollout_route_counts* before =
@@ -304,6 +308,27 @@
     return std::max(counts.passed, counts.first_parts_on_time);
 }
 
+// With little traffic a step can bring few results only.
+std::uint32_t rollout_controller::needed_results(time_point now) const
+{
+    constexpr double expected_part = 0.4;
+    constexpr double min_results = 2.0;
+    const double time_s = seconds(this->order.time_limit) *
+                          (this->step == 0 ? plan.at(1).earliest_at : min_step_part);
+    const double expected =
+        this->request_rate(now) * time_s * this->planned_share(now) / permille * expected_part;
+    const double most = this->step == 0 ? canary_results : step_results;
+    return static_cast<std::uint32_t>(std::clamp(expected, min_results, most));
+}
+
+std::uint32_t rollout_controller::planned_share(time_point now) const
+{
+    if (this->step == 0)
+        return this->canary_share(now);
+    const std::uint32_t planned = plan.at(this->step).share_permille;
+    return this->max_sum() < suspicious_sum ? planned : std::min(planned, suspicious_permille);
+}
+
 bool rollout_controller::may_advance(time_point now) const
 {
     const double progress = this->progress(now);
@@ -313,8 +338,7 @@
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const std::uint32_t results = good_results(this->new_total) - this->good_results_before;
-    const std::uint32_t needed = this->step == 0 ? canary_results : step_results;
-    return was_held && results >= needed && this->max_sum() < suspicious_sum;
+    return was_held && results >= this->needed_results(now) && this->max_sum() < suspicious_sum;
 }
 
 // A controller that takes over goes on at the share that the entries still apply.
@@ -323,10 +347,8 @@
     if (this->adopted || now - this->started_at < adoption_time)
         return;
     this->adopted = true;
-    std::uint32_t applied = 0;
-    for (const auto& [reporter, entry] : this->entries)
-        applied = std::max(applied, entry.report.share_permille);
-    while (this->step < last_step && plan.at(this->step + 1).share_permille <= applied &&
+    while (this->step < last_step &&
+           plan.at(this->step + 1).share_permille <= this->applied_permille &&
            plan.at(this->step + 1).earliest_at <= this->progress(now))
         ++this->step;
     this->step_since = now;
@@ -395,11 +417,12 @@
         made.store_state = state;
     made.directive.halted = state == rollout_state::reverted;
     this->halted = made.directive.halted;
-    if (canary_count > 0 && !this->halted && this->adopted) {
+    if (canary_count > 0 && !this->halted) {
+        // Until it has heard the entries, a new controller leaves their share as it is.
         const std::uint32_t planned =
-            this->step == 0 ? this->canary_share(now) : plan.at(this->step).share_permille;
+            this->adopted ? this->planned_share(now) : this->applied_permille;
         made.directive.share_permille =
-            this->step == last_step ? planned : this->guarded_share(planned, now);
+            this->step == last_step || !this->adopted ? planned : this->guarded_share(planned, now);
     }
     made.reason = this->describe(now);
     return made;
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -12,6 +12,15 @@
 static constexpr std::size_t max_targets = 64;
 static constexpr std::size_t max_routes = 64;
 static constexpr std::size_t max_versions = 16;
+static constexpr std::size_t max_upstreams = 512;
+
+/// A response is late when it exceeds the fastest of its upstream's newest ones by this factor.
+static constexpr double first_part_spread = 4.0;
+static constexpr double between_events_spread = 2.0;
+/// Below this share, an entry's canaries go to one upstream, so that their times can be compared,
+/// unless it has that many in flight.
+static constexpr std::uint32_t one_upstream_share_permille = 250;
+static constexpr std::uint32_t max_in_flight_on_one = 3;
 
 /// Time to a first part of a request without prompt tokens to compute, and the rate of computing
 /// them on a usual engine: times are compared after division by what the request would take there.
@@ -50,7 +59,7 @@
     this->latest = std::max(this->latest, now);
     for (auto& [name, target] : this->targets)
         for (auto& [version, state] : target.versions)
-            state.is_known = false;
+            state = {state.in_flight, false, {}, state.held_until};
     for (const announced_upstream& upstream : all) {
         target_state* target = this->state_of(upstream.target);
         if (target == nullptr)
@@ -60,16 +69,51 @@
             continue;
         version_state& state = target->versions[upstream.version];
         state.is_known = true;
+        if (!upstream.leaving)
+            state.upstreams.push_back(upstream.name);
         if (is_new && this->has_upstreams)
             state.held_until = now + unordered_version_hold;
     }
     this->has_upstreams = true;
+    std::set<upstream_name> known;
+    for (const announced_upstream& upstream : all)
+        known.insert(upstream.name);
+    for (auto& [name, target] : this->targets)
+        std::erase_if(target.by_upstream,
+                      [&](const auto& entry) { return !known.contains(entry.first); });
     for (auto& [name, target] : this->targets)
         std::erase_if(target.versions, [](const auto& entry) {
             return !entry.second.is_known && entry.second.in_flight == 0;
         });
 }
 
+// Order of preference (rendezvous hash) between upstreams, which differs between entries.
+static std::uint64_t preference_of(const upstream_name& upstream, std::uint64_t seed)
+{
+    std::uint64_t hash = seed;
+    for (const char byte : upstream.value) {
+        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x9E3779B97F4A7C15ULL;
+        hash ^= hash >> 29U;
+    }
+    return hash;
+}
+
+bool rollout_split::is_preferred_canary(const target_state& target,
+                                        const announced_upstream& upstream) const
+{
+    const auto version = target.versions.find(upstream.version);
+    const bool may_use_all = target.rollout->share_permille >= one_upstream_share_permille ||
+                             version == target.versions.end() ||
+                             version->second.in_flight >= max_in_flight_on_one;
+    if (may_use_all)
+        return true;
+    const std::uint64_t own = preference_of(upstream.name, this->preference);
+    const std::vector<upstream_name>& all = version->second.upstreams;
+    return std::all_of(all.begin(), all.end(), [&](const upstream_name& other) {
+        return preference_of(other, this->preference) <= own;
+    });
+}
+
 void rollout_split::set_orders(std::span<const rollout_order> all, time_point now)
 {
     this->latest = std::max(this->latest, now);
@@ -133,6 +177,15 @@
 }
 
 upstream_role rollout_split::role_of(const announced_upstream& upstream) const
+{
+    const upstream_role role = this->role_by_version(upstream);
+    if (role != upstream_role::canary)
+        return role;
+    const bool is_preferred = this->is_preferred_canary(*this->find(upstream.target), upstream);
+    return is_preferred ? upstream_role::canary : upstream_role::excluded;
+}
+
+upstream_role rollout_split::role_by_version(const announced_upstream& upstream) const
 {
     const target_state* target = this->find(upstream.target);
     if (target == nullptr)
@@ -164,6 +217,8 @@
     target_state* target = this->state_of(request.target);
     if (target == nullptr)
         return false;
+    if (this->preference == 0)
+        this->preference = random();
     target->has_repeatable = target->has_repeatable || request.may_repeat;
     if (!target->rollout)
         return false;
@@ -176,7 +231,7 @@
 
 bool rollout_split::may_send(const announced_upstream& upstream, time_point now) const
 {
-    const upstream_role role = this->role_of(upstream);
+    const upstream_role role = this->role_by_version(upstream);
     if (role != upstream_role::canary)
         return role == upstream_role::regular;
     return share_of(*this->find(upstream.target)->rollout, now) > 0;
@@ -215,6 +270,8 @@
 /// A time of a response, what is usual for it, and the counts that it belongs to.
 struct timed_sample {
     double value = 0.0;
+    /// Whether it is late beside others of its upstream; unset if there are none.
+    std::optional<bool> is_late_there;
     usual_times& usual;
     std::optional<double> floor;
     std::uint32_t version_counts::*on_time;
@@ -225,12 +282,31 @@
 static void count_sample(const timed_sample& sample, version_counts* counts)
 {
     const std::optional<double> limit = sample.usual.late_limit();
-    if (counts == nullptr || (!limit && !sample.floor))
+    const bool has_limit = limit || sample.floor;
+    if (counts == nullptr || (!has_limit && !sample.is_late_there))
         return;
-    const bool is_late = sample.value > std::max(limit.value_or(0.0), sample.floor.value_or(0.0));
+    const bool is_unusual =
+        has_limit && sample.value > std::max(limit.value_or(0.0), sample.floor.value_or(0.0));
+    const bool is_late = is_unusual || sample.is_late_there.value_or(false);
     ++(counts->*(is_late ? sample.late : sample.on_time));
 }
 
+std::optional<bool> rollout_split::compare_at_upstream(target_state& target,
+                                                       const rollout_observation& seen,
+                                                       double value)
+{
+    const bool is_new = !target.by_upstream.contains(seen.upstream);
+    if (seen.upstream.empty() || (is_new && target.by_upstream.size() >= max_upstreams))
+        return std::nullopt;
+    const bool is_first = seen.kind == kind::first_part;
+    upstream_times& times = target.by_upstream[seen.upstream];
+    recent_times& recent = is_first ? times.first_part : times.between_events;
+    const std::optional<bool> is_late =
+        recent.exceeds(value, is_first ? first_part_spread : between_events_spread);
+    recent.add(value);
+    return is_late;
+}
+
 void rollout_split::classify(target_state& target, const rollout_observation& seen)
 {
     auto found = target.times.find(seen.route);
@@ -240,12 +316,21 @@
         found = target.times.emplace(seen.route, learned_times{}).first;
     }
     learned_times& times = found->second;
-    const timed_sample sample =
-        seen.kind == kind::first_part
-            ? timed_sample{normalised_first_part(seen), times.first_part, times.first_part_floor,
-                           &version_counts::first_parts_on_time, &version_counts::first_parts_late}
-            : timed_sample{milliseconds_of(seen), times.between_events, times.between_events_floor,
-                           &version_counts::streams_on_time, &version_counts::streams_late};
+    const bool is_first = seen.kind == kind::first_part;
+    const double value = is_first ? normalised_first_part(seen) : milliseconds_of(seen);
+    const std::optional<bool> is_late_there = compare_at_upstream(target, seen, value);
+    const timed_sample sample = is_first ? timed_sample{value,
+                                                        is_late_there,
+                                                        times.first_part,
+                                                        times.first_part_floor,
+                                                        &version_counts::first_parts_on_time,
+                                                        &version_counts::first_parts_late}
+                                         : timed_sample{value,
+                                                        is_late_there,
+                                                        times.between_events,
+                                                        times.between_events_floor,
+                                                        &version_counts::streams_on_time,
+                                                        &version_counts::streams_late};
     count_sample(sample, counts_for(target, seen));
     const bool is_regular = !target.rollout || target.rollout->order.version != seen.version ||
                             target.rollout->order.state == rollout_state::complete;
@@ -265,6 +350,10 @@
         return;
     }
     count_in_flight(*target, seen);
+    // The other upstreams of the version get canaries then, if this one alone has failed.
+    if (seen.kind == kind::failed && target->rollout &&
+        target->rollout->order.version == seen.version && this->preference != 0)
+        this->preference = preference_of(seen.upstream, this->preference) | 1U;
     version_counts* counts = counts_for(*target, seen);
     if (counts == nullptr)
         return;
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -43,4 +43,19 @@
     return late_factor * std::exp2(upper_end);
 }
 
+void recent_times::add(double sample)
+{
+    this->samples.at(this->count % max_samples) = sample;
+    ++this->count;
+}
+
+std::optional<bool> recent_times::exceeds(double sample, double factor) const
+{
+    if (this->count == 0)
+        return std::nullopt;
+    const std::size_t held = std::min(this->count, max_samples);
+    const double least = *std::min_element(this->samples.begin(), this->samples.begin() + held);
+    return sample > factor * least;
+}
+
 } // namespace ragwortcove::core
