--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -102,6 +102,11 @@
     [[nodiscard]] std::uint32_t canary_share(time_point now) const;
     [[nodiscard]] std::uint32_t guarded_share(std::uint32_t share, time_point now) const;
     [[nodiscard]] double max_sum() const;
+    /// Added to the limits of the sums.
+    [[nodiscard]] double sum_margin(time_point now) const;
+    [[nodiscard]] bool is_clean(time_point now) const;
+    [[nodiscard]] bool is_proven(time_point now) const;
+    [[nodiscard]] std::uint32_t results() const;
     [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
     [[nodiscard]] bool all_moved(time_point now) const;
     [[nodiscard]] std::uint32_t needed_results(time_point now) const;
@@ -126,7 +131,7 @@
     /// Step of the plan, the time since when, and the good results of the new version then.
     std::size_t step = 0;
     time_point step_since;
-    std::uint32_t good_results_before = 0;
+    std::uint32_t results_before = 0;
     /// Largest share that an entry applied when this controller started.
     std::uint32_t applied_permille = 0;
     bool adopted = false;
--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -103,6 +103,7 @@
         /// faster as requests leave it.
         std::optional<double> first_part_floor;
         std::optional<double> between_events_floor;
+        void set_floors();
     };
     /// Newest times of one upstream. Engines are of unlike speed, so that a slow response of a fast
     /// one may be usual elsewhere; beside the same upstream's fastest it shows.
@@ -129,6 +130,8 @@
         std::optional<ordered> rollout;
         std::map<version_name, version_state> versions;
         std::map<route_name, learned_times> times;
+        /// Of all routes, used for those with too few responses.
+        learned_times all_times;
         std::map<upstream_name, upstream_times> by_upstream;
         bool has_repeatable = false;
     };
@@ -144,6 +147,8 @@
     static void count_in_flight(target_state& target, const rollout_observation& seen);
     [[nodiscard]] static std::optional<bool>
     compare_at_upstream(target_state& target, const rollout_observation& seen, double value);
+    [[nodiscard]] static std::optional<double> late_limit(const learned_times& times,
+                                                          rollout_observation::event_kind of);
     static void classify(target_state& target, const rollout_observation& seen);
     [[nodiscard]] static version_counts* counts_for(target_state& target,
                                                     const rollout_observation& seen);
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -27,11 +27,11 @@
 class recent_times {
 public:
     void add(double sample);
-    /// Whether a sample exceeds the smallest of the newest by a factor; unset without samples.
+    /// Whether a sample exceeds the smaller ones of the newest by a factor; unset without samples.
     [[nodiscard]] std::optional<bool> exceeds(double sample, double factor) const;
 
 private:
-    static constexpr std::size_t max_samples = 4;
+    static constexpr std::size_t max_samples = 5;
     std::array<double, max_samples> samples{};
     std::size_t count = 0;
 };
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -39,7 +39,7 @@
 static constexpr std::array<plan_step, 4> plan{{{40, 0.0}, {250, 0.52}, {600, 0.60}, {1000, 0.67}}};
 static constexpr std::size_t last_step = plan.size() - 1;
 /// Minimum duration of a step, and the time after which no further step begins.
-static constexpr double min_step_part = 0.06;
+static constexpr double min_step_part = 0.05;
 static constexpr double latest_step_at = 0.86;
 /// The roll-out ends here at the latest, to leave time for the store.
 static constexpr double latest_end_at = 0.92;
@@ -59,13 +59,15 @@
 
 /// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
 static constexpr double bad_sum = 6.5;
-static constexpr double suspicious_sum = 3.0;
+static constexpr double suspicious_sum = 3.5;
+/// Up to this rate; both grow with its logarithm, since chance has more occasions.
+static constexpr double usual_requests_per_s = 120.0;
 /// Maximum share while the version is suspicious.
 static constexpr std::uint32_t suspicious_permille = 150;
 static constexpr double max_comparison_sum = 12.0;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.07, 0.40, 0.25, 2.0, 2.5};
+static constexpr comparison_rates late_rates{0.10, 0.40, 0.28, 2.0, 2.5};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
@@ -268,6 +270,14 @@
     return std::min(static_cast<std::uint32_t>(share), max_canary_permille);
 }
 
+// The last step is not bounded unless the version becomes suspicious in it.
+bool rollout_controller::is_proven(time_point now) const
+{
+    const double allowed = this->allowed_requests(now) + this->limits.extra_requests;
+    const bool has_exceeded = this->new_total.sent > allowed;
+    return this->step == last_step && (this->is_clean(now) || has_exceeded);
+}
+
 // Until the last step, the requests of the next moments at this share must fit in what is allowed.
 std::uint32_t rollout_controller::guarded_share(std::uint32_t share, time_point now) const
 {
@@ -285,6 +295,16 @@
     return max;
 }
 
+double rollout_controller::sum_margin(time_point now) const
+{
+    return std::max(0.0, std::log(this->request_rate(now) / usual_requests_per_s));
+}
+
+bool rollout_controller::is_clean(time_point now) const
+{
+    return this->max_sum() < suspicious_sum + this->sum_margin(now);
+}
+
 bool rollout_controller::is_present(const known_entry& entry, time_point now) const
 {
     return now - entry.received_at < entry_lifetime;
@@ -303,9 +323,15 @@
     return present > 0;
 }
 
-static std::uint32_t good_results(const version_counts& counts)
+// Responses of the new version that say whether it fails and, once there is something to compare
+// them with, whether it is slow.
+std::uint32_t rollout_controller::results() const
 {
-    return std::max(counts.passed, counts.first_parts_on_time);
+    const std::uint32_t compared =
+        this->new_total.first_parts_on_time + this->new_total.first_parts_late;
+    const std::uint32_t of_old =
+        this->old_total.first_parts_on_time + this->old_total.first_parts_late;
+    return of_old == 0 ? this->new_total.passed : std::min(this->new_total.passed, compared);
 }
 
 // With little traffic a step can bring few results only.
@@ -326,7 +352,7 @@
     if (this->step == 0)
         return this->canary_share(now);
     const std::uint32_t planned = plan.at(this->step).share_permille;
-    return this->max_sum() < suspicious_sum ? planned : std::min(planned, suspicious_permille);
+    return this->is_clean(now) ? planned : std::min(planned, suspicious_permille);
 }
 
 bool rollout_controller::may_advance(time_point now) const
@@ -337,8 +363,8 @@
         return false;
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
-    const std::uint32_t results = good_results(this->new_total) - this->good_results_before;
-    return was_held && results >= this->needed_results(now) && this->max_sum() < suspicious_sum;
+    const std::uint32_t results = this->results() - this->results_before;
+    return was_held && results >= this->needed_results(now) && this->is_clean(now);
 }
 
 // A controller that takes over goes on at the share that the entries still apply.
@@ -352,7 +378,7 @@
            plan.at(this->step + 1).earliest_at <= this->progress(now))
         ++this->step;
     this->step_since = now;
-    this->good_results_before = this->step == 0 ? 0 : good_results(this->new_total);
+    this->results_before = this->step == 0 ? 0 : this->results();
 }
 
 void rollout_controller::advance(time_point now)
@@ -361,7 +387,7 @@
         return;
     ++this->step;
     this->step_since = now;
-    this->good_results_before = good_results(this->new_total);
+    this->results_before = this->results();
 }
 
 std::optional<rollout_state> rollout_controller::next_state(time_point now) const
@@ -370,7 +396,7 @@
         return rollout_state::reverted;
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
-    const bool is_clean = this->max_sum() < suspicious_sum;
+    const bool is_clean = this->is_clean(now);
     const bool is_last = this->step == last_step && was_held;
     if (is_last && is_clean && this->all_moved(now))
         return rollout_state::complete;
@@ -406,7 +432,7 @@
     this->order = in_force;
     if (this->order.has_ended())
         return this->ended_step(in_force);
-    this->halted = this->halted || this->max_sum() >= bad_sum;
+    this->halted = this->halted || this->max_sum() >= bad_sum + this->sum_margin(now);
     this->adopt_applied_share(now);
     if (this->adopted && canary_count > 0 && !this->halted)
         this->advance(now);
@@ -422,7 +448,7 @@
         const std::uint32_t planned =
             this->adopted ? this->planned_share(now) : this->applied_permille;
         made.directive.share_permille =
-            this->step == last_step || !this->adopted ? planned : this->guarded_share(planned, now);
+            this->is_proven(now) || !this->adopted ? planned : this->guarded_share(planned, now);
     }
     made.reason = this->describe(now);
     return made;
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -127,6 +127,12 @@
             target.rollout.reset();
 }
 
+void rollout_split::learned_times::set_floors()
+{
+    this->first_part_floor = this->first_part.late_limit();
+    this->between_events_floor = this->between_events.late_limit();
+}
+
 void rollout_split::set_order(const rollout_order& order, time_point now)
 {
     target_state* target = this->state_of(order.target);
@@ -140,10 +146,9 @@
         return;
     }
     current = ordered{order, now, 0, now, false, {}};
-    for (auto& [route, times] : target->times) {
-        times.first_part_floor = times.first_part.late_limit();
-        times.between_events_floor = times.between_events.late_limit();
-    }
+    target->all_times.set_floors();
+    for (auto& [route, times] : target->times)
+        times.set_floors();
 }
 
 void rollout_split::on_directive(const rollout_directive& directive, time_point now)
@@ -266,29 +271,17 @@
                                                  : &found->second.old_version;
 }
 
-namespace {
-/// A time of a response, what is usual for it, and the counts that it belongs to.
-struct timed_sample {
-    double value = 0.0;
-    /// Whether it is late beside others of its upstream; unset if there are none.
-    std::optional<bool> is_late_there;
-    usual_times& usual;
-    std::optional<double> floor;
-    std::uint32_t version_counts::*on_time;
-    std::uint32_t version_counts::*late;
-};
-} // namespace
-
-static void count_sample(const timed_sample& sample, version_counts* counts)
+static std::optional<double> highest_limit(const usual_times& usual,
+                                           const std::optional<double>& floor)
 {
-    const std::optional<double> limit = sample.usual.late_limit();
-    const bool has_limit = limit || sample.floor;
-    if (counts == nullptr || (!has_limit && !sample.is_late_there))
-        return;
-    const bool is_unusual =
-        has_limit && sample.value > std::max(limit.value_or(0.0), sample.floor.value_or(0.0));
-    const bool is_late = is_unusual || sample.is_late_there.value_or(false);
-    ++(counts->*(is_late ? sample.late : sample.on_time));
+    const std::optional<double> limit = usual.late_limit();
+    return limit && floor ? std::max(*limit, *floor) : std::max(limit, floor);
+}
+
+std::optional<double> rollout_split::late_limit(const learned_times& times, kind of)
+{
+    return of == kind::first_part ? highest_limit(times.first_part, times.first_part_floor)
+                                  : highest_limit(times.between_events, times.between_events_floor);
 }
 
 std::optional<bool> rollout_split::compare_at_upstream(target_state& target,
@@ -309,33 +302,28 @@
 
 void rollout_split::classify(target_state& target, const rollout_observation& seen)
 {
-    auto found = target.times.find(seen.route);
-    if (found == target.times.end()) {
-        if (target.times.size() >= max_routes)
-            return;
-        found = target.times.emplace(seen.route, learned_times{}).first;
-    }
-    learned_times& times = found->second;
     const bool is_first = seen.kind == kind::first_part;
     const double value = is_first ? normalised_first_part(seen) : milliseconds_of(seen);
     const std::optional<bool> is_late_there = compare_at_upstream(target, seen, value);
-    const timed_sample sample = is_first ? timed_sample{value,
-                                                        is_late_there,
-                                                        times.first_part,
-                                                        times.first_part_floor,
-                                                        &version_counts::first_parts_on_time,
-                                                        &version_counts::first_parts_late}
-                                         : timed_sample{value,
-                                                        is_late_there,
-                                                        times.between_events,
-                                                        times.between_events_floor,
-                                                        &version_counts::streams_on_time,
-                                                        &version_counts::streams_late};
-    count_sample(sample, counts_for(target, seen));
+    const bool has_route = target.times.contains(seen.route) || target.times.size() < max_routes;
+    learned_times& times = has_route ? target.times[seen.route] : target.all_times;
+    std::optional<double> limit = late_limit(times, seen.kind);
+    if (!limit)
+        limit = late_limit(target.all_times, seen.kind);
+    version_counts* counts = counts_for(target, seen);
+    if (counts != nullptr && (limit || is_late_there)) {
+        const bool is_late = (limit && value > *limit) || is_late_there.value_or(false);
+        std::uint32_t& on_time = is_first ? counts->first_parts_on_time : counts->streams_on_time;
+        std::uint32_t& late = is_first ? counts->first_parts_late : counts->streams_late;
+        ++(is_late ? late : on_time);
+    }
     const bool is_regular = !target.rollout || target.rollout->order.version != seen.version ||
                             target.rollout->order.state == rollout_state::complete;
-    if (is_regular)
-        sample.usual.add(sample.value);
+    if (!is_regular)
+        return;
+    (is_first ? target.all_times.first_part : target.all_times.between_events).add(value);
+    if (has_route)
+        (is_first ? times.first_part : times.between_events).add(value);
 }
 
 void rollout_split::observe(const rollout_observation& seen, time_point now)
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -10,7 +10,9 @@
 static constexpr double first_bin_log = -10.0;
 /// All weights are halved at this total, so that the distribution follows changes.
 static constexpr std::uint32_t max_total = 512;
-static constexpr std::uint32_t min_samples = 16;
+static constexpr std::uint32_t min_samples = 10;
+/// From so many samples of one upstream on, the second smallest is the reference.
+static constexpr std::size_t min_samples_for_second = 3;
 /// A sample is late when it exceeds this quantile of the samples by this factor.
 static constexpr double upper_quantile = 0.95;
 static constexpr double late_factor = 1.4;
@@ -54,7 +56,10 @@
     if (this->count == 0)
         return std::nullopt;
     const std::size_t held = std::min(this->count, max_samples);
-    const double least = *std::min_element(this->samples.begin(), this->samples.begin() + held);
+    std::array<double, max_samples> sorted = this->samples;
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
+    // One response may be fast by chance.
+    const double least = sorted.at(held < min_samples_for_second ? 0 : 1);
     return sample > factor * least;
 }
 
