--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -133,6 +133,9 @@
         /// Of all routes, used for those with too few responses.
         learned_times all_times;
         std::map<upstream_name, upstream_times> by_upstream;
+        /// Times of regular upstreams, divided by the same upstream's smaller ones.
+        usual_times first_part_ratios;
+        usual_times between_events_ratios;
         bool has_repeatable = false;
     };
 
@@ -145,6 +148,7 @@
     [[nodiscard]] bool is_held(const target_state& target, const version_name& version) const;
     void set_order(const rollout_order& order, time_point now);
     static void count_in_flight(target_state& target, const rollout_observation& seen);
+    [[nodiscard]] static bool is_regular(const target_state& target, const version_name& version);
     [[nodiscard]] static std::optional<bool>
     compare_at_upstream(target_state& target, const rollout_observation& seen, double value);
     [[nodiscard]] static std::optional<double> late_limit(const learned_times& times,
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -14,7 +14,9 @@
 class usual_times {
 public:
     void add(double sample);
-    /// Value above which a sample is late; unset while there are too few samples.
+    /// Value that few samples exceed, and value above which a sample is late; unset while there are
+    /// too few samples.
+    [[nodiscard]] std::optional<double> upper_value() const;
     [[nodiscard]] std::optional<double> late_limit() const;
 
 private:
@@ -27,8 +29,8 @@
 class recent_times {
 public:
     void add(double sample);
-    /// Whether a sample exceeds the smaller ones of the newest by a factor; unset without samples.
-    [[nodiscard]] std::optional<bool> exceeds(double sample, double factor) const;
+    /// A sample divided by the smaller ones of the newest; unset without samples.
+    [[nodiscard]] std::optional<double> ratio_of(double sample) const;
 
 private:
     static constexpr std::size_t max_samples = 5;
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -50,8 +50,10 @@
 /// While nothing has passed and not much time, only requests that may be repeated are canaries.
 static constexpr std::uint32_t passes_before_all_requests = 3;
 static constexpr double all_requests_at = 0.3;
-/// Part of the extra requests that canaries may use where there is little traffic.
-static constexpr double canary_extra_part = 0.4;
+/// Part of the extra requests that canaries use: the more, the fewer requests are expected.
+static constexpr double canary_extra_factor = 300.0;
+static constexpr double min_canary_extra_part = 0.25;
+static constexpr double max_canary_extra_part = 0.6;
 static constexpr std::uint32_t max_canary_permille = 400;
 /// Parts of the allowed requests, and of the traffic still to come, that the guard relies on.
 static constexpr double usable_extra_part = 0.8;
@@ -60,8 +62,12 @@
 /// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
 static constexpr double bad_sum = 6.5;
 static constexpr double suspicious_sum = 3.5;
-/// Up to this rate; both grow with its logarithm, since chance has more occasions.
+/// At this rate; both change with its logarithm, since chance has more or fewer occasions.
 static constexpr double usual_requests_per_s = 120.0;
+/// Weight of that where there is less traffic.
+static constexpr double low_rate_weight = 0.5;
+/// Taken off when the sums of two kinds of lateness are added.
+static constexpr double two_kinds_margin = 1.0;
 /// Maximum share while the version is suspicious.
 static constexpr std::uint32_t suspicious_permille = 150;
 static constexpr double max_comparison_sum = 12.0;
@@ -155,7 +161,8 @@
 
 double route_comparison::max_sum() const
 {
-    return std::max({this->responses.sum(), this->first_parts.sum(), this->streams.sum()});
+    const double slow = this->first_parts.sum() + this->streams.sum() - two_kinds_margin;
+    return std::max({this->responses.sum(), this->first_parts.sum(), this->streams.sum(), slow});
 }
 
 static constexpr std::array<std::uint32_t version_counts::*, 7> all_counts{
@@ -262,10 +269,11 @@
                           (this->progress(now) >= all_requests_at && this->new_total.failed == 0);
     if (!may_open)
         return all_requests_share_permille - 1;
-    const double planned_requests =
-        this->request_rate(now) * seconds(this->order.time_limit) * plan.at(1).earliest_at;
-    const double extra =
-        canary_extra_part * this->limits.extra_requests / std::max(planned_requests, 1.0);
+    const double expected =
+        std::max(1.0, this->request_rate(now) * seconds(this->order.time_limit));
+    const double part =
+        std::clamp(canary_extra_factor / expected, min_canary_extra_part, max_canary_extra_part);
+    const double extra = part * this->limits.extra_requests / (expected * plan.at(1).earliest_at);
     const double share = plan.front().share_permille + permille * extra;
     return std::min(static_cast<std::uint32_t>(share), max_canary_permille);
 }
@@ -297,7 +305,10 @@
 
 double rollout_controller::sum_margin(time_point now) const
 {
-    return std::max(0.0, std::log(this->request_rate(now) / usual_requests_per_s));
+    constexpr double min_rate = 1.0;
+    const double rate = std::max(this->request_rate(now), min_rate);
+    const double margin = std::log(rate / usual_requests_per_s);
+    return margin < 0.0 ? low_rate_weight * margin : margin;
 }
 
 bool rollout_controller::is_clean(time_point now) const
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -14,12 +14,15 @@
 static constexpr std::size_t max_versions = 16;
 static constexpr std::size_t max_upstreams = 512;
 
-/// A response is late when it exceeds the fastest of its upstream's newest ones by this factor.
-static constexpr double first_part_spread = 4.0;
-static constexpr double between_events_spread = 2.0;
+/// A response is late when it exceeds the faster ones of its upstream by more than is usual on the
+/// old version, and by this factor at least.
+static constexpr double min_first_part_spread = 2.5;
+static constexpr double min_between_events_spread = 2.0;
+/// The same while too little is known of the old version.
+static constexpr double unknown_first_part_spread = 4.0;
 /// Below this share, an entry's canaries go to one upstream, so that their times can be compared,
 /// unless it has that many in flight.
-static constexpr std::uint32_t one_upstream_share_permille = 250;
+static constexpr std::uint32_t one_upstream_share_permille = 600;
 static constexpr std::uint32_t max_in_flight_on_one = 3;
 
 /// Time to a first part of a request without prompt tokens to compute, and the rate of computing
@@ -284,6 +287,12 @@
                                   : highest_limit(times.between_events, times.between_events_floor);
 }
 
+bool rollout_split::is_regular(const target_state& target, const version_name& version)
+{
+    return !target.rollout || target.rollout->order.version != version ||
+           target.rollout->order.state == rollout_state::complete;
+}
+
 std::optional<bool> rollout_split::compare_at_upstream(target_state& target,
                                                        const rollout_observation& seen,
                                                        double value)
@@ -294,10 +303,17 @@
     const bool is_first = seen.kind == kind::first_part;
     upstream_times& times = target.by_upstream[seen.upstream];
     recent_times& recent = is_first ? times.first_part : times.between_events;
-    const std::optional<bool> is_late =
-        recent.exceeds(value, is_first ? first_part_spread : between_events_spread);
+    const std::optional<double> ratio = recent.ratio_of(value);
     recent.add(value);
-    return is_late;
+    if (!ratio)
+        return std::nullopt;
+    usual_times& usual = is_first ? target.first_part_ratios : target.between_events_ratios;
+    const double least = is_first ? min_first_part_spread : min_between_events_spread;
+    const double unknown = is_first ? unknown_first_part_spread : min_between_events_spread;
+    const double limit = std::max(least, usual.upper_value().value_or(unknown));
+    if (is_regular(target, seen.version))
+        usual.add(*ratio);
+    return *ratio > limit;
 }
 
 void rollout_split::classify(target_state& target, const rollout_observation& seen)
@@ -317,9 +333,7 @@
         std::uint32_t& late = is_first ? counts->first_parts_late : counts->streams_late;
         ++(is_late ? late : on_time);
     }
-    const bool is_regular = !target.rollout || target.rollout->order.version != seen.version ||
-                            target.rollout->order.state == rollout_state::complete;
-    if (!is_regular)
+    if (!is_regular(target, seen.version))
         return;
     (is_first ? target.all_times.first_part : target.all_times.between_events).add(value);
     if (has_route)
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -32,7 +32,7 @@
     }
 }
 
-std::optional<double> usual_times::late_limit() const
+std::optional<double> usual_times::upper_value() const
 {
     if (this->total < min_samples)
         return std::nullopt;
@@ -42,7 +42,13 @@
     while (bin + 1 < bin_count && static_cast<double>(below + this->bins.at(bin)) < rank)
         below += this->bins.at(bin++);
     const double upper_end = static_cast<double>(bin + 1) / bins_per_octave + first_bin_log;
-    return late_factor * std::exp2(upper_end);
+    return std::exp2(upper_end);
+}
+
+std::optional<double> usual_times::late_limit() const
+{
+    const std::optional<double> upper = this->upper_value();
+    return upper ? std::optional<double>{late_factor * *upper} : std::nullopt;
 }
 
 void recent_times::add(double sample)
@@ -51,7 +57,7 @@
     ++this->count;
 }
 
-std::optional<bool> recent_times::exceeds(double sample, double factor) const
+std::optional<double> recent_times::ratio_of(double sample) const
 {
     if (this->count == 0)
         return std::nullopt;
@@ -60,7 +66,7 @@
     std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
     // One response may be fast by chance.
     const double least = sorted.at(held < min_samples_for_second ? 0 : 1);
-    return sample > factor * least;
+    return sample / std::max(least, 1e-6);
 }
 
 } // namespace ragwortcove::core
