--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -33,10 +33,10 @@
 };
 } // namespace
 
-// Until the last step the new version has had about 7.5 in 100 of the requests expected by the
-// deadline (0.52 x 40 + 0.08 x 250 + 0.07 x 600 permille, a little less if `extra_requests` are
-// spent first), so that a version that turns bad at a step can be halted within the limits.
-static constexpr std::array<plan_step, 4> plan{{{40, 0.0}, {250, 0.52}, {600, 0.60}, {1000, 0.67}}};
+// Before the last step the new version has had 7 in 100 of the requests expected by the deadline
+// (0.52 x 40 + 0.07 x 200 + 0.07 x 500 permille) and a part of the extra ones: what is left of the
+// limits is for a version that turns bad in a step, until the halt reaches all entries.
+static constexpr std::array<plan_step, 4> plan{{{40, 0.0}, {200, 0.52}, {500, 0.59}, {1000, 0.66}}};
 static constexpr std::size_t last_step = plan.size() - 1;
 /// Minimum duration of a step, and the time after which no further step begins.
 static constexpr double min_step_part = 0.05;
@@ -73,7 +73,7 @@
 static constexpr double max_comparison_sum = 12.0;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.10, 0.40, 0.28, 2.0, 2.5};
+static constexpr comparison_rates late_rates{0.10, 0.40, 0.22, 2.0, 2.2};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
@@ -348,7 +348,7 @@
 // With little traffic a step can bring few results only.
 std::uint32_t rollout_controller::needed_results(time_point now) const
 {
-    constexpr double expected_part = 0.4;
+    constexpr double expected_part = 0.25;
     constexpr double min_results = 2.0;
     const double time_s = seconds(this->order.time_limit) *
                           (this->step == 0 ? plan.at(1).earliest_at : min_step_part);
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -22,7 +22,7 @@
 static constexpr double unknown_first_part_spread = 4.0;
 /// Below this share, an entry's canaries go to one upstream, so that their times can be compared,
 /// unless it has that many in flight.
-static constexpr std::uint32_t one_upstream_share_permille = 600;
+static constexpr std::uint32_t one_upstream_share_permille = 500;
 static constexpr std::uint32_t max_in_flight_on_one = 3;
 
 /// Time to a first part of a request without prompt tokens to compute, and the rate of computing
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -11,6 +11,8 @@
 /// All weights are halved at this total, so that the distribution follows changes.
 static constexpr std::uint32_t max_total = 512;
 static constexpr std::uint32_t min_samples = 10;
+/// Added to that factor, divided by the number of samples: the quantile of few is uncertain.
+static constexpr double few_samples_margin = 5.0;
 /// From so many samples of one upstream on, the second smallest is the reference.
 static constexpr std::size_t min_samples_for_second = 3;
 /// A sample is late when it exceeds this quantile of the samples by this factor.
@@ -48,7 +50,9 @@
 std::optional<double> usual_times::late_limit() const
 {
     const std::optional<double> upper = this->upper_value();
-    return upper ? std::optional<double>{late_factor * *upper} : std::nullopt;
+    if (!upper)
+        return std::nullopt;
+    return late_factor * (1.0 + few_samples_margin / static_cast<double>(this->total)) * *upper;
 }
 
 void recent_times::add(double sample)
