--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -44,7 +44,8 @@
     enum class result_kind { response, first_part, stream };
     explicit version_comparison(result_kind compared);
     void add_old(std::uint32_t bad, std::uint32_t good, time_point now);
-    void add_new(std::uint32_t bad, std::uint32_t good, time_point now);
+    /// `rate_factor` is applied to the rates that are still good, and bad.
+    void add_new(std::uint32_t bad, std::uint32_t good, double rate_factor, time_point now);
     [[nodiscard]] double sum() const { return this->test.sum(); }
 
 private:
@@ -69,7 +70,7 @@
     version_comparison first_parts{version_comparison::result_kind::first_part};
     version_comparison streams{version_comparison::result_kind::stream};
 
-    void add(const rollout_route_counts& added, time_point now);
+    void add(const rollout_route_counts& added, bool has_all_requests, time_point now);
     [[nodiscard]] double max_sum() const;
 };
 
@@ -105,6 +106,7 @@
     /// Added to the limits of the sums.
     [[nodiscard]] double sum_margin(time_point now) const;
     [[nodiscard]] bool is_clean(time_point now) const;
+    void update_suspicion(time_point now);
     [[nodiscard]] bool is_proven(time_point now) const;
     [[nodiscard]] std::uint32_t results() const;
     [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
@@ -135,6 +137,7 @@
     /// Largest share that an entry applied when this controller started.
     std::uint32_t applied_permille = 0;
     bool adopted = false;
+    bool was_suspicious = false;
     bool halted = false;
 };
 
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -29,7 +29,8 @@
 class recent_times {
 public:
     void add(double sample);
-    /// A sample divided by the smaller ones of the newest; unset without samples.
+    /// A sample divided by the smaller ones of the newest, or the only earlier one by it if that is
+    /// larger; unset without samples.
     [[nodiscard]] std::optional<double> ratio_of(double sample) const;
 
 private:
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -62,27 +62,33 @@
 /// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
 static constexpr double bad_sum = 6.5;
 static constexpr double suspicious_sum = 3.5;
-/// At this rate; both change with its logarithm, since chance has more or fewer occasions.
-static constexpr double usual_requests_per_s = 120.0;
-/// Weight of that where there is less traffic.
-static constexpr double low_rate_weight = 0.5;
+static constexpr double cleared_part = 0.4;
+/// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
+/// or fewer occasions.
+static constexpr double min_usual_requests_per_s = 40.0;
+static constexpr double max_usual_requests_per_s = 120.0;
 /// Taken off when the sums of two kinds of lateness are added.
 static constexpr double two_kinds_margin = 1.0;
 /// Maximum share while the version is suspicious.
 static constexpr std::uint32_t suspicious_permille = 150;
 static constexpr double max_comparison_sum = 12.0;
 
+/// Factor of the rates of late results when the new version has all requests, perhaps on fewer
+/// upstreams than the old one had.
+static constexpr double full_load_factor = 1.15;
+
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.10, 0.40, 0.22, 2.0, 2.2};
+static constexpr comparison_rates late_rates{0.08, 0.40, 0.18, 1.6, 2.2};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
 static constexpr double prior_results = 20.0;
 
-/// Bad results within this time count as one burst, of which this many count, or this part of all.
+/// Bad results within this time count as one burst, of which this many count, or this many for
+/// each good one.
 static constexpr duration burst_window = 250ms;
 static constexpr double burst_results = 2.0;
-static constexpr double burst_part = 0.2;
+static constexpr double burst_per_good = 0.7;
 
 /// An entry without a report for this long is gone, or cut off and sends nothing to the version.
 static constexpr duration entry_lifetime = 2500ms;
@@ -129,7 +135,8 @@
     this->burst_until = now + burst_window;
 }
 
-void version_comparison::add_new(std::uint32_t bad, std::uint32_t good, time_point now)
+void version_comparison::add_new(std::uint32_t bad, std::uint32_t good, double rate_factor,
+                                 time_point now)
 {
     if (bad + good == 0)
         return;
@@ -137,26 +144,27 @@
         this->start_burst(now);
     this->burst.bad += bad;
     this->burst.good += good;
-    const double max_counted =
-        std::max(burst_results, burst_part * (this->burst.bad + this->burst.good));
+    const double max_counted = std::max(burst_results, burst_per_good * this->burst.good);
     const double counted = std::floor(std::min(this->burst.bad, max_counted) - this->burst_counted);
     const auto added = static_cast<std::uint32_t>(std::max(counted, 0.0));
     this->burst_counted += added;
     const comparison_rates& rates = rates_of(this->kind);
-    const double good_rate = this->good_rate();
-    this->test.add(added, good, good_rate, std::max(rates.min_bad, rates.bad_factor * good_rate));
+    const double good_rate = std::min(rate_factor * this->good_rate(), rates.max_good);
+    const double bad_rate = std::max(rate_factor * rates.min_bad, rates.bad_factor * good_rate);
+    this->test.add(added, good, good_rate, bad_rate);
 }
 
-void route_comparison::add(const rollout_route_counts& added, time_point now)
+void route_comparison::add(const rollout_route_counts& added, bool has_all_requests, time_point now)
 {
     const version_counts& from = added.old_version;
     this->responses.add_old(from.failed, from.passed, now);
     this->first_parts.add_old(from.first_parts_late, from.first_parts_on_time, now);
     this->streams.add_old(from.streams_late, from.streams_on_time, now);
     const version_counts& to = added.new_version;
-    this->responses.add_new(to.failed, to.passed, now);
-    this->first_parts.add_new(to.first_parts_late, to.first_parts_on_time, now);
-    this->streams.add_new(to.streams_late, to.streams_on_time, now);
+    const double factor = has_all_requests ? full_load_factor : 1.0;
+    this->responses.add_new(to.failed, to.passed, 1.0, now);
+    this->first_parts.add_new(to.first_parts_late, to.first_parts_on_time, factor, now);
+    this->streams.add_new(to.streams_late, to.streams_on_time, factor, now);
 }
 
 double route_comparison::max_sum() const
@@ -229,8 +237,8 @@
                                          added_counts(last.new_version, counts.new_version)};
         add_counts(this->old_total, added.old_version);
         add_counts(this->new_total, added.new_version);
-        this->by_route[counts.route].add(added, now);
-        this->all_routes.add(added, now);
+        this->by_route[counts.route].add(added, this->step == last_step, now);
+        this->all_routes.add(added, this->step == last_step, now);
     }
     this->entries.insert_or_assign(reporter, known_entry{report, now});
 }
@@ -307,13 +315,20 @@
 {
     constexpr double min_rate = 1.0;
     const double rate = std::max(this->request_rate(now), min_rate);
-    const double margin = std::log(rate / usual_requests_per_s);
-    return margin < 0.0 ? low_rate_weight * margin : margin;
+    return std::log(rate / std::clamp(rate, min_usual_requests_per_s, max_usual_requests_per_s));
 }
 
 bool rollout_controller::is_clean(time_point now) const
 {
-    return this->max_sum() < suspicious_sum + this->sum_margin(now);
+    const double limit = suspicious_sum + this->sum_margin(now);
+    return this->max_sum() < (this->was_suspicious ? cleared_part * limit : limit);
+}
+
+// A version that is bad only with all requests looks sound when it has fewer again: once suspicious
+// with all of them, it has to become much better before it gets them a second time.
+void rollout_controller::update_suspicion(time_point now)
+{
+    this->was_suspicious = this->step == last_step && !this->is_clean(now);
 }
 
 bool rollout_controller::is_present(const known_entry& entry, time_point now) const
@@ -445,6 +460,7 @@
         return this->ended_step(in_force);
     this->halted = this->halted || this->max_sum() >= bad_sum + this->sum_margin(now);
     this->adopt_applied_share(now);
+    this->update_suspicion(now);
     if (this->adopted && canary_count > 0 && !this->halted)
         this->advance(now);
     rollout_step made;
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -19,7 +19,7 @@
 static constexpr double min_first_part_spread = 2.5;
 static constexpr double min_between_events_spread = 2.0;
 /// The same while too little is known of the old version.
-static constexpr double unknown_first_part_spread = 4.0;
+static constexpr double unknown_first_part_spread = 3.2;
 /// Below this share, an entry's canaries go to one upstream, so that their times can be compared,
 /// unless it has that many in flight.
 static constexpr std::uint32_t one_upstream_share_permille = 500;
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -5,6 +5,7 @@
 
 namespace ragwortcove::core {
 
+static constexpr double min_value = 1e-6;
 static constexpr double bins_per_octave = 4.0;
 /// Binary logarithm of the lower end of the first bin.
 static constexpr double first_bin_log = -10.0;
@@ -21,7 +22,8 @@
 
 void usual_times::add(double sample)
 {
-    const double position = (std::log2(std::max(sample, 1e-6)) - first_bin_log) * bins_per_octave;
+    const double position =
+        (std::log2(std::max(sample, min_value)) - first_bin_log) * bins_per_octave;
     const double last_bin = static_cast<double>(bin_count - 1);
     ++this->bins.at(static_cast<std::size_t>(std::clamp(position, 0.0, last_bin)));
     ++this->total;
@@ -65,12 +67,16 @@
 {
     if (this->count == 0)
         return std::nullopt;
+    if (this->count == 1) {
+        const double earlier = std::max(this->samples.front(), min_value);
+        return std::max(sample / earlier, earlier / std::max(sample, min_value));
+    }
     const std::size_t held = std::min(this->count, max_samples);
     std::array<double, max_samples> sorted = this->samples;
     std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
     // One response may be fast by chance.
     const double least = sorted.at(held < min_samples_for_second ? 0 : 1);
-    return sample / std::max(least, 1e-6);
+    return sample / std::max(least, min_value);
 }
 
 } // namespace ragwortcove::core
