--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/core/rollout.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
+#include "ragwortcove/core/usual_times.hpp"
 
 #include <cstdint>
 #include <map>
@@ -58,10 +59,22 @@
     duration time{0};
     /// Prompt tokens that the upstream had to compute, for `first_part`.
     std::uint32_t uncached_tokens = 0;
+    /// The upstream has said that it is still slow after its start: its times say nothing about the
+    /// version.
+    bool is_warming_up = false;
+    /// Empty if unknown; then its responses aren't compared with each other.
+    upstream_name upstream;
 };
 
+/// How long a share holds without a new directive.
+inline constexpr duration directive_lifetime = std::chrono::milliseconds{1500};
+/// How long a version that no order names is held out beside others: its order may come later.
+inline constexpr duration unordered_version_hold = std::chrono::seconds{3};
+
 class rollout_split {
 public:
+    /// Sets all upstreams that are known. To be called at each change of the directory.
+    void set_upstreams(std::span<const announced_upstream> all, time_point now);
     /// Sets all orders in force. An order that is not in `all` any more is forgotten.
     void set_orders(std::span<const rollout_order> all, time_point now);
     /// Applies a message of a controller. A halt holds whoever sends it, for as long as the order
@@ -81,6 +94,76 @@
     /// Orders that have not ended.
     [[nodiscard]] std::vector<rollout_order> active_orders() const;
     [[nodiscard]] std::vector<rollout_report> reports(time_point now) const;
+
+private:
+    struct learned_times {
+        usual_times first_part;
+        usual_times between_events;
+        /// Limits from when the order came: they remain as minima, since the old version becomes
+        /// faster as requests leave it.
+        std::optional<double> first_part_floor;
+        std::optional<double> between_events_floor;
+        void set_floors();
+    };
+    /// Newest times of one upstream. Engines are of unlike speed, so that a slow response of a fast
+    /// one may be usual elsewhere; beside the same upstream's fastest it shows.
+    struct upstream_times {
+        recent_times first_part;
+        recent_times between_events;
+    };
+    struct ordered {
+        rollout_order order;
+        time_point known_since;
+        std::uint32_t share_permille = 0;
+        time_point share_until;
+        bool halted = false;
+        std::map<route_name, rollout_route_counts> counts;
+    };
+    struct version_state {
+        std::uint32_t in_flight = 0;
+        bool is_known = false;
+        std::vector<upstream_name> upstreams;
+        /// Held out until then unless other versions are missing.
+        time_point held_until;
+    };
+    struct target_state {
+        std::optional<ordered> rollout;
+        std::map<version_name, version_state> versions;
+        std::map<route_name, learned_times> times;
+        /// Of all routes, used for those with too few responses.
+        learned_times all_times;
+        std::map<upstream_name, upstream_times> by_upstream;
+        /// Times of regular upstreams, divided by the same upstream's smaller ones.
+        usual_times first_part_ratios;
+        usual_times between_events_ratios;
+        bool has_repeatable = false;
+    };
+
+    [[nodiscard]] const target_state* find(const target_name& target) const;
+    [[nodiscard]] target_state* state_of(const target_name& target);
+    [[nodiscard]] static std::uint32_t share_of(const ordered& rollout, time_point now);
+    [[nodiscard]] upstream_role role_by_version(const announced_upstream& upstream) const;
+    [[nodiscard]] bool is_preferred_canary(const target_state& target,
+                                           const announced_upstream& upstream) const;
+    [[nodiscard]] bool is_held(const target_state& target, const version_name& version) const;
+    void set_order(const rollout_order& order, time_point now);
+    static void count_in_flight(target_state& target, const rollout_observation& seen);
+    [[nodiscard]] static bool is_regular(const target_state& target, const version_name& version);
+    [[nodiscard]] static std::optional<bool>
+    compare_at_upstream(target_state& target, const rollout_observation& seen, double value);
+    [[nodiscard]] static std::optional<double> late_limit(const learned_times& times,
+                                                          rollout_observation::event_kind of);
+    static void classify(target_state& target, const rollout_observation& seen);
+    [[nodiscard]] static version_counts* counts_for(target_state& target,
+                                                    const rollout_observation& seen);
+
+    std::map<target_name, target_state> targets;
+    bool has_upstreams = false;
+    /// Decides which upstream gets this entry's canaries; drawn once, and changed when that
+    /// upstream fails.
+    std::uint64_t preference = 0;
+    /// Newest time that any call gave.
+    time_point latest;
 };
 
 } // namespace ragwortcove::core
