[gateway] settings, log events and messages of roll-outs

canary_share and canary_allowance bound what a new version may get before it is known to be good; they come from the platform's bounds. Events 603 to 608 name an order, each change of the share with its figures, a halt, and each state that was stored or not.

--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -76,6 +76,12 @@
     move_stepped = 600,
     move_ended = 601,
     brake_set = 602,
+    rollout_ordered = 603,
+    rollout_stepped = 604,
+    rollout_halted = 605,
+    rollout_state_stored = 606,
+    rollout_state_not_stored = 607,
+    rollout_unreadable = 608,
 };
 
 /// One row of the catalogue.
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ragwortcove/core/repeat_budget.hpp"
+#include "ragwortcove/core/rollout_controller.hpp"
 #include "ragwortcove/core/team_quota.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
@@ -37,6 +38,7 @@
     core::duration stop_limit = std::chrono::seconds{8};
     core::repeat_limits repeats;
     core::quota_tolerance quotas;
+    core::rollout_limits rollouts;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -170,6 +170,26 @@
     log_event_entry{log_event::brake_set, "brake_set", log_level::warning,
                     "a new version was seen to be bad and gets no more requests",
                     "look at the new version"},
+    log_event_entry{log_event::rollout_ordered, "rollout_ordered", log_level::info,
+                    "this node knows of an operator's roll-out, or its stored state changed",
+                    "none"},
+    log_event_entry{log_event::rollout_stepped, "rollout_stepped", log_level::info,
+                    "the controller of a roll-out changed the new version's share, in "
+                    "thousandths; `reason` gives the figures",
+                    "none"},
+    log_event_entry{log_event::rollout_halted, "rollout_halted", log_level::warning,
+                    "the new version of a roll-out is bad and gets no more requests from this "
+                    "node; `from` found it out or passed it on",
+                    "look at the new version"},
+    log_event_entry{log_event::rollout_state_stored, "rollout_state_stored", log_level::info,
+                    "the platform has the state of a roll-out", "none"},
+    log_event_entry{log_event::rollout_state_not_stored, "rollout_state_not_stored",
+                    log_level::warning,
+                    "the state of a roll-out could not be stored; it is decided again and retried",
+                    "look at the platform when it repeats"},
+    log_event_entry{log_event::rollout_unreadable, "rollout_unreadable", log_level::warning,
+                    "an operator's roll-out cannot be read; it is not carried out",
+                    "correct the entry at `place`"},
 };
 
 std::span<const log_event_entry> log_event_catalogue()
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -79,6 +80,16 @@
     return read.ec == std::errc{} && read.ptr == end && into >= 0.0;
 }
 
+static bool read_count(std::string_view text, std::uint32_t& into)
+{
+    double read = 0.0;
+    const bool readable =
+        read_number(text, read) && read <= std::numeric_limits<std::uint32_t>::max();
+    if (readable)
+        into = static_cast<std::uint32_t>(read);
+    return readable;
+}
+
 static bool read_flag(std::string_view text, bool& into)
 {
     into = text == "true";
@@ -170,6 +181,15 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_number(text, into.quotas.slack);
               }},
+    known_key{"gateway", "canary_share", false, "a number from zero to one",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_number(text, into.rollouts.max_share) &&
+                         into.rollouts.max_share <= 1.0;
+              }},
+    known_key{"gateway", "canary_allowance", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_count(text, into.rollouts.extra_requests);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -37,6 +37,18 @@
               "boot.ini:15: repeat_window = \"soon\": expected a duration, such as 250ms or 5s");
         CHECK_FALSE(two_errors.settings.has_value());
     }
+    SUBCASE("what a new version may get is read, and bounded")
+    {
+        const auto given = read(valid_settings + "canary_share = 0.15\ncanary_allowance = 60.0\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->rollouts.max_share == doctest::Approx(0.15));
+        CHECK(given.settings->rollouts.extra_requests == 60);
+        CHECK(read(valid_settings + "canary_share = 1.5\n").errors.size() == 1);
+        CHECK(read(valid_settings + "canary_share = -0.1\n").errors.size() == 1);
+        CHECK(read(valid_settings + "canary_allowance = many\n").errors.size() == 1);
+        CHECK(outcome.settings->rollouts.max_share == doctest::Approx(0.1));
+        CHECK(outcome.settings->rollouts.extra_requests == 50);
+    }
     SUBCASE("a missing key is named")
     {
         const auto missing = read("[node]\nname = n1\nregion = r\nfailure_domain = a\n[gateway]\n");
