[gateway] roll-outs are carried out

Now rollouts is a third replicated kind of document; a node is ready only when it has read all three. rollout_service gives each upstream its pool, reports this node's counts to the owner of the key rollout/TARGET, which runs the controller, obeys directives of that owner and halts of anyone, and stores states on condition of the order's revision. The call handler asks the split at each placement, goes back to the target's own pool when a canary pool denies a request, checks a grant once more before it is used, and tells the split of each attempt.

Of the new version's upstreams, which ones a node's requests use is the node's own choice, so all of them are one pool on every node and the unused ones are named as to be avoided.

--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -25,6 +25,8 @@
     /// Start time in Unix milliseconds by the upstream's own clock; distinguishes two processes
     /// with the same name.
     std::int64_t started_at = 0;
+    /// Until when the upstream is slow after its start, as it announces.
+    time_point warm_at;
     /// Revision of the announcement.
     revision at;
     /// Placement pool: the target, or its canaries during a roll-out. Empty stands for the target;
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -13,6 +13,7 @@
 #include "ragwortcove/gateway/gateway_metrics.hpp"
 #include "ragwortcove/gateway/open_call.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
+#include "ragwortcove/gateway/rollout_service.hpp"
 #include "ragwortcove/http/inbound.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/outbound.hpp"
@@ -41,6 +42,8 @@
     std::function<std::shared_ptr<const core::rule_index>()> rules;
     std::function<const core::announced_upstream*(const core::upstream_name&)> find_upstream;
     std::function<std::size_t()> serving_node_count;
+    /// Decides which version of a target gets a request.
+    rollout_service& rollouts;
 };
 
 class call_handler {
@@ -66,8 +69,11 @@
     void choose_target(open_call& call);
     void request_quota(open_call& call);
     void on_quota_decision(http::inbound_exchange exchange, const core::quota_decision& decision);
+    /// Chooses the version that may get the request, and places it there.
     void place(open_call& call);
+    void place_in_pool(open_call& call, core::target_name&& pool);
     [[nodiscard]] core::placement_request make_placement_request(const open_call& call);
+    void limit_to_canaries(core::placement_request& request, const open_call& call) const;
     void on_placement_response(http::inbound_exchange exchange, placement_number number,
                                const core::placement_response& response);
     void on_granted(open_call& call, const core::placement_grant& grant);
@@ -86,6 +92,12 @@
     void on_deadline(http::inbound_exchange exchange);
     void handle_failed_dispatch(open_call& call, core::dispatch_end end);
 
+    void observe(const open_call& call, core::rollout_observation::event_kind kind,
+                 core::duration time = {});
+    /// Observes the first event of a stream, and its pace once there are enough events.
+    void observe_event(const open_call& call);
+    void observe_end(open_call& call, core::placement_outcome outcome);
+
     void release_placement(open_call& call, core::placement_outcome outcome);
     void forward_response(open_call& call);
     void refuse(open_call& call, int status, std::string_view reason, core::duration retry_after);
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "ragwortcove/gateway/gateway_metrics.hpp"
 #include "ragwortcove/gateway/gateway_settings.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
+#include "ragwortcove/gateway/rollout_service.hpp"
 #include "ragwortcove/http/inbound.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/outbound.hpp"
@@ -51,6 +52,10 @@
     void apply_documents(const document_update& update);
     void apply_rules(const document_update& update);
     void apply_upstreams(const document_update& update);
+    void apply_rollouts();
+    [[nodiscard]] rollout_dependencies make_rollout_dependencies();
+    void store_rollout_state(const core::rollout_order& order, core::rollout_state state,
+                             state_write_handler&& done);
     void on_directory_changed(const core::directory_changes& changes);
     void exchange_documents();
     [[nodiscard]] wire::PeerDatagram make_digest() const;
@@ -90,6 +95,7 @@
     std::unique_ptr<http::inbound_server> metrics_server;
     std::unique_ptr<fleet> nodes;
     std::unique_ptr<placement_service> placement;
+    std::unique_ptr<rollout_service> rollouts;
     std::unique_ptr<call_handler> calls;
     std::unique_ptr<document_feed> feed;
     http::timer_id tick_timer = 0;
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -23,6 +23,9 @@
 /// One attempt to run a request at one upstream.
 struct dispatch {
     core::upstream_name upstream;
+    core::version_name version;
+    /// Whether the upstream was still slow after its start when the request was sent.
+    bool is_warming_up = false;
     http::outbound_exchange exchange = 0;
     core::time_point sent_at;
     core::time_point first_event_at;
@@ -32,7 +35,10 @@
     adapter::response_facts facts;
     std::string body;
     event_splitter splitter;
+    /// Whether the end has been counted for or against the version.
+    bool end_observed = false;
 };
+
 struct open_call {
     http::inbound_exchange exchange = 0;
     http::inbound_request request;
@@ -42,6 +48,8 @@
     const core::http_route* route = nullptr;
     const core::team_rule* team = nullptr;
     core::target_name target;
+    /// Where the request is placed: the target's own pool, or that of its canaries.
+    core::target_name pool;
     double quota_cost = 0.0;
     /// Whether the cost was charged to the quota; it is refunded if the request does not run.
     bool quota_charged = false;
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -23,6 +23,9 @@
 static constexpr std::chrono::milliseconds connect_timeout{250};
 /// Assumed ratio of the output length to its maximum when the caller gives no hint.
 static constexpr double typical_length_ratio = 0.6;
+/// Part of the latency goal that a request waits for a canary before it is placed on another
+/// upstream, as a divisor.
+static constexpr int canary_wait_divisor = 8;
 
 call_handler::call_handler(call_dependencies&& dependencies)
     : env(std::move(dependencies)),
@@ -162,7 +165,7 @@
 {
     const time_point at = this->now();
     core::placement_request request;
-    request.target = call.target;
+    request.pool = call.pool;
     if (call.team != nullptr)
         request.team = call.team->name;
     const std::uint32_t team_rank = call.team == nullptr ? 0 : call.team->rank.value_or(0);
@@ -180,15 +183,37 @@
     request.longest_pause = call.route->longest_pause;
     request.failure_domain = this->env.failure_domain;
     request.avoid = call.avoid;
+    if (call.pool != call.target)
+        this->limit_to_canaries(request, call);
     std::erase_if(this->unreachable_until, [at](const auto& each) { return each.second <= at; });
     for (const auto& [name, until] : this->unreachable_until)
         request.avoid.push_back(name);
     return request;
 }
 
+// A request can be placed on another upstream instead of a canary, until all of them are to go to
+// the new version.
+void call_handler::limit_to_canaries(core::placement_request& request, const open_call& call) const
+{
+    for (core::upstream_name& unused : this->env.rollouts.unused_canaries(call.target))
+        request.avoid.push_back(std::move(unused));
+    if (!this->env.rollouts.moves_all(call.target))
+        request.max_wait = std::min(request.max_wait, call.route->goal / canary_wait_divisor);
+}
+
 void call_handler::place(open_call& call)
 {
     call.placement_started_at = this->now();
+    const bool on_canary = this->env.rollouts.split().choose_canary(
+        {call.target, call.route->name, call.route->idempotent}, this->random,
+        call.placement_started_at);
+    this->place_in_pool(call, on_canary ? core::canary_pool_of(call.target)
+                                        : core::target_name{call.target});
+}
+
+void call_handler::place_in_pool(open_call& call, core::target_name&& pool)
+{
+    call.pool = std::move(pool);
     const http::inbound_exchange exchange = call.exchange;
     const placement_number number = this->env.placement.place(
         this->make_placement_request(call),
@@ -221,15 +246,19 @@
 void call_handler::on_granted(open_call& call, const core::placement_grant& grant)
 {
     const core::announced_upstream* upstream = this->env.find_upstream(grant.upstream);
-    if (upstream != nullptr && !upstream->leaving) {
+    const bool is_serving = upstream != nullptr && !upstream->leaving;
+    if (is_serving && this->env.rollouts.split().may_send(*upstream, this->now())) {
         call.uncached_tokens = grant.uncached_tokens;
         this->send_to_upstream(call, *upstream);
         return;
     }
-    // The owner does not know yet that the upstream was removed or is leaving.
+    // The owner does not know yet that the upstream was removed or is leaving, or that its version
+    // gets no more requests. There may be many upstreams of that version, each granted once.
     this->release_placement(call, core::placement_outcome::cancelled);
     call.avoid.push_back(grant.upstream);
-    if (++call.stale_grants > max_stale_grants) {
+    if (is_serving)
+        this->env.metrics.count("withheld_grants", "target", call.target.value);
+    else if (++call.stale_grants > max_stale_grants) {
         this->refuse(call, status_unavailable, "no upstream", retry_after_refusal);
         return;
     }
@@ -239,6 +268,12 @@
 void call_handler::on_denied(open_call& call, const core::placement_denial& denial)
 {
     const bool no_upstream = denial.reason == core::denial_reason::no_upstream;
+    const bool has_other_version = no_upstream || !this->env.rollouts.moves_all(call.target);
+    if (call.pool != call.target && has_other_version) {
+        this->env.metrics.count("canary_denials", "target", call.target.value);
+        this->place_in_pool(call, core::target_name{call.target});
+        return;
+    }
     const std::string_view reason = no_upstream ? "no upstream" : "no place in time";
     if (call.history.response_started) {
         this->abort_response(call, reason);
@@ -283,6 +318,8 @@
     };
     call.active_dispatch.emplace();
     call.active_dispatch->upstream = upstream.name;
+    call.active_dispatch->version = upstream.version;
+    call.active_dispatch->is_warming_up = at < upstream.warm_at;
     call.active_dispatch->sent_at = at;
     daemon::write_log(log_event::request_placed,
                       {{"request", call.facts.attempt},
@@ -298,6 +335,7 @@
                        {"rules", std::to_string(call.rules->rules().version)}});
     this->env.metrics.observe("placement_wait", call.route->name.value,
                               at - call.placement_started_at);
+    this->observe(call, core::rollout_observation::event_kind::sent);
     call.active_dispatch->exchange =
         this->env.upstreams.start(std::move(request), std::move(handlers));
     this->arm_idle_timer(call);
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -76,6 +76,7 @@
         active_dispatch.first_event_at = at;
         this->env.placement.started(call.placement, at - active_dispatch.sent_at);
     }
+    this->observe_event(call);
     if (call.history.response_started)
         return;
     call.history.response_started = true;
@@ -265,6 +266,7 @@
 {
     this->env.event_loop.cancel(call.idle_timer);
     call.idle_timer = 0;
+    this->observe_end(call, outcome);
     if (call.placement == 0)
         return;
     duration time_to_first_event{0};
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -31,6 +31,8 @@
         return "rules";
     case adapter::document_kind::upstreams:
         return "upstreams";
+    case adapter::document_kind::rollouts:
+        return "rollouts";
     case adapter::document_kind::own_objects:
         return "objects";
     case adapter::document_kind::own_claims:
@@ -43,10 +45,10 @@
                              document_feed_handlers&& given)
     : event_loop(loop), store(client), random(seed), handlers(std::move(given))
 {
-    this->kinds[0].kind = adapter::document_kind::rules;
-    this->kinds[1].kind = adapter::document_kind::upstreams;
-    for (kind_state& each : this->kinds)
-        this->list_store(each);
+    for (std::size_t index = 0; index < this->kinds.size(); ++index) {
+        this->kinds[index].kind = static_cast<adapter::document_kind>(index);
+        this->list_store(this->kinds[index]);
+    }
 }
 
 document_feed::~document_feed() = default;
@@ -129,10 +131,14 @@
     if (reads == this->reading)
         return;
     this->reading = reads;
+    const auto revision_text = [this](adapter::document_kind kind) {
+        return std::to_string(this->revision_of(kind).value);
+    };
     daemon::write_log(daemon::log_event::reading_changed,
                       {{"reads", reads ? "true" : "false"},
-                       {"rules_revision", std::to_string(this->kinds[0].revision.value)},
-                       {"upstreams_revision", std::to_string(this->kinds[1].revision.value)}});
+                       {"rules_revision", revision_text(adapter::document_kind::rules)},
+                       {"upstreams_revision", revision_text(adapter::document_kind::upstreams)},
+                       {"rollouts_revision", revision_text(adapter::document_kind::rollouts)}});
     for (kind_state& each : this->kinds) {
         if (reads && !each.polling)
             this->list_store(each);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -104,12 +104,13 @@
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
+    this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
     this->calls = std::make_unique<call_handler>(call_dependencies{
         loop, *this->caller_server, this->upstream_connections, *this->placement, this->repeats,
         this->metrics, given.failure_domain, [this] { return this->rules; },
         [this](const core::upstream_name& name) { return this->directory.find(name); },
-        [this] { return this->nodes->serving_node_count(); }});
+        [this] { return this->nodes->serving_node_count(); }, *this->rollouts});
 
     document_feed_handlers feed_handlers;
     feed_handlers.updated = [this](const document_update& update) {
@@ -159,6 +160,7 @@
 {
     daemon::flush_log();
     this->placement->tick();
+    this->rollouts->tick();
     this->on_directory_changed(this->directory.tick(this->now()));
     this->refresh_readiness();
     this->exchange_documents();
@@ -173,6 +175,9 @@
         this->on_digest(from, message.digest());
     else if (message.body_case() == wire::PeerDatagram::kDelta)
         this->on_delta(from, message.delta());
+    else if (message.body_case() == wire::PeerDatagram::kRolloutReport ||
+             message.body_case() == wire::PeerDatagram::kRolloutDirective)
+        this->rollouts->receive_message(from, message);
     else
         this->placement->receive_message(from, message);
 }
@@ -248,6 +253,12 @@
           to_value(this->feed->revision_of(adapter::document_kind::rules).value)},
          {"upstreams_revision", "revision of the upstreams in force",
           to_value(this->feed->revision_of(adapter::document_kind::upstreams).value)},
+         {"rollouts_revision", "revision of the roll-outs in force",
+          to_value(this->feed->revision_of(adapter::document_kind::rollouts).value)},
+         {"rollouts_active", "roll-outs that have not ended",
+          to_value(this->rollouts->split().active_orders().size())},
+         {"rollouts_controlled", "roll-outs that this node controls",
+          to_value(this->rollouts->controlled_count())},
          {"store_answers", "whether the store answered the last calls",
           this->feed->is_store_available() ? 1.0 : 0.0},
          {"serving_nodes", "nodes that serve, this one among them",
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -56,8 +56,9 @@
 {
     wire::PeerDatagram message;
     wire::DocumentDigest& digest = *message.mutable_digest();
-    for (const auto kind : {adapter::document_kind::rules, adapter::document_kind::upstreams})
-        digest.add_revisions(this->feed->revision_of(kind).value);
+    for (std::size_t index = 0; index < adapter::replicated_kind_count; ++index)
+        digest.add_revisions(
+            this->feed->revision_of(static_cast<adapter::document_kind>(index)).value);
     digest.set_reads(this->feed->is_healthy_reader());
     digest.set_doubt(this->removal_grace_left().count());
     return message;
@@ -135,6 +136,9 @@
     case adapter::document_kind::upstreams:
         this->apply_upstreams(update);
         break;
+    case adapter::document_kind::rollouts:
+        this->apply_rollouts();
+        break;
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
         break; // A gateway does not store these documents.
@@ -173,7 +177,8 @@
     core::directory_changes changes;
     const core::time_point at = this->now();
     for (const adapter::store_document& document : update.documents) {
-        if (std::optional<core::announced_upstream> upstream = adapter::read_upstream(document)) {
+        if (std::optional<core::announced_upstream> upstream =
+                adapter::read_upstream(document, at)) {
             readable.push_back(std::move(*upstream));
             continue;
         }
@@ -221,7 +226,7 @@
     }
     for (const core::upstream_name& name : changes.removed)
         this->upstream_connections.forget(name.value);
-    this->placement->set_upstreams(this->directory.all());
+    this->rollouts->set_upstreams(this->directory.all());
 }
 
 } // namespace ragwortcove::gateway
--- a/unittests/adapter/documents_test.cpp
+++ b/unittests/adapter/documents_test.cpp
@@ -7,7 +7,7 @@
 
 static constexpr std::string_view page = R"({"entries":[
   {"meta":{"name":"i-1","revision":8},"spec":{"service":"lm","addr":"10.1.0.9:80","zone":"a",
-   "version":"v1","slots":10,"state":"ready","born":1700000000123,"seq":4,"odd":[1]}},
+   "version":"v1","slots":10,"state":"ready","born":1700000000123,"cold_left_ms":700,"seq":4,"odd":[1]}},
   {"meta":{"name":"i-2","revision":9},"spec":{"service":"lm","addr":"10.1.0.8:80","zone":"b",
    "version":"v1","slots":10,"state":"draining"}},
   {"meta":{"revision":9},"spec":{}},
@@ -20,6 +20,7 @@
 
 TEST_CASE("a page of the store is read")
 {
+    constexpr core::time_point read_at{std::chrono::hours{1}};
     const std::optional<document_page> read = read_page(page);
     REQUIRE(read.has_value());
     CHECK(read->part.at.value == 12);
@@ -29,7 +30,7 @@
 
     SUBCASE("a complete entry describes an upstream")
     {
-        const auto upstream = read_upstream(read->part.documents[0]);
+        const auto upstream = read_upstream(read->part.documents[0], read_at);
         REQUIRE(upstream.has_value());
         CHECK(upstream->name.value == "i-1");
         CHECK(upstream->target.value == "lm");
@@ -37,14 +38,15 @@
         CHECK(upstream->slots == 10);
         CHECK(upstream->started_at == 1700000000123);
         CHECK(upstream->at.value == 8);
+        CHECK(upstream->warm_at == read_at + std::chrono::milliseconds(700));
         CHECK_FALSE(upstream->leaving);
-        CHECK(read_upstream(read->part.documents[1])->leaving);
+        CHECK(read_upstream(read->part.documents[1], read_at)->leaving);
     }
     SUBCASE("an entry with missing fields, wrong types or an unknown state describes no upstream")
     {
-        CHECK_FALSE(read_upstream(read->part.documents[2]).has_value());
-        CHECK_FALSE(read_upstream(read->part.documents[3]).has_value());
-        CHECK_FALSE(read_upstream(read->part.documents[4]).has_value());
+        CHECK_FALSE(read_upstream(read->part.documents[2], read_at).has_value());
+        CHECK_FALSE(read_upstream(read->part.documents[3], read_at).has_value());
+        CHECK_FALSE(read_upstream(read->part.documents[4], read_at).has_value());
     }
     SUBCASE("a node sends a page on in the same format")
     {
@@ -77,6 +79,94 @@
     return boost::json::parse({text.data(), text.size()});
 }
 
+static store_document make_rollout(std::string_view content, std::string_view status = "null")
+{
+    store_document document;
+    document.name = "huvo11a";
+    document.at = {41};
+    document.content = parse(content);
+    document.status = parse(status);
+    return document;
+}
+
+static core::rollout_order read_order(const store_document& document)
+{
+    const auto read = read_rollout_order(document);
+    REQUIRE(std::holds_alternative<core::rollout_order>(read));
+    return std::get<core::rollout_order>(read);
+}
+
+TEST_CASE("an operator's roll-out is read with the state that was stored for it")
+{
+    constexpr std::string_view content =
+        R"({"service":"huvo11a","target":"v2","over_s":12.5,"new":1})";
+    const core::rollout_order order = read_order(make_rollout(content));
+    CHECK(order.target.value == "huvo11a");
+    CHECK(order.version.value == "v2");
+    CHECK(order.time_limit == std::chrono::milliseconds(12500));
+    CHECK(order.state == core::rollout_state::pending);
+    CHECK(order.at.value == 41);
+
+    const auto state_with = [&](std::string_view status) {
+        return read_order(make_rollout(content, status)).state;
+    };
+    SUBCASE("each state that the system stores is read back")
+    {
+        for (const core::rollout_state state :
+             {core::rollout_state::running, core::rollout_state::complete,
+              core::rollout_state::reverted}) {
+            const report_status call = write_rollout_state(order, state);
+            CHECK(call.kind == "rollouts");
+            CHECK(call.name == "huvo11a");
+            CHECK(call.expected == core::revision{41});
+            store_document stored = make_rollout(content);
+            stored.status = call.status;
+            CHECK(read_order(stored).state == state);
+        }
+    }
+    SUBCASE("a state of an order for another version is not this order's")
+    {
+        CHECK(state_with(R"({"state":"complete","target":"v1"})") == core::rollout_state::pending);
+        CHECK(state_with(R"({"state":"complete"})") == core::rollout_state::pending);
+    }
+    SUBCASE("a status that cannot be read counts as none")
+    {
+        CHECK(state_with(R"({"state":"odd","target":"v2"})") == core::rollout_state::pending);
+        CHECK(state_with(R"({"state":7,"target":"v2"})") == core::rollout_state::pending);
+        CHECK(state_with(R"(["complete"])") == core::rollout_state::pending);
+    }
+    SUBCASE("the call is the one that the store expects")
+    {
+        const store_message message =
+            write_store_call(write_rollout_state(order, core::rollout_state::running));
+        CHECK(message.method == "PUT");
+        CHECK(message.target == "/objects/rollouts/huvo11a/status?revision=41");
+        CHECK(message.body.find(R"("status":{"state":"running","target":"v2"})") !=
+              std::string::npos);
+    }
+}
+
+TEST_CASE("an invalid roll-out is rejected with the path of the invalid field")
+{
+    const auto error_of = [](std::string_view content) {
+        const auto read = read_rollout_order(make_rollout(content));
+        REQUIRE(std::holds_alternative<document_error>(read));
+        return std::get<document_error>(read);
+    };
+    CHECK(error_of(R"({"target":"v2","over_s":12})").location == "huvo11a.service");
+    CHECK(error_of(R"({"service":"huvo11a","over_s":12})").location == "huvo11a.target");
+    CHECK(error_of(R"({"service":"huvo11a","target":2,"over_s":12})").expected == "a string");
+    CHECK(error_of(R"({"service":"huvo11a","target":"","over_s":12})").expected == "a version");
+    CHECK(error_of(R"({"service":"huvo11a","target":"v2"})").location == "huvo11a.over_s");
+    CHECK(error_of(R"({"service":"huvo11a","target":"v2","over_s":"12"})").expected == "a number");
+    CHECK(error_of(R"({"service":"huvo11a","target":"v2","over_s":-1})").location ==
+          "huvo11a.over_s");
+    CHECK(error_of(R"({"service":"other","target":"v2","over_s":12})").expected ==
+          "the name of the entry");
+    CHECK(error_of("[]").expected == "an object");
+    CHECK(error_of("null").location == "huvo11a");
+}
+
 TEST_CASE("a configuration is translated into the project's types")
 {
     const auto read = read_ruleset(parse(R"({"version":7,"new":{"x":1},"routes":[
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -22,8 +22,11 @@
     http::outbound_client upstreams{event_loop, 5s};
     core::repeat_budget repeats{core::repeat_limits{0.2, 100.0, 10s}};
     gateway_metrics metrics;
+    std::unique_ptr<rollout_service> rollouts;
     std::shared_ptr<const core::rule_index> rules;
     std::vector<core::announced_upstream> announced;
+    /// Another node, so that tests send its directives.
+    core::node_name controller{"m"};
     std::unique_ptr<placement_service> placement;
     std::unique_ptr<http::inbound_server> callers;
     std::unique_ptr<call_handler> calls;
@@ -52,6 +55,21 @@
         dependencies.serving_node_count = [] { return 1; };
         dependencies.lost_node_count = [] { return 0; };
         this->placement = std::make_unique<placement_service>(std::move(dependencies));
+        rollout_dependencies functions;
+        functions.self.value = "n";
+        functions.run.value = 1;
+        functions.now = [this] { return core::time_point{this->event_loop.now()}; };
+        functions.owner_of = [this](std::string_view) { return this->controller; };
+        functions.serving_node_count = [] { return 2; };
+        functions.send = [](const core::node_name&, wire::PeerDatagram&) {};
+        functions.send_to_all = [](wire::PeerDatagram&) {};
+        functions.store_state = [](const core::rollout_order&, core::rollout_state,
+                                   state_write_handler&&) {};
+        functions.place_upstreams = [this](std::span<const core::announced_upstream> all) {
+            this->placement->set_upstreams(all);
+        };
+        this->rollouts = std::make_unique<rollout_service>(std::move(functions));
+        this->rollouts->set_orders({});
         this->calls = std::make_unique<call_handler>(
             call_dependencies{this->event_loop,
                               *this->callers,
@@ -62,7 +80,8 @@
                               {"a"},
                               [this] { return this->rules; },
                               [this](const core::upstream_name& name) { return this->find(name); },
-                              [] { return 1; }});
+                              [] { return 1; },
+                              *this->rollouts});
         this->set_test_rules();
     }
 
@@ -113,7 +132,7 @@
         upstream.address = {"127.0.0.1", server.port()};
         upstream.slots = 4;
         this->announced.push_back(upstream);
-        this->placement->set_upstreams(this->announced);
+        this->rollouts->set_upstreams(std::vector(this->announced));
     }
 
     /// Sends one request as a caller and returns the bytes of the response.
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -12,9 +12,11 @@
 using adapter::document_kind;
 using http::test::run_until;
 
+static constexpr std::size_t kind_count = adapter::replicated_kind_count;
+
 namespace {
 
-/// A fake store on the event loop, with documents of both kinds and long-polling watches.
+/// A fake store on the event loop, with documents of all kinds and long-polling watches.
 struct fake_store {
     http::loop& event_loop;
     std::unique_ptr<http::inbound_server> server;
@@ -24,10 +26,12 @@
     std::vector<std::pair<http::inbound_exchange, std::string>> open_watches;
     /// Latest change of each kind that no open watch is notified of.
     std::map<std::string, std::string> unannounced;
-    int lists = 0;
+    std::size_t lists = 0;
     int watches = 0;
     /// Status with which every call fails; zero for none.
     int error_status = 0;
+    /// Kind whose calls fail; empty for none.
+    std::string refused_kind;
 
     explicit fake_store(http::loop& loop) : event_loop(loop)
     {
@@ -61,6 +65,10 @@
             this->server->respond(id, this->error_status, {}, "");
             return;
         }
+        if (kind == this->refused_kind) {
+            this->server->respond(id, 503, {}, "");
+            return;
+        }
         if (target.find("watch=") != std::string::npos) {
             ++this->watches;
             if (target.find("wait_ms=0") == std::string::npos)
@@ -157,11 +165,12 @@
     feed_fixture fixture;
     fixture.store.documents["config"]["main"] = 4;
     fixture.start();
-    REQUIRE(fixture.run_until_true(
-        [&] { return fixture.feed->is_complete() && fixture.store.open_watches.size() == 2; }));
+    REQUIRE(fixture.run_until_true([&] {
+        return fixture.feed->is_complete() && fixture.store.open_watches.size() == kind_count;
+    }));
     CHECK(fixture.feed->revision_of(document_kind::rules).value == 4);
-    // One update for each kind, although there are no upstreams yet.
-    CHECK(fixture.updates.size() == 2);
+    // One update for each kind, although there are no upstreams and no roll-outs yet.
+    CHECK(fixture.updates.size() == kind_count);
 
     SUBCASE("a watch returns a change")
     {
@@ -171,13 +180,27 @@
         CHECK(fixture.updates.back().documents.size() == 1);
         CHECK_FALSE(fixture.updates.back().is_full_list);
     }
+    SUBCASE("a watch returns a roll-out, which is announced like any other document")
+    {
+        fixture.store.put("rollouts", "huvo11a");
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::rollouts).value == 11; }));
+        CHECK(fixture.updates.back().kind == document_kind::rollouts);
+        CHECK(fixture.feed->all_documents(document_kind::rollouts).documents.size() == 1);
+        REQUIRE(fixture.announced.size() == 1);
+        CHECK(fixture.announced[0].kind == document_kind::rollouts);
+        // The rules keep the revision of their own newest change.
+        CHECK(fixture.feed->revision_of(document_kind::rules).value == 4);
+    }
     SUBCASE("a watch returns a removal")
     {
         fixture.store.put("servers", "i-1");
-        REQUIRE(fixture.run_until_true(
-            [&] { return fixture.updates.size() == 3 && fixture.store.open_watches.size() == 2; }));
+        REQUIRE(fixture.run_until_true([&] {
+            return fixture.updates.size() == kind_count + 1 &&
+                   fixture.store.open_watches.size() == kind_count;
+        }));
         fixture.store.remove("servers", "i-1");
-        REQUIRE(fixture.run_until_true([&] { return fixture.updates.size() == 4; }));
+        REQUIRE(fixture.run_until_true([&] { return fixture.updates.size() == kind_count + 2; }));
         CHECK(fixture.updates.back().removed == std::vector<std::string>{"i-1"});
         CHECK(fixture.feed->all_documents(document_kind::upstreams).documents.empty());
     }
@@ -206,13 +229,26 @@
     }
 }
 
+TEST_CASE("a node without one of the kinds is not complete")
+{
+    feed_fixture fixture;
+    fixture.store.refused_kind = "rollouts";
+    fixture.start();
+    fixture.pass(300ms);
+    CHECK_FALSE(fixture.feed->is_complete());
+    CHECK_FALSE(fixture.feed->is_healthy_reader());
+    fixture.store.refused_kind.clear();
+    CHECK(fixture.run_until_true([&] { return fixture.feed->is_healthy_reader(); }));
+}
+
 TEST_CASE("a node fetches newer documents from another node when the store has none")
 {
     feed_fixture fixture;
     fixture.store.documents["config"]["main"] = 4;
     fixture.start();
-    REQUIRE(fixture.run_until_true(
-        [&] { return fixture.feed->is_complete() && fixture.store.open_watches.size() == 2; }));
+    REQUIRE(fixture.run_until_true([&] {
+        return fixture.feed->is_complete() && fixture.store.open_watches.size() == kind_count;
+    }));
     fake_store other(fixture.event_loop);
     other.documents["config"]["main"] = 20;
     other.revision = 20;
@@ -248,8 +284,9 @@
     feed_fixture fixture;
     fixture.store.documents["servers"]["i-1"] = 4;
     fixture.start();
-    REQUIRE(fixture.run_until_true(
-        [&] { return fixture.feed->is_complete() && fixture.store.open_watches.size() == 2; }));
+    REQUIRE(fixture.run_until_true([&] {
+        return fixture.feed->is_complete() && fixture.store.open_watches.size() == kind_count;
+    }));
     CHECK(fixture.feed->is_healthy_reader());
     // The first list is not announced.
     CHECK(fixture.announced.empty());
@@ -301,7 +338,7 @@
     REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_complete(); }));
     fixture.pass(150ms);
     CHECK(fixture.store.watches == 0);
-    CHECK(fixture.store.lists == 2);
+    CHECK(fixture.store.lists == kind_count);
     fake_store other(fixture.event_loop);
     const http::socket_address address{"127.0.0.1", other.server->port()};
     const auto change = [](const std::string& name, std::uint64_t at, bool removed) {
@@ -323,7 +360,7 @@
         CHECK(fixture.feed->all_documents(document_kind::upstreams).documents.size() == 1);
         // Only readers announce changes.
         CHECK(fixture.announced.empty());
-        CHECK(fixture.store.lists == 2);
+        CHECK(fixture.store.lists == kind_count);
     }
     SUBCASE("a repeated change and an older change are ignored")
     {
@@ -359,7 +396,7 @@
         }
         fixture.pass(500ms);
         CHECK(fixture.feed->revision_of(document_kind::rules) == fixture.store.revision_now());
-        CHECK(fixture.store.lists <= 2 + 4);
+        CHECK(fixture.store.lists <= kind_count + 4);
     }
     SUBCASE("it lists from the reader when the store is unavailable")
     {
@@ -380,7 +417,7 @@
             [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 11; }));
         REQUIRE(fixture.announced.size() == 1);
         CHECK(fixture.announced[0].base_revision.value == 4);
-        CHECK(fixture.store.lists == 2);
+        CHECK(fixture.store.lists == kind_count);
     }
 }
 
