--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -62,6 +62,8 @@
 /// A version is bad at this sum; it is suspicious, and gets no larger share, at the smaller one.
 static constexpr double bad_sum = 6.5;
 static constexpr double suspicious_sum = 3.5;
+/// Parts of the latter: for the next step, and for all requests once more.
+static constexpr double advance_part = 0.85;
 static constexpr double cleared_part = 0.4;
 /// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
 /// or fewer occasions.
@@ -390,7 +392,8 @@
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const std::uint32_t results = this->results() - this->results_before;
-    return was_held && results >= this->needed_results(now) && this->is_clean(now);
+    const double max_sum = advance_part * (suspicious_sum + this->sum_margin(now));
+    return was_held && results >= this->needed_results(now) && this->max_sum() < max_sum;
 }
 
 // A controller that takes over goes on at the share that the entries still apply.
