--- a/lib/gateway/rollout_service.cpp
+++ b/lib/gateway/rollout_service.cpp
@@ -19,6 +19,8 @@
 static constexpr duration exchange_interval_per_node = 5ms;
 /// A share holds for a limited time, within which a directive may be lost.
 static constexpr duration max_exchange_interval = core::directive_lifetime / 3;
+/// Part of a share by which a notable change exceeds it at least, as a divisor.
+static constexpr std::uint32_t notable_share_divisor = 8;
 /// Share of all requests of a target, in thousandths.
 static constexpr std::uint32_t all_permille = 1000;
 /// Canaries that one request may name as not to be used.
@@ -69,6 +71,16 @@
     return "unknown";
 }
 
+/// Whether a directive differs so much from an earlier one that it is sent at once and logged.
+static bool differs_notably(const core::rollout_directive& before,
+                            const core::rollout_directive& after)
+{
+    if (before.halted != after.halted)
+        return true;
+    const auto [smaller, larger] = std::minmax(before.share_permille, after.share_permille);
+    return (larger - smaller) * notable_share_divisor > larger;
+}
+
 rollout_service::rollout_service(rollout_dependencies&& dependencies)
     : env(std::move(dependencies)), random(this->env.run.value)
 {
@@ -329,9 +341,8 @@
         step.store_state = core::rollout_state::reverted;
         step.reason = "halted by an earlier controller";
     }
-    const bool has_changed = own.directive != step.directive;
-    own.directive = step.directive;
-    if (has_changed)
+    const bool is_notable = !own.directive || differs_notably(*own.directive, step.directive);
+    if (is_notable)
         daemon::write_log(log_event::rollout_stepped,
                           {{"target", order.target.value},
                            {"version", order.version.value},
@@ -342,8 +353,11 @@
         this->halt(order.target, order.version, this->env.self, step.reason);
     else
         this->apply_share(step.directive);
-    if (has_changed || must_send)
+    // Small changes go with the next regular directive.
+    if (is_notable || must_send) {
+        own.directive = step.directive;
         this->send_directive(step.directive);
+    }
     if (step.store_state && *step.store_state != order.state)
         this->store(order, *step.store_state);
 }
