--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -34,9 +34,11 @@
 } // namespace
 
 // Before the last step the new version has had 7 in 100 of the requests expected by the deadline
-// (0.52 x 40 + 0.07 x 200 + 0.07 x 500 permille) and a part of the extra ones: what is left of the
-// limits is for a version that turns bad in a step, until the halt reaches all entries.
-static constexpr std::array<plan_step, 4> plan{{{40, 0.0}, {200, 0.52}, {500, 0.59}, {1000, 0.66}}};
+// (0.53 x 40 + 0.055 x 200 + 0.07 x 500 permille) and a part of the extra ones. What is left, 3 in
+// 100 and most of the extra ones, is for a version that turns bad then: about 0.04 of the time
+// limit.
+static constexpr std::array<plan_step, 4> plan{
+    {{40, 0.0}, {200, 0.53}, {500, 0.585}, {1000, 0.655}}};
 static constexpr std::size_t last_step = plan.size() - 1;
 /// Minimum duration of a step, and the time after which no further step begins.
 static constexpr double min_step_part = 0.05;
@@ -52,7 +54,7 @@
 static constexpr double all_requests_at = 0.3;
 /// Part of the extra requests that canaries use: the more, the fewer requests are expected.
 static constexpr double canary_extra_factor = 300.0;
-static constexpr double min_canary_extra_part = 0.25;
+static constexpr double min_canary_extra_part = 0.15;
 static constexpr double max_canary_extra_part = 0.6;
 static constexpr std::uint32_t max_canary_permille = 400;
 /// Parts of the allowed requests, and of the traffic still to come, that the guard relies on.
@@ -64,11 +66,13 @@
 static constexpr double suspicious_sum = 3.5;
 /// Parts of the latter: for the next step, and for all requests once more.
 static constexpr double advance_part = 0.85;
-static constexpr double cleared_part = 0.4;
+static constexpr double cleared_part = 0.6;
 /// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
 /// or fewer occasions.
 static constexpr double min_usual_requests_per_s = 40.0;
 static constexpr double max_usual_requests_per_s = 120.0;
+/// With little traffic a bad version that is kept is worse than a good one that is taken back.
+static constexpr double low_rate_weight = 1.5;
 /// Taken off when the sums of two kinds of lateness are added.
 static constexpr double two_kinds_margin = 1.0;
 /// Maximum share while the version is suspicious.
@@ -317,7 +321,9 @@
 {
     constexpr double min_rate = 1.0;
     const double rate = std::max(this->request_rate(now), min_rate);
-    return std::log(rate / std::clamp(rate, min_usual_requests_per_s, max_usual_requests_per_s));
+    const double margin =
+        std::log(rate / std::clamp(rate, min_usual_requests_per_s, max_usual_requests_per_s));
+    return margin < 0.0 ? low_rate_weight * margin : margin;
 }
 
 bool rollout_controller::is_clean(time_point now) const
--- a/unittests/core/rollout_controller_test.cpp
+++ b/unittests/core/rollout_controller_test.cpp
@@ -89,6 +89,17 @@
     }
 }
 
+TEST_CASE("a controller that takes over goes on at the share that the entries apply")
+{
+    rollout_controller second{ordered, {}, start + 7s};
+    rollout_report made = report(7s, good(140), good(40));
+    made.share_permille = 1000;
+    second.on_report(incarnation{1}, made, start + 7s);
+    CHECK(decide(second, 7s).directive.share_permille == 1000);
+    CHECK(decide(second, 8s).directive.share_permille == 1000);
+    CHECK_FALSE(decide(second, 8s).store_state);
+}
+
 TEST_CASE("the age of the order is the longest that any entry knows of")
 {
     rollout_controller controller{ordered, {}, start};
--- a/unittests/core/rollout_split_test.cpp
+++ b/unittests/core/rollout_split_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -230,6 +231,17 @@
         split.observe(seen(new_version, kind::first_part, 60ms), start);
         CHECK(counts().new_version.first_parts_on_time == 1);
     }
+    SUBCASE("a slow response of a fast upstream is not hidden by slow upstreams")
+    {
+        rollout_observation response = seen(new_version, kind::between_events, 5ms);
+        response.upstream = new_one.name;
+        for (int i = 0; i < 3; ++i)
+            split.observe(response, start);
+        response.time = 18ms;
+        split.observe(response, start);
+        CHECK(counts().new_version.streams_on_time == 3);
+        CHECK(counts().new_version.streams_late == 1);
+    }
     SUBCASE("an upstream that is slow after its start says nothing about its version")
     {
         rollout_observation warming_up = seen(new_version, kind::first_part, 400ms);
@@ -245,6 +257,58 @@
     }
 }
 
+TEST_CASE("an entry's canaries go to one upstream at first, and to another when that one fails")
+{
+    rollout_split split;
+    std::vector<announced_upstream> canaries;
+    for (int i = 0; i < 6; ++i)
+        canaries.push_back(upstream("c" + std::to_string(i), new_version));
+    set_upstreams(split, canaries, start);
+    set_order(split, rollout_state::running, start);
+    split.on_directive(directive(100), start);
+    CHECK(canaries_of_100(split, repeatable, start) > 0);
+    const auto open = [&] {
+        std::vector<upstream_name> names;
+        for (const announced_upstream& one : canaries)
+            if (split.role_of(one) == upstream_role::canary)
+                names.push_back(one.name);
+        return names;
+    };
+    REQUIRE(open().size() == 1);
+
+    SUBCASE("requests that were granted for another may still be sent")
+    {
+        for (const announced_upstream& one : canaries)
+            CHECK(split.may_send(one, start));
+    }
+    SUBCASE("all get some when that one has several in flight, or with a larger share")
+    {
+        SUBCASE("in flight")
+        {
+            for (int i = 0; i < 3; ++i)
+                split.observe(seen(new_version, kind::sent), start);
+        }
+        SUBCASE("share")
+        {
+            split.on_directive(directive(1000), start);
+        }
+        CHECK(open().size() == canaries.size());
+    }
+    SUBCASE("failures reach the others")
+    {
+        std::vector<upstream_name> reached;
+        for (int i = 0; i < 40; ++i) {
+            const upstream_name at = open().front();
+            if (std::find(reached.begin(), reached.end(), at) == reached.end())
+                reached.push_back(at);
+            rollout_observation failure = seen(new_version, kind::failed);
+            failure.upstream = at;
+            split.observe(failure, start);
+        }
+        CHECK(reached.size() == canaries.size());
+    }
+}
+
 TEST_CASE("a report counts requests in flight on the old version, sent before the order too")
 {
     rollout_split split;
