--- a/include/ragwortcove/core/rollout.hpp
+++ b/include/ragwortcove/core/rollout.hpp
@@ -62,6 +62,16 @@
     bool operator==(const rollout_route_counts&) const = default;
 };
 
+/// Typical time of an upstream's responses, as one entry has seen it.
+struct upstream_pace {
+    upstream_name upstream;
+    bool runs_new_version = false;
+    /// Time between two events of a stream, in milliseconds; of a plain upstream, the time of a
+    /// response. Only compared with paces of the same target.
+    double time_ms = 0.0;
+    bool operator==(const upstream_pace&) const = default;
+};
+
 /// One entry's report to the controller of a roll-out.
 struct rollout_report {
     target_name target;
@@ -74,6 +84,8 @@
     /// Requests that the entry has in flight on other versions than the new one.
     std::uint32_t old_in_flight = 0;
     std::vector<rollout_route_counts> routes;
+    /// Some of the upstreams whose pace the entry knows; other reports have others.
+    std::vector<upstream_pace> paces;
     bool operator==(const rollout_report&) const = default;
 };
 
--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -3,6 +3,7 @@
 /// whether that version is bad, and when the roll-out is complete.
 #pragma once
 
+#include "ragwortcove/core/pace_comparison.hpp"
 #include "ragwortcove/core/rollout.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/version_evidence.hpp"
@@ -129,6 +130,7 @@
     std::map<incarnation, known_entry> entries;
     std::map<route_name, route_comparison> by_route;
     route_comparison all_routes;
+    pace_comparison paces;
     version_counts old_total;
     version_counts new_total;
     /// Step of the plan, the time since when, and the good results of the new version then.
--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -108,6 +108,7 @@
     /// Newest times of one upstream. Engines are of unlike speed, so that a slow response of a fast
     /// one may be usual elsewhere; beside the same upstream's fastest it shows.
     struct upstream_times {
+        version_name version;
         recent_times first_part;
         recent_times between_events;
     };
@@ -149,6 +150,11 @@
     void set_order(const rollout_order& order, time_point now);
     static void count_in_flight(target_state& target, const rollout_observation& seen);
     [[nodiscard]] static bool is_regular(const target_state& target, const version_name& version);
+    /// Whether any upstream of the target has sent several events in one response.
+    [[nodiscard]] static bool streams(const target_state& target);
+    /// At most `max_reported_paces`: those of the new version, and old ones in turn.
+    [[nodiscard]] static std::vector<upstream_pace> paces_of(const target_state& target,
+                                                             time_point now);
     [[nodiscard]] static std::optional<bool>
     compare_at_upstream(target_state& target, const rollout_observation& seen, double value);
     [[nodiscard]] static std::optional<double> late_limit(const learned_times& times,
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -33,6 +33,9 @@
     /// larger; unset without samples.
     [[nodiscard]] std::optional<double> ratio_of(double sample) const;
 
+    /// Median of the newest samples; unset without samples.
+    [[nodiscard]] std::optional<double> median() const;
+
 private:
     static constexpr std::size_t max_samples = 5;
     std::array<double, max_samples> samples{};
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -246,6 +246,8 @@
         this->by_route[counts.route].add(added, this->step == last_step, now);
         this->all_routes.add(added, this->step == last_step, now);
     }
+    for (const upstream_pace& pace : report.paces)
+        this->paces.add(pace);
     this->entries.insert_or_assign(reporter, known_entry{report, now});
 }
 
@@ -333,7 +335,8 @@
 bool rollout_controller::is_clean(time_point now) const
 {
     const double limit = suspicious_sum + this->sum_margin(now);
-    return this->max_sum() < (this->was_suspicious ? cleared_part * limit : limit);
+    return this->max_sum() < (this->was_suspicious ? cleared_part * limit : limit) &&
+           !this->paces.is_suspicious();
 }
 
 // A version that is bad only with all requests looks sound when it has fewer again: once suspicious
@@ -405,7 +408,8 @@
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const std::uint32_t results = this->results() - this->results_before;
     const double max_sum = advance_part * (suspicious_sum + this->sum_margin(now));
-    return was_held && results >= this->needed_results(now) && this->max_sum() < max_sum;
+    return was_held && results >= this->needed_results(now) && this->max_sum() < max_sum &&
+           !this->paces.is_suspicious();
 }
 
 // A controller that takes over goes on at the share that the entries still apply.
@@ -455,7 +459,7 @@
          << this->old_total.streams_late << " late streams, new " << this->new_total.sent
          << " sent " << this->new_total.passed << " passed " << this->new_total.failed << " failed "
          << this->new_total.first_parts_late << " late first parts " << this->new_total.streams_late
-         << " late streams, sum " << this->max_sum();
+         << " late streams, sum " << this->max_sum() << " slow pairs " << this->paces.slow_pairs();
     return text.str();
 }
 
@@ -473,7 +477,8 @@
     this->order = in_force;
     if (this->order.has_ended())
         return this->ended_step(in_force);
-    this->halted = this->halted || this->max_sum() >= bad_sum + this->sum_margin(now);
+    this->halted =
+        this->halted || this->max_sum() >= bad_sum + this->sum_margin(now) || this->paces.is_slow();
     this->adopt_applied_share(now);
     this->update_suspicion(now);
     if (this->adopted && canary_count > 0 && !this->halted)
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -25,6 +25,14 @@
 static constexpr std::uint32_t one_upstream_share_permille = 500;
 static constexpr std::uint32_t max_in_flight_on_one = 3;
 
+/// Above this share, the first parts of streams show the load of the few new upstreams rather than
+/// their version.
+static constexpr std::uint32_t max_first_part_share_permille = 250;
+
+/// Paces in one report, so that it fits into a datagram, and how often others are chosen.
+static constexpr std::size_t max_reported_paces = 24;
+static constexpr duration pace_rotation_period = std::chrono::milliseconds{200};
+
 /// Time to a first part of a request without prompt tokens to compute, and the rate of computing
 /// them on a usual engine: times are compared after division by what the request would take there.
 static constexpr double first_part_base_us = 20'000.0;
@@ -302,6 +310,7 @@
         return std::nullopt;
     const bool is_first = seen.kind == kind::first_part;
     upstream_times& times = target.by_upstream[seen.upstream];
+    times.version = seen.version;
     recent_times& recent = is_first ? times.first_part : times.between_events;
     const std::optional<double> ratio = recent.ratio_of(value);
     recent.add(value);
@@ -316,6 +325,13 @@
     return *ratio > limit;
 }
 
+bool rollout_split::streams(const target_state& target)
+{
+    return std::any_of(target.by_upstream.begin(), target.by_upstream.end(), [](const auto& entry) {
+        return entry.second.between_events.median().has_value();
+    });
+}
+
 void rollout_split::classify(target_state& target, const rollout_observation& seen)
 {
     const bool is_first = seen.kind == kind::first_part;
@@ -327,7 +343,9 @@
     if (!limit)
         limit = late_limit(target.all_times, seen.kind);
     version_counts* counts = counts_for(target, seen);
-    if (counts != nullptr && (limit || is_late_there)) {
+    const bool measures_load = is_first && streams(target) && target.rollout &&
+                               target.rollout->share_permille > max_first_part_share_permille;
+    if (counts != nullptr && !measures_load && (limit || is_late_there)) {
         const bool is_late = (limit && value > *limit) || is_late_there.value_or(false);
         std::uint32_t& on_time = is_first ? counts->first_parts_on_time : counts->streams_on_time;
         std::uint32_t& late = is_first ? counts->first_parts_late : counts->streams_late;
@@ -373,6 +391,28 @@
     return active;
 }
 
+// First parts of a stream also wait for other prompts, so that the time between events tells more.
+std::vector<upstream_pace> rollout_split::paces_of(const target_state& target, time_point now)
+{
+    const bool by_events = streams(target);
+    std::vector<upstream_pace> old_paces;
+    std::vector<upstream_pace> chosen;
+    for (const auto& [name, times] : target.by_upstream) {
+        const std::optional<double> median =
+            by_events ? times.between_events.median() : times.first_part.median();
+        const bool is_new = times.version == target.rollout->order.version;
+        if (median)
+            (is_new ? chosen : old_paces).push_back({name, is_new, *median});
+    }
+    chosen.resize(std::min(chosen.size(), max_reported_paces));
+    const std::size_t free = max_reported_paces - chosen.size();
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / pace_rotation_period) *
+                      max_reported_paces;
+    for (std::size_t i = 0; i < std::min(free, old_paces.size()); ++i)
+        chosen.push_back(old_paces.at((turn + i) % old_paces.size()));
+    return chosen;
+}
+
 std::vector<rollout_report> rollout_split::reports(time_point now) const
 {
     std::vector<rollout_report> made;
@@ -381,7 +421,8 @@
             continue;
         const ordered& rollout = *target.rollout;
         rollout_report report{
-            name, rollout.order.version, now - rollout.known_since, share_of(rollout, now), 0, {}};
+            name, rollout.order.version, now - rollout.known_since, share_of(rollout, now), 0,
+            {},   paces_of(target, now)};
         for (const auto& [version, state] : target.versions)
             if (version != rollout.order.version)
                 report.old_in_flight += state.in_flight;
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -63,6 +63,16 @@
     ++this->count;
 }
 
+std::optional<double> recent_times::median() const
+{
+    if (this->count == 0)
+        return std::nullopt;
+    const std::size_t held = std::min(this->count, max_samples);
+    std::array<double, max_samples> sorted = this->samples;
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
+    return sorted.at(held / 2);
+}
+
 std::optional<double> recent_times::ratio_of(double sample) const
 {
     if (this->count == 0)
--- a/lib/gateway/rollout_messages.cpp
+++ b/lib/gateway/rollout_messages.cpp
@@ -37,6 +37,12 @@
         write_counts(each.old_version, *added.mutable_old_version());
         write_counts(each.new_version, *added.mutable_new_version());
     }
+    for (const core::upstream_pace& each : from.paces) {
+        wire::RolloutPace& added = *to.add_paces();
+        added.set_upstream(each.upstream.value);
+        added.set_new_version(each.runs_new_version);
+        added.set_time_ms(static_cast<float>(each.time_ms));
+    }
 }
 
 core::rollout_report read_rollout_report(const wire::RolloutReport& from)
@@ -50,6 +56,8 @@
     for (const wire::RolloutReport::Route& each : from.routes())
         result.routes.push_back(
             {{each.route()}, read_counts(each.old_version()), read_counts(each.new_version())});
+    for (const wire::RolloutPace& each : from.paces())
+        result.paces.push_back({{each.upstream()}, each.new_version(), each.time_ms()});
     return result;
 }
 
