--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -82,6 +82,8 @@
     /// controller sends nothing more to the new version.
     void on_directive(const rollout_directive& directive, time_point now);
 
+    /// This entry's use of an upstream now. Among several upstreams of a new version, one is the
+    /// canary at first and the others are excluded; which one may change at each observation.
     [[nodiscard]] upstream_role role_of(const announced_upstream& upstream) const;
     /// Whether the request is to be placed on a canary.
     [[nodiscard]] bool choose_canary(const rollout_request& request, random_engine& random,
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -66,7 +66,7 @@
 static constexpr double suspicious_sum = 3.5;
 /// Parts of the latter: for the next step, and for all requests once more.
 static constexpr double advance_part = 0.85;
-static constexpr double cleared_part = 0.6;
+static constexpr double cleared_part = 0.7;
 /// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
 /// or fewer occasions.
 static constexpr double min_usual_requests_per_s = 40.0;
@@ -84,7 +84,7 @@
 static constexpr double full_load_factor = 1.15;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.08, 0.40, 0.18, 1.6, 2.2};
+static constexpr comparison_rates late_rates{0.085, 0.40, 0.195, 1.6, 2.2};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
