--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -137,6 +137,8 @@
     std::uint32_t results_before = 0;
     /// Largest share that an entry applied when this controller started.
     std::uint32_t applied_permille = 0;
+    /// Share of the last directive: not all of its requests are reported yet.
+    std::uint32_t last_permille = 0;
     bool adopted = false;
     bool was_suspicious = false;
     bool halted = false;
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -307,7 +307,10 @@
 // Until the last step, the requests of the next moments at this share must fit in what is allowed.
 std::uint32_t rollout_controller::guarded_share(std::uint32_t share, time_point now) const
 {
-    const double left = this->allowed_requests(now) - this->new_total.sent;
+    constexpr double report_delay_s = 0.5;
+    const double unreported =
+        this->request_rate(now) * report_delay_s * this->last_permille / permille;
+    const double left = this->allowed_requests(now) - this->new_total.sent - unreported;
     const double soon = this->request_rate(now) * seconds(this->order.time_limit) * min_step_part;
     const double max_share = permille * std::max(0.0, left) / std::max(soon, 1.0);
     return static_cast<std::uint32_t>(std::min<double>(share, max_share));
@@ -492,6 +495,7 @@
         made.directive.share_permille =
             this->is_proven(now) || !this->adopted ? planned : this->guarded_share(planned, now);
     }
+    this->last_permille = made.directive.share_permille;
     made.reason = this->describe(now);
     return made;
 }
