--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -66,7 +66,7 @@
 static constexpr double suspicious_sum = 3.5;
 /// Parts of the latter: for the next step, and for all requests once more.
 static constexpr double advance_part = 0.85;
-static constexpr double cleared_part = 0.6;
+static constexpr double cleared_part = 0.7;
 /// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
 /// or fewer occasions.
 static constexpr double min_usual_requests_per_s = 40.0;
@@ -84,7 +84,7 @@
 static constexpr double full_load_factor = 1.15;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.08, 0.40, 0.18, 1.6, 2.2};
+static constexpr comparison_rates late_rates{0.085, 0.40, 0.195, 1.6, 2.2};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
@@ -309,7 +309,10 @@
 // Until the last step, the requests of the next moments at this share must fit in what is allowed.
 std::uint32_t rollout_controller::guarded_share(std::uint32_t share, time_point now) const
 {
-    const double left = this->allowed_requests(now) - this->new_total.sent;
+    constexpr double report_delay_s = 0.5;
+    const double unreported =
+        this->request_rate(now) * report_delay_s * this->last_permille / permille;
+    const double left = this->allowed_requests(now) - this->new_total.sent - unreported;
     const double soon = this->request_rate(now) * seconds(this->order.time_limit) * min_step_part;
     const double max_share = permille * std::max(0.0, left) / std::max(soon, 1.0);
     return static_cast<std::uint32_t>(std::min<double>(share, max_share));
@@ -497,6 +500,7 @@
         made.directive.share_permille =
             this->is_proven(now) || !this->adopted ? planned : this->guarded_share(planned, now);
     }
+    this->last_permille = made.directive.share_permille;
     made.reason = this->describe(now);
     return made;
 }
