[gateway] pools of a target have the same owners; first parts count the prompts ahead

An upstream that changes its pool came to another owner, which knew neither its speed nor its requests in flight. The pools of a target now have the same owners: an owner keeps both, since they go by the upstream's name (new test case). A grant names the prompt tokens that the upstream has to compute before the request's own, and the time of a first part is judged beside both: behind other prompts it says nothing about the version. A peer of the older build ignores the new field.

rollout_stepped is written when the share changes by a fifth or more, or on a halt.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -69,6 +69,8 @@
     std::uint32_t uncached_tokens = 0;
     /// Load of the cell after the grant.
     cell_load load;
+    /// Prompt tokens of earlier requests that the upstream has to compute before.
+    std::uint64_t ahead_tokens = 0;
     bool operator==(const placement_grant&) const = default;
 };
 
--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -39,6 +39,8 @@
 [[nodiscard]] const target_name& pool_of(const announced_upstream& upstream);
 /// Pool of the canaries of a target's roll-out.
 [[nodiscard]] target_name canary_pool_of(const target_name& target);
+/// Target whose upstreams or canaries a pool holds.
+[[nodiscard]] target_name target_of_pool(const target_name& pool);
 
 /// Effects of a change of the directory.
 struct directory_changes {
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -62,6 +62,8 @@
     http::timer_id idle_timer = 0;
     placement_number placement = 0;
     std::uint32_t uncached_tokens = 0;
+    /// Prompt tokens that the upstream computes before those.
+    std::uint64_t ahead_tokens = 0;
     std::uint32_t stale_grants = 0;
     core::call_history history;
     std::vector<core::upstream_name> avoid;
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -158,7 +158,8 @@
     const auto granted = this->in_flight_by_id.find(message.id);
     if (granted != this->in_flight_by_id.end()) {
         out.emplace_back(placement_grant{message.id, granted->second.upstream,
-                                         granted->second.uncached_tokens, this->load_for(message)});
+                                         granted->second.uncached_tokens, this->load_for(message),
+                                         granted->second.ahead_tokens});
         return;
     }
     cell& own_cell = this->cells[this->key_of(message)];
@@ -272,7 +273,7 @@
     own_cell.grant_rate = own_cell.grant_rate * retained + 1e6 / to_us(rate_window);
     own_cell.rate_updated_at = now;
     out.emplace_back(placement_grant{request.id, created.upstream, created.uncached_tokens,
-                                     this->load_of(own_cell)});
+                                     this->load_of(own_cell), created.ahead_tokens});
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
--- a/lib/core/upstream_directory.cpp
+++ b/lib/core/upstream_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace ragwortcove::core {
 
@@ -11,6 +12,9 @@
 /// announcements.
 static constexpr duration announcements_return_within = 2200ms;
 
+/// Ends the name of a canary pool.
+static constexpr std::string_view canary_suffix = "/canary";
+
 const target_name& pool_of(const announced_upstream& upstream)
 {
     return upstream.pool.empty() ? upstream.target : upstream.pool;
@@ -18,7 +22,15 @@
 
 target_name canary_pool_of(const target_name& target)
 {
-    return {target.value + "/canary"};
+    return {target.value + std::string(canary_suffix)};
+}
+
+target_name target_of_pool(const target_name& pool)
+{
+    std::string_view name = pool.value;
+    if (name.ends_with(canary_suffix))
+        name.remove_suffix(canary_suffix.size());
+    return {std::string(name)};
 }
 
 void upstream_directory::restart_removal_grace(time_point now)
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -249,6 +249,7 @@
     const bool is_serving = upstream != nullptr && !upstream->leaving;
     if (is_serving && this->env.rollouts.split().may_send(*upstream, this->now())) {
         call.uncached_tokens = grant.uncached_tokens;
+        call.ahead_tokens = grant.ahead_tokens;
         this->send_to_upstream(call, *upstream);
         return;
     }
--- a/lib/gateway/call_observations.cpp
+++ b/lib/gateway/call_observations.cpp
@@ -1,5 +1,8 @@
 #include "ragwortcove/gateway/call_handler.hpp"
 
+#include <algorithm>
+#include <limits>
+
 // What a call handler tells of each attempt, for and against the version of its upstream.
 
 namespace ragwortcove::gateway {
@@ -9,6 +12,7 @@
 
 /// Events of a stream after which the mean time between them is observed.
 static constexpr std::uint32_t observed_events = 8;
+static constexpr std::uint64_t max_tokens = std::numeric_limits<std::uint32_t>::max();
 
 void call_handler::observe(const open_call& call, event_kind kind, duration time)
 {
@@ -18,7 +22,9 @@
     seen.route = call.route->name;
     seen.kind = kind;
     seen.time = time;
-    seen.uncached_tokens = call.uncached_tokens;
+    // The first part also waits for the prompts that the upstream got before.
+    seen.uncached_tokens = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(call.uncached_tokens + call.ahead_tokens, max_tokens));
     seen.is_warming_up = call.active_dispatch->is_warming_up;
     seen.upstream = call.active_dispatch->upstream;
     this->env.rollouts.split().observe(seen, this->now());
--- a/lib/gateway/placement_inbox.cpp
+++ b/lib/gateway/placement_inbox.cpp
@@ -78,7 +78,8 @@
         this->on_own_response(number, core::placement_grant{found->second.details.id,
                                                             {message.grant().upstream()},
                                                             message.grant().uncached_tokens(),
-                                                            read_load(message.grant().load())});
+                                                            read_load(message.grant().load()),
+                                                            message.grant().ahead_tokens()});
         return;
     }
     case wire::PeerDatagram::kQueued: {
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -58,10 +58,13 @@
     return found == this->cell_counts.end() ? 1 : found->second;
 }
 
+// The pools of a target have the same owners, so that an owner keeps its counts and its estimates
+// of an upstream that changes its pool.
 core::node_name placement_service::owner_of_cell(const core::target_name& pool,
                                                  core::cell_index cell) const
 {
-    return this->env.owner_of("placement/" + pool.value + "/" + std::to_string(cell));
+    return this->env.owner_of("placement/" + core::target_of_pool(pool).value + "/" +
+                              std::to_string(cell));
 }
 
 void placement_service::apply_cell_counts()
@@ -167,6 +170,7 @@
             body.set_sequence(id.sequence);
             body.set_upstream(grant->upstream.value);
             body.set_uncached_tokens(grant->uncached_tokens);
+            body.set_ahead_tokens(grant->ahead_tokens);
             write_load(grant->load, *body.mutable_load());
         }
         if (const auto* denial = std::get_if<core::placement_denial>(&response)) {
--- a/lib/gateway/rollout_service.cpp
+++ b/lib/gateway/rollout_service.cpp
@@ -20,7 +20,7 @@
 /// A share holds for a limited time, within which a directive may be lost.
 static constexpr duration max_exchange_interval = core::directive_lifetime / 3;
 /// Part of a share by which a notable change exceeds it at least, as a divisor.
-static constexpr std::uint32_t notable_share_divisor = 8;
+static constexpr std::uint32_t notable_share_divisor = 5;
 /// Share of all requests of a target, in thousandths.
 static constexpr std::uint32_t all_permille = 1000;
 /// Canaries that one request may name as not to be used.
@@ -78,7 +78,7 @@
     if (before.halted != after.halted)
         return true;
     const auto [smaller, larger] = std::minmax(before.share_permille, after.share_permille);
-    return (larger - smaller) * notable_share_divisor > larger;
+    return (larger - smaller) * notable_share_divisor >= larger && larger != smaller;
 }
 
 rollout_service::rollout_service(rollout_dependencies&& dependencies)
--- a/unittests/core/placement_cells_test.cpp
+++ b/unittests/core/placement_cells_test.cpp
@@ -38,6 +38,8 @@
 
 TEST_CASE("the canaries of a target have cells of their own")
 {
+    CHECK(target_of_pool(canary_pool_of(engines)) == engines);
+    CHECK(target_of_pool(engines) == engines);
     std::vector<announced_upstream> all(30);
     for (announced_upstream& each : all)
         each.target = engines;
--- a/unittests/core/placement_scheduler_test.cpp
+++ b/unittests/core/placement_scheduler_test.cpp
@@ -366,6 +366,23 @@
         CHECK(fixture.scheduler.waiting() == 0);
         CHECK(std::get<placement_denial>(ask_canary()[0]).reason == denial_reason::no_upstream);
     }
+    SUBCASE("an upstream keeps its estimates when it changes its pool")
+    {
+        const auto speed_of = [&](const std::string& name) {
+            for (const upstream_view& each : fixture.scheduler.views()) {
+                if (each.name.value == name)
+                    return each.between_events;
+            }
+            return duration{0};
+        };
+        ask_canary();
+        fixture.finish_all();
+        REQUIRE(speed_of("e2") > 0ms);
+        const duration before = speed_of("e2");
+        fixture.upstreams[2].pool = {};
+        fixture.scheduler.set_upstreams(fixture.upstreams, fixture.rules.get());
+        CHECK(speed_of("e2") == before);
+    }
     SUBCASE("requests in flight at an upstream still count after it has changed its pool")
     {
         ask_canary();
