--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -107,6 +107,7 @@
     [[nodiscard]] double sum_margin(time_point now) const;
     [[nodiscard]] bool is_clean(time_point now) const;
     void update_suspicion(time_point now);
+    [[nodiscard]] bool has_exceeded_limits(time_point now) const;
     [[nodiscard]] bool is_proven(time_point now) const;
     [[nodiscard]] std::uint32_t results() const;
     [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
@@ -136,6 +137,8 @@
     std::uint32_t results_before = 0;
     /// Largest share that an entry applied when this controller started.
     std::uint32_t applied_permille = 0;
+    /// Share of the last directive: not all of its requests are reported yet.
+    std::uint32_t last_permille = 0;
     bool adopted = false;
     bool was_suspicious = false;
     bool halted = false;
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -34,11 +34,11 @@
 } // namespace
 
 // Before the last step the new version has had 7 in 100 of the requests expected by the deadline
-// (0.53 x 40 + 0.055 x 200 + 0.07 x 500 permille) and a part of the extra ones. What is left, 3 in
+// (0.53 x 40 + 0.06 x 200 + 0.065 x 500 permille) and a part of the extra ones. What is left, 3 in
 // 100 and most of the extra ones, is for a version that turns bad then: about 0.04 of the time
 // limit.
 static constexpr std::array<plan_step, 4> plan{
-    {{40, 0.0}, {200, 0.53}, {500, 0.585}, {1000, 0.655}}};
+    {{40, 0.0}, {200, 0.53}, {500, 0.59}, {1000, 0.655}}};
 static constexpr std::size_t last_step = plan.size() - 1;
 /// Minimum duration of a step, and the time after which no further step begins.
 static constexpr double min_step_part = 0.05;
@@ -66,7 +66,7 @@
 static constexpr double suspicious_sum = 3.5;
 /// Parts of the latter: for the next step, and for all requests once more.
 static constexpr double advance_part = 0.85;
-static constexpr double cleared_part = 0.6;
+static constexpr double cleared_part = 0.7;
 /// Between these rates; beyond them, both change with the rate's logarithm, since chance has more
 /// or fewer occasions.
 static constexpr double min_usual_requests_per_s = 40.0;
@@ -84,7 +84,7 @@
 static constexpr double full_load_factor = 1.15;
 
 static constexpr comparison_rates failure_rates{0.03, 0.35, 0.25, 2.0, 3.0};
-static constexpr comparison_rates late_rates{0.08, 0.40, 0.18, 1.6, 2.2};
+static constexpr comparison_rates late_rates{0.085, 0.40, 0.195, 1.6, 2.2};
 
 /// Half-life of the old version's results, and the weight of the prior.
 static constexpr double old_half_life_s = 3.0;
@@ -292,18 +292,25 @@
     return std::min(static_cast<std::uint32_t>(share), max_canary_permille);
 }
 
+// Beyond the limits a smaller share saves nothing: the version is good, or is halted.
+bool rollout_controller::has_exceeded_limits(time_point now) const
+{
+    return this->new_total.sent > this->allowed_requests(now) + this->limits.extra_requests;
+}
+
 // The last step is not bounded unless the version becomes suspicious in it.
 bool rollout_controller::is_proven(time_point now) const
 {
-    const double allowed = this->allowed_requests(now) + this->limits.extra_requests;
-    const bool has_exceeded = this->new_total.sent > allowed;
-    return this->step == last_step && (this->is_clean(now) || has_exceeded);
+    return this->step == last_step && (this->is_clean(now) || this->has_exceeded_limits(now));
 }
 
 // Until the last step, the requests of the next moments at this share must fit in what is allowed.
 std::uint32_t rollout_controller::guarded_share(std::uint32_t share, time_point now) const
 {
-    const double left = this->allowed_requests(now) - this->new_total.sent;
+    constexpr double report_delay_s = 0.5;
+    const double unreported =
+        this->request_rate(now) * report_delay_s * this->last_permille / permille;
+    const double left = this->allowed_requests(now) - this->new_total.sent - unreported;
     const double soon = this->request_rate(now) * seconds(this->order.time_limit) * min_step_part;
     const double max_share = permille * std::max(0.0, left) / std::max(soon, 1.0);
     return static_cast<std::uint32_t>(std::min<double>(share, max_share));
@@ -336,7 +343,8 @@
 // with all of them, it has to become much better before it gets them a second time.
 void rollout_controller::update_suspicion(time_point now)
 {
-    this->was_suspicious = this->step == last_step && !this->is_clean(now);
+    this->was_suspicious =
+        this->step == last_step && !this->is_clean(now) && !this->has_exceeded_limits(now);
 }
 
 bool rollout_controller::is_present(const known_entry& entry, time_point now) const
@@ -386,7 +394,8 @@
     if (this->step == 0)
         return this->canary_share(now);
     const std::uint32_t planned = plan.at(this->step).share_permille;
-    return this->is_clean(now) ? planned : std::min(planned, suspicious_permille);
+    const bool keeps_share = this->is_clean(now) || this->has_exceeded_limits(now);
+    return keeps_share ? planned : std::min(planned, suspicious_permille);
 }
 
 bool rollout_controller::may_advance(time_point now) const
@@ -486,6 +495,7 @@
         made.directive.share_permille =
             this->is_proven(now) || !this->adopted ? planned : this->guarded_share(planned, now);
     }
+    this->last_permille = made.directive.share_permille;
     made.reason = this->describe(now);
     return made;
 }
