--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -25,10 +25,6 @@
 static constexpr std::uint32_t one_upstream_share_permille = 500;
 static constexpr std::uint32_t max_in_flight_on_one = 3;
 
-/// Above this share, the first parts of streams show the load of the few new upstreams rather than
-/// their version.
-static constexpr std::uint32_t max_first_part_share_permille = 250;
-
 /// Paces in one report, so that it fits into a datagram, and how often others are chosen.
 static constexpr std::size_t max_reported_paces = 24;
 static constexpr duration pace_rotation_period = std::chrono::milliseconds{200};
@@ -343,9 +339,7 @@
     if (!limit)
         limit = late_limit(target.all_times, seen.kind);
     version_counts* counts = counts_for(target, seen);
-    const bool measures_load = is_first && streams(target) && target.rollout &&
-                               target.rollout->share_permille > max_first_part_share_permille;
-    if (counts != nullptr && !measures_load && (limit || is_late_there)) {
+    if (counts != nullptr && (limit || is_late_there)) {
         const bool is_late = (limit && value > *limit) || is_late_there.value_or(false);
         std::uint32_t& on_time = is_first ? counts->first_parts_on_time : counts->streams_on_time;
         std::uint32_t& late = is_first ? counts->first_parts_late : counts->streams_late;
