--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -25,11 +25,23 @@
     /// Start time in Unix milliseconds by the upstream's own clock; distinguishes two processes
     /// with the same name.
     std::int64_t started_at = 0;
+    /// Until when the upstream is slow after its start, as it announces.
+    time_point warm_at;
     /// Revision of the announcement.
     revision at;
+    /// Placement pool: the target, or its canaries during a roll-out. Empty stands for the target;
+    /// an announcement does not state it.
+    target_name pool;
     bool operator==(const announced_upstream&) const = default;
 };
 
+/// Pool in which the requests for an upstream are placed.
+[[nodiscard]] const target_name& pool_of(const announced_upstream& upstream);
+/// Pool of the canaries of a target's roll-out.
+[[nodiscard]] target_name canary_pool_of(const target_name& target);
+/// Target whose upstreams or canaries a pool holds.
+[[nodiscard]] target_name target_of_pool(const target_name& pool);
+
 /// Effects of a change of the directory.
 struct directory_changes {
     std::vector<upstream_name> added;
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -23,6 +23,9 @@
 static constexpr std::chrono::milliseconds connect_timeout{250};
 /// Assumed ratio of the output length to its maximum when the caller gives no hint.
 static constexpr double typical_length_ratio = 0.6;
+/// Part of the latency goal that a request waits for a canary before it is placed on another
+/// upstream, as a divisor.
+static constexpr int canary_wait_divisor = 8;
 
 call_handler::call_handler(call_dependencies&& dependencies)
     : env(std::move(dependencies)),
@@ -187,7 +190,7 @@
 {
     const time_point at = this->now();
     core::placement_request request;
-    request.target = call.target;
+    request.pool = call.pool;
     if (call.team != nullptr)
         request.team = call.team->name;
     const std::uint32_t team_rank = call.team == nullptr ? 0 : call.team->rank.value_or(0);
@@ -207,15 +210,37 @@
     request.avoid = call.avoid;
     if (call.active_dispatch)
         request.avoid.push_back(call.active_dispatch->upstream);
+    if (call.pool != call.target)
+        this->limit_to_canaries(request, call);
     std::erase_if(this->unreachable_until, [at](const auto& each) { return each.second <= at; });
     for (const auto& [name, until] : this->unreachable_until)
         request.avoid.push_back(name);
     return request;
 }
 
+// A request can be placed on another upstream instead of a canary, until all of them are to go to
+// the new version.
+void call_handler::limit_to_canaries(core::placement_request& request, const open_call& call) const
+{
+    for (core::upstream_name& unused : this->env.rollouts.unused_canaries(call.target))
+        request.avoid.push_back(std::move(unused));
+    if (!this->env.rollouts.moves_all(call.target))
+        request.max_wait = std::min(request.max_wait, call.route->goal / canary_wait_divisor);
+}
+
 void call_handler::place(open_call& call)
 {
     call.placement_started_at = this->now();
+    const bool on_canary = this->env.rollouts.split().choose_canary(
+        {call.target, call.route->name, call.route->idempotent}, this->random,
+        call.placement_started_at);
+    this->place_in_pool(call, on_canary ? core::canary_pool_of(call.target)
+                                        : core::target_name{call.target});
+}
+
+void call_handler::place_in_pool(open_call& call, core::target_name&& pool)
+{
+    call.pool = std::move(pool);
     const http::inbound_exchange exchange = call.exchange;
     const placement_number number = this->env.placement.place(
         this->make_placement_request(call),
@@ -248,20 +273,25 @@
                               const core::placement_grant& grant)
 {
     const core::announced_upstream* upstream = this->env.find_upstream(grant.upstream);
-    if (upstream != nullptr && !upstream->leaving) {
+    const bool is_serving = upstream != nullptr && !upstream->leaving;
+    if (is_serving && this->env.rollouts.split().may_send(*upstream, this->now())) {
         if (call.active_dispatch && !this->take_from_silent(call)) {
             this->env.placement.withdraw(number);
             return;
         }
         call.placement = number;
         call.uncached_tokens = grant.uncached_tokens;
+        call.ahead_tokens = grant.ahead_tokens;
         this->send_to_upstream(call, *upstream);
         return;
     }
-    // The owner does not know yet that the upstream was removed or is leaving.
+    // The owner does not know yet that the upstream was removed or is leaving, or that its version
+    // gets no more requests. There may be many upstreams of that version, each granted once.
     this->env.placement.withdraw(number);
     call.avoid.push_back(grant.upstream);
-    if (++call.stale_grants > max_stale_grants) {
+    if (is_serving)
+        this->env.metrics.count("withheld_grants", "target", call.target.value);
+    else if (++call.stale_grants > max_stale_grants) {
         this->on_unplaced(call, "no upstream", retry_after_refusal);
         return;
     }
@@ -271,6 +301,12 @@
 void call_handler::on_denied(open_call& call, const core::placement_denial& denial)
 {
     const bool no_upstream = denial.reason == core::denial_reason::no_upstream;
+    const bool has_other_version = no_upstream || !this->env.rollouts.moves_all(call.target);
+    if (call.pool != call.target && has_other_version) {
+        this->env.metrics.count("canary_denials", "target", call.target.value);
+        this->place_in_pool(call, core::target_name{call.target});
+        return;
+    }
     this->on_unplaced(call, no_upstream ? "no upstream" : "no place in time", denial.retry_after);
 }
 
@@ -316,6 +352,8 @@
     };
     call.active_dispatch.emplace();
     call.active_dispatch->upstream = upstream.name;
+    call.active_dispatch->version = upstream.version;
+    call.active_dispatch->is_warming_up = at < upstream.warm_at;
     call.active_dispatch->sent_at = at;
     call.last_upstream = upstream.name;
     call.last_byte_at = at;
@@ -324,6 +362,7 @@
                        {"route", call.route->name.value},
                        {"team", call.team == nullptr ? "" : call.team->name.value},
                        {"upstream", upstream.name.value},
+                       {"version", upstream.version.value},
                        {"upstream_revision", std::to_string(upstream.at.value)},
                        {"attempt", std::to_string(call.history.sent + 1)},
                        {"waited_ms", to_ms_text(at - call.placement_started_at)},
@@ -332,6 +371,7 @@
                        {"rules", std::to_string(call.rules->rules().version)}});
     this->env.metrics.observe("placement_wait", call.route->name.value,
                               at - call.placement_started_at);
+    this->observe(call, core::rollout_observation::event_kind::sent);
     call.active_dispatch->exchange =
         this->env.upstreams.start(std::move(request), std::move(handlers));
     this->arm_idle_timer(call);
