[soak] silence, bytes without end, configurations, planned work; LOST is checked

Callers: some read slowly and mostly ask for 5 MiB answers, some idle up to four fifths of the limit when they last asked; all keep a connection until it ends.

Check: a request that a sound upstream ran, and whose connection ended without its whole answer within 3.3 s (no deadline or time-out is shorter than 3.5 s), is LOST unless its node was killed or paused; beside planned work also one that was open for over 0.5 s. What is done to whom stands in the ledger. A store that fails excuses nothing. The unit tests have a broken and an unbroken ledger for each.

Kept requests no longer leave a connection whose address has gone from the list: stricter on a draining node.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -1,8 +1,10 @@
 """Callers of the soak, and what they may conclude from what they get."""
 
 import asyncio
+import hashlib
 import json
 import random
+import socket
 import time
 from dataclasses import dataclass
 
@@ -12,6 +14,19 @@
 # Statuses that promise that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 DEADLINE_S = 4.0
+# Shorter than every deadline and time-out: before, neither is a reason to end an answer.
+NO_EXCUSE_S = 3.3
+# A request that is still open after this time has been read.
+READ_WITHIN_S = 0.5
+# The longest pause of the callers that idle.
+IDLE_S = 4.0
+# Of the callers that read slowly.
+RECEIVE_BUFFER_BYTES = 65536
+READ_PAUSE_S = (0.02, 0.08)
+# Some callers keep a list of addresses for so many of its lifetimes.
+LONG_LIFETIMES = 3
+# Bodies beyond this length are kept as their digest.
+LONGEST_KEPT_BYTES = 65536
 
 
 @dataclass
@@ -22,14 +37,21 @@
     path: str
     may_repeat: bool
     streams: bool
+    is_large: bool = False
 
 
-KINDS = (
+EXTRA = Kind("extra", "/extra/", True, False)
+ASSURED = (
     Kind("charge", "/plain/once/", False, False),
     Kind("read", "/plain/again/", True, False),
     Kind("draft", "/stream/once/", False, True),
     Kind("chat", "/stream/resume/", True, True),
+    Kind("export", "/plain/large/", False, False, True),
 )
+# The route and the team of the last one come and go.
+KINDS = (*ASSURED, EXTRA)
+KIND_WEIGHTS = (4, 4, 4, 4, 1, 1)
+SLOW_KIND_WEIGHTS = (2, 2, 2, 2, 8, 0)
 
 
 @dataclass
@@ -45,12 +67,18 @@
     body: bytes = b""
     whole: bool = False
     opened: bool = False
+    # Whether the other side ended the connection before the answer was complete.
+    cut: bool = False
+
+
+def kept(body):
+    return body if len(body) <= LONGEST_KEPT_BYTES else hashlib.sha256(body).digest()
 
 
 class Caller:
     """Asks where to connect, keeps its connection while it lasts, and sends one request at a time."""
 
-    def __init__(self, nodes, outcomes, seed):
+    def __init__(self, nodes, outcomes, seed, reads_slowly=False, operator=None):
         self.nodes = nodes
         self.outcomes = outcomes
         self.random = random.Random(seed)
@@ -58,6 +86,10 @@
         self.known_until = 0.0
         self.connection = None
         self.stopping = False
+        self.reads_slowly = reads_slowly
+        # Whoever knows the operator idles for up to four fifths of the limit when it last asked.
+        self.operator = operator
+        self.idle_s = 0.0
 
     async def resolve(self):
         if time.monotonic() < self.known_until and self.known:
@@ -72,7 +104,8 @@
                 continue
             if body.get("addrs"):
                 self.known = body["addrs"]
-                self.known_until = time.monotonic() + body["ttl_s"]
+                lifetimes = LONG_LIFETIMES if self.reads_slowly else 1
+                self.known_until = time.monotonic() + lifetimes * body["ttl_s"]
                 return
 
     def close(self):
@@ -81,40 +114,56 @@
         self.connection = None
 
     async def connect(self):
-        await self.resolve()
-        if self.connection and self.connection[0] in self.known:
+        if self.connection and not self.connection[1].at_eof():
             return self.connection
         self.close()
+        await self.resolve()
         if not self.known:
             raise wire.Broken("no address is known")
         address = self.random.choice(self.known)
         host, port = address.rsplit(":", 1)
-        reader, writer = await asyncio.open_connection(host, int(port))
+        opening = socket.socket()
+        opening.setblocking(False)
+        if self.reads_slowly:
+            opening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        try:
+            await asyncio.get_running_loop().sock_connect(opening, (host, int(port)))
+        except BaseException:
+            opening.close()
+            raise
+        reader, writer = await asyncio.open_connection(sock=opening)
         self.connection = (address, reader, writer)
         return self.connection
 
-    async def send(self, kind, key="key-1"):
+    async def send(self, kind):
         attempt = f"{self.random.getrandbits(64):016x}"
         outcome = Outcome(kind, attempt, "", time.monotonic(), 0.0)
         headers = {"Host": "soak.example", "X-Attempt-Id": attempt, "Content-Length": 5,
-                   "X-Deadline-Ms": int(DEADLINE_S * 1000), "Authorization": f"Bearer {key}"}
+                   "X-Deadline-Ms": int(DEADLINE_S * 1000),
+                   "Authorization": f"Bearer {'key-2' if kind is EXTRA else 'key-1'}"}
         if kind.streams:
             headers |= {"X-Model": "m", "X-Token-Count": "120,60",
                         "X-Prefix-Hash": f"a1:40,{attempt[:8]}:80"}
         try:
+            async with asyncio.timeout(DEADLINE_S):
+                outcome.node, reader, writer = await self.connect()
+            outcome.opened, outcome.sent = True, time.monotonic()
             async with asyncio.timeout(DEADLINE_S + 1.0):
-                address, reader, writer = await self.connect()
-                outcome.node, outcome.opened = address, True
                 writer.write(wire.render(f"POST {kind.path}x HTTP/1.1", headers, b"hello"))
                 await writer.drain()
                 head = await wire.read_head(reader)
                 outcome.status = head.status
                 outcome.signature = head.headers.get("x-server-signature")
-                await wire.read_body(reader, head, False)
-                outcome.body, outcome.whole = head.body, head.whole
+                pause_s = self.random.uniform(*READ_PAUSE_S) if self.reads_slowly else 0.0
+                await wire.read_body(reader, head, False, pause_s)
+                outcome.body, outcome.whole = kept(head.body), head.whole
+                outcome.cut = not head.whole
                 if not head.keeps:
                     self.close()
-        except (wire.Broken, OSError, TimeoutError, ValueError):
+        except TimeoutError:
+            self.close()
+        except (wire.Broken, OSError, ValueError):
+            outcome.cut = outcome.opened
             self.close()
         outcome.ended = time.monotonic()
         self.outcomes.append(outcome)
@@ -122,7 +171,12 @@
 
     async def run(self, pause_s):
         while not self.stopping:
-            await self.send(self.random.choice(KINDS))
+            if self.operator:
+                self.idle_s = self.operator.plan["idle_ms"] / 1000
+            weights = SLOW_KIND_WEIGHTS if self.reads_slowly else KIND_WEIGHTS
+            await self.send(self.random.choices(KINDS, weights)[0])
+            if self.operator and self.random.random() < 0.5:
+                await asyncio.sleep(min(IDLE_S, 0.8 * self.idle_s) * self.random.random())
             await asyncio.sleep(pause_s * self.random.uniform(0.5, 1.5))
         self.close()
 
@@ -142,7 +196,7 @@
     if instance not in [run.instance for run in runs]:
         return "signed by an upstream that did not run it"
     if not outcome.kind.streams:
-        expected = upstreams.plain_body(outcome.attempt, instance)
+        expected = kept(upstreams.plain_body(outcome.attempt, instance, outcome.kind.is_large))
         return None if outcome.body == expected or not outcome.whole else "another body"
     expected = expected_stream(outcome.attempt)
     if outcome.whole:
@@ -150,6 +204,22 @@
     return None if expected.startswith(outcome.body) else "a cut stream with wrong events"
 
 
+def lost(outcome, ledger):
+    """How a request was lost, or None."""
+    took = outcome.ended - outcome.sent
+    if not outcome.cut or took > NO_EXCUSE_S or \
+            ledger.touched("trouble", outcome.node, outcome.sent, outcome.ended):
+        return None
+    runs = ledger.runs.get(outcome.attempt, [])
+    for run in runs:
+        if not ledger.touched("trouble", run.upstream, run.began, outcome.ended):
+            return f"LOST: cut {took:.2f} s after it was sent, while {run.instance} was sound"
+    if not runs and took > READ_WITHIN_S and \
+            ledger.touched("planned", outcome.node, outcome.sent, outcome.ended):
+        return f"LOST: read whole beside planned work, and cut after {took:.2f} s"
+    return None
+
+
 def check(outcomes, ledger):
     """Every broken promise, as text."""
     broken = []
@@ -164,7 +234,7 @@
         if outcome.status in NOT_RUN and not outcome.kind.may_repeat:
             broken.append(f"{attempt}: {outcome.kind.name} got {outcome.status} and has run")
         for run in runs:
-            if run.team != "team-1" or run.has_key:
+            if run.team != ("team-2" if outcome.kind is EXTRA else "team-1") or run.has_key:
                 broken.append(f"{attempt}: reached an upstream as team {run.team!r}, "
                               f"with its key: {run.has_key}")
     for outcome in outcomes:
@@ -172,6 +242,10 @@
             wrong = wrong_success(outcome, ledger.runs.get(outcome.attempt, []))
             if wrong:
                 broken.append(f"{outcome.attempt}: {outcome.kind.name}: {wrong}")
-        if outcome.status in (400, 401, 403, 404):
+        allowed = (401, 404) if outcome.kind is EXTRA else ()
+        if outcome.status in (400, 401, 403, 404) and outcome.status not in allowed:
             broken.append(f"{outcome.attempt}: a proper request got {outcome.status}")
+        how = lost(outcome, ledger)
+        if how:
+            broken.append(f"{outcome.attempt}: {outcome.kind.name} at {outcome.node}: {how}")
     return broken
--- a/test/soak/check_test.py
+++ b/test/soak/check_test.py
@@ -1,11 +1,12 @@
 """The checks of the soak fail when they should."""
 
+import math
 import unittest
 
 import callers
 import upstreams
 
-CHARGE, READ, DRAFT, _CHAT = callers.KINDS
+CHARGE, READ, DRAFT, CHAT, EXPORT = callers.ASSURED
 
 
 def outcome(kind, status, instance="lm-1", body=None, whole=True, attempt="a1"):
@@ -13,13 +14,25 @@
         body = callers.expected_stream(attempt) if kind.streams \
             else upstreams.plain_body(attempt, instance)
     signature = f"{instance}.{attempt}" if status == 200 else None
-    return callers.Outcome(kind, attempt, "node", 0.0, 1.0, status, signature, body, whole, True)
+    return callers.Outcome(kind, attempt, "node", 10.0, 11.0, status, signature, body, whole, True)
+
+
+def cut(kind, took=1.0, **what):
+    """A request that was sent at 10 s and whose connection ended before its answer did."""
+    seen = outcome(kind, None, body=b"", whole=False, **what)
+    seen.cut, seen.ended = True, seen.sent + took
+    return seen
+
+
+def spans(made, *entries):
+    made.spans = [upstreams.Span(*entry) for entry in entries]
+    return made
 
 
 def ledger(*instances, attempt="a1", team="team-1", has_key=False):
     made = upstreams.Ledger()
     for instance in instances:
-        made.record(upstreams.Run(attempt, instance, team, 0.0, has_key))
+        made.record(upstreams.Run(attempt, instance, team, 10.1, has_key))
     return made
 
 
@@ -62,6 +75,54 @@
 
     def test_a_proper_request_that_is_denied(self):
         self.assertTrue(self.broken(outcome(READ, 404, body=b""), ledger()))
+        self.assertEqual(self.broken(outcome(callers.EXTRA, 404, body=b""), ledger()), [])
+        self.assertTrue(self.broken(outcome(callers.EXTRA, 400, body=b""), ledger()))
+
+    def test_a_large_answer_that_is_not_its_own(self):
+        def body(attempt):
+            return callers.kept(upstreams.plain_body(attempt, "desk-1", True))
+        for attempt, count in (("a1", 0), ("a2", 1)):
+            seen = outcome(EXPORT, 200, "desk-1", body(attempt))
+            self.assertEqual(len(self.broken(seen, ledger("desk-1"))), count)
+
+    def test_a_cut_answer_of_a_sound_upstream(self):
+        for kind in (READ, CHARGE, DRAFT, CHAT):
+            self.assertTrue(self.broken(cut(kind), ledger("lm-0-1")))
+        self.assertTrue(self.broken(cut(READ), ledger("lm-0-1", "lm-1-1")))
+        begun = outcome(CHAT, 200, "lm-0-1", callers.expected_stream("a1")[:50], False)
+        begun.cut = True
+        self.assertTrue(self.broken(begun, ledger("lm-0-1")))
+        for elsewhere in (("trouble", "lm-0", 5.0, 10.0), ("trouble", "lm-1", 10.0, 11.0),
+                          ("trouble", "other-node", 10.0, 11.0), ("planned", "any", 9.0, 12.0)):
+            self.assertTrue(self.broken(cut(READ), spans(ledger("lm-0-1"), elsewhere)))
+
+    def test_a_cut_answer_with_an_excuse(self):
+        for excuse in (("trouble", "lm-0", 10.5, 10.6), ("trouble", "lm-0", 9.0, 10.2),
+                       ("trouble", "node", 10.5, 10.6), ("trouble", "node", 9.0)):
+            self.assertEqual(self.broken(cut(READ), spans(ledger("lm-0-1"), excuse)), [])
+        self.assertEqual(self.broken(cut(READ, took=callers.NO_EXCUSE_S + 0.1),
+                                     ledger("lm-0-1")), [])
+        one_is_sound = spans(ledger("lm-0-1", "lm-1-1"), ("trouble", "lm-0", 9.0, 12.0))
+        self.assertTrue(self.broken(cut(READ), one_is_sound))
+
+    def test_a_request_that_is_dropped_beside_planned_work(self):
+        for name in ("node", "any"):
+            planned = spans(ledger(), ("planned", name, 9.0, 10.2))
+            self.assertTrue(self.broken(cut(CHARGE), planned))
+            # Closed before it was read: it crossed the close.
+            self.assertEqual(self.broken(cut(CHARGE, took=0.1), planned), [])
+        for other in (("planned", "other-node", 9.0, 10.2), ("planned", "node", 9.0, 9.9)):
+            self.assertEqual(self.broken(cut(CHARGE), spans(ledger(), other)), [])
+        killed = spans(ledger(), ("planned", "node", 9.0, 12.0), ("trouble", "node", 9.5, 10.5))
+        self.assertEqual(self.broken(cut(CHARGE), killed), [])
+
+    def test_the_ledger_keeps_spans_with_what_follows_them(self):
+        made = ledger()
+        with made.during("trouble", "lm-0", 100.0):
+            self.assertTrue(made.touched("trouble", "lm-0", 0.0, math.inf))
+        end = made.spans[0].ends
+        self.assertTrue(made.touched("trouble", "lm-0", end - 1.0, end + 1.0))
+        self.assertFalse(made.touched("trouble", "lm-0", end + 1.0, end + 2.0))
 
 
 if __name__ == "__main__":
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -26,7 +26,7 @@
 address_time_to_live = 1s
 stop_limit = {stop_limit}s
 repeat_share = 0.2
-repeat_allowance = 52
+repeat_allowance = {allowance}
 repeat_window = 10s
 quota_window = 8s
 quota_overrun = 0.1
@@ -78,6 +78,14 @@
             await self.kill()
             return None
 
+    def most_memory_mb(self):
+        """The most that the running process has used so far."""
+        try:
+            status = Path(f"/proc/{self.child.pid}/status").read_text()
+            return int(status.split("VmHWM:")[1].split()[0]) // 1024
+        except (OSError, IndexError):
+            return 0
+
     def has_crashed(self):
         return self.child is not None and self.child.returncode is not None and \
             not self.expected_end
@@ -96,12 +104,16 @@
                                 str(self.settings_path)], Path(work) / f"{self.name}.log")
         self.store_link = None
 
-    async def prepare(self, store_port, seeds):
+    async def prepare(self, store_port, seeds, allowance):
         self.store_link = Proxy(store_port)
         await self.store_link.start()
         self.settings_path.write_text(SETTINGS.format(
             name=self.name, domain=self.domain, store=self.store_link.port, seeds=seeds,
-            stop_limit=STOP_LIMIT_S, **self.ports))
+            stop_limit=STOP_LIMIT_S, allowance=allowance, **self.ports))
+
+    @property
+    def served_at(self):
+        return f"127.0.0.1:{self.ports['callers']}"
 
     def address(self, kind):
         return ("127.0.0.1", self.ports[kind])
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -1,15 +1,25 @@
 """Upstreams of the soak: they record every run, and fail as ordered."""
 
 import asyncio
+import contextlib
 import json
+import math
 import time
 from dataclasses import dataclass, field
 
 import wire
 
 EVENTS = 12
-EVENT_GAP_S = 0.02
+EVENT_GAP_S = 0.04
 WORK_S = 0.02
+LARGE_BYTES = 5 << 20
+# Bytes without end: how long they last when nobody closes, and their pace on a connection.
+FLOOD_S = 2.0
+FLOOD_BYTES = 32768
+FLOOD_PAUSE_S = 0.005
+MOST_FLOODS = 4
+# Time after a fault within which its effects may still show.
+SETTLE_S = 0.3
 
 
 @dataclass
@@ -21,20 +31,53 @@
     team: str
     began: float
     has_key: bool
+    target: str = ""
+    version: str = "v1"
+
+    @property
+    def upstream(self):
+        return self.instance.rsplit("-", 1)[0]
+
+
+@dataclass
+class Span:
+    """Trouble or planned work at the node or upstream of that name, or at any."""
+
+    kind: str
+    name: str
+    begins: float
+    ends: float = math.inf
 
 
 @dataclass
 class Ledger:
-    """What all upstreams have seen, by attempt."""
+    """What all upstreams have seen, by attempt, and what was done to whom."""
 
     runs: dict = field(default_factory=dict)
+    spans: list = field(default_factory=list)
+    # When upstreams of a later version have failed or have been slow.
+    bad_answers: list = field(default_factory=list)
 
     def record(self, run):
         self.runs.setdefault(run.attempt, []).append(run)
 
+    @contextlib.contextmanager
+    def during(self, kind, name, after_s=SETTLE_S):
+        span = Span(kind, name, time.monotonic())
+        self.spans.append(span)
+        try:
+            yield
+        finally:
+            span.ends = time.monotonic() + after_s
+
+    def touched(self, kind, name, begins, ends):
+        return any(span.kind == kind and span.name in (name, "any") and span.begins <= ends and
+                   begins <= span.ends for span in self.spans)
+
 
-def plain_body(attempt, instance):
-    return f"answer {attempt} of {instance}".encode()
+def plain_body(attempt, instance, is_large=False):
+    text = f"answer {attempt} of {instance}".encode()
+    return text * (LARGE_BYTES // len(text)) if is_large else text
 
 
 def event_text(number, attempt):
@@ -44,9 +87,13 @@
 class Upstream:
     """One address behind a proxy; each start of it is a new instance."""
 
-    def __init__(self, name, target, ledger, store, random):
+    def __init__(self, name, target, slots, ledger, store, random, version="v1"):
         self.name = name
         self.target = target
+        self.slots = slots
+        self.version = version
+        # Factor on the time of all work.
+        self.pace = 1.0
         self.ledger = ledger
         self.store = store
         self.random = random
@@ -61,6 +108,11 @@
         self.failing = 0.0
         self.refusing = 0.0
         self.slow_s = 0.0
+        # Sound all the same.
+        self.silent_until = 0.0
+        # Where bytes come without end.
+        self.flood = None
+        self.floods = 0
 
     async def start(self, port=0):
         self.starts += 1
@@ -72,7 +124,7 @@
     async def announce(self, address):
         """Writes the instance's entry; a store that is away is tried again by the heartbeat."""
         spec = {"service": self.target, "addr": f"{address[0]}:{address[1]}", "zone": "a",
-                "version": "v1", "slots": 8, "state": self.state, "cold_left_ms": 0,
+                "version": self.version, "slots": self.slots, "state": self.state, "cold_left_ms": 0,
                 "seq": int(time.monotonic() * 10), "born": self.starts}
         self.announced = address
         await self.store.put("servers", self.instance, spec)
@@ -111,30 +163,70 @@
             return True
         instance = self.instance
         self.ledger.record(Run(attempt, instance, request.headers.get("x-tenant", ""),
-                               time.monotonic(), "authorization" in request.headers))
+                               time.monotonic(), "authorization" in request.headers,
+                               self.target, self.version))
         signed = {**common, "X-Server-Signature": f"{instance}.{attempt}"}
-        await asyncio.sleep(WORK_S + self.slow_s)
+        await asyncio.sleep(WORK_S * self.pace + self.slow_s)
+        if self.flood:
+            return await self.answer_without_end(signed, writer)
         if self.random.random() < self.lost:
             return False
         if self.random.random() < self.failing:
+            self.count_bad_answer()
             writer.write(wire.render("HTTP/1.1 500 Internal", {**signed, "Content-Length": 0}))
             return True
         if "/stream/" in request.first:
             return await self.stream(request, signed, writer, attempt)
-        body = plain_body(attempt, instance)
+        body = plain_body(attempt, instance, "/large/" in request.first)
+        await self.stay_silent()
         writer.write(wire.render("HTTP/1.1 200 OK", {**signed, "Content-Length": len(body)}, body))
         await writer.drain()
         return True
 
+    def count_bad_answer(self):
+        if self.version != "v1":
+            self.ledger.bad_answers.append(time.monotonic())
+
+    async def stay_silent(self):
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(self.silent_until - time.monotonic())
+
+    async def answer_without_end(self, signed, writer):
+        """Sends bytes at a bounded pace until the other side closes, or for a bounded time."""
+        head = wire.render("HTTP/1.1 200 OK", {**signed, "Transfer-Encoding": "chunked"})
+        filler = b"x" * FLOOD_BYTES
+        chunk = f"{FLOOD_BYTES:x}\r\n".encode() + filler + b"\r\n"
+        hint = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        first, more = {"head": (head[:-2], b"X-Filler: " + filler + b"\r\n"),
+                       "hints": (b"", hint * (FLOOD_BYTES // len(hint))),
+                       "body": (head, chunk), "event": (head, chunk)}[self.flood]
+        if self.floods >= MOST_FLOODS:
+            return False
+        self.floods += 1
+        try:
+            writer.write(first)
+            async with asyncio.timeout(FLOOD_S):
+                while True:
+                    writer.write(more)
+                    await writer.drain()
+                    await asyncio.sleep(FLOOD_PAUSE_S)
+        except TimeoutError:
+            return False
+        finally:
+            self.floods -= 1
+
     async def stream(self, request, signed, writer, attempt):
         first = int(request.headers.get("last-event-id", 0)) + 1
         head = {**signed, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(wire.render("HTTP/1.1 200 OK", head))
         for number in range(first, EVENTS + 1):
+            await self.stay_silent()
             event = event_text(number, attempt)
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(EVENT_GAP_S)
+            await asyncio.sleep(EVENT_GAP_S * self.pace)
+        if self.pace > 1.0:
+            self.count_bad_answer()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
@@ -162,6 +254,14 @@
         except wire.Broken:
             return False
 
+    async def read_state(self, kind, name):
+        """The state that the system has written, or None."""
+        try:
+            document = json.loads((await self.call("GET", f"/objects/{kind}/{name}")).body)
+        except (wire.Broken, ValueError):
+            return None
+        return ((document or {}).get("status") or {}).get("state")
+
     async def remove(self, kind, name):
         try:
             await self.call("DELETE", f"/objects/{kind}/{name}")
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -51,13 +51,26 @@
         await reader.readexactly(2)
 
 
-async def read_body(reader, message, is_request):
+async def read_paced(reader, size, pause_s):
+    """As `readexactly`, with a pause after each part."""
+    body = bytearray()
+    while len(body) < size:
+        part = await reader.read(size - len(body))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(body), size)
+        body += part
+        await asyncio.sleep(pause_s)
+    return bytes(body)
+
+
+async def read_body(reader, message, is_request, pause_s=0.0):
     """Fills in the body; a body that ends early is kept and marked as not whole."""
     try:
         if message.headers.get("transfer-encoding", "").lower() == "chunked":
             await read_chunks(reader, message)
         elif "content-length" in message.headers:
-            message.body = await reader.readexactly(int(message.headers["content-length"]))
+            message.body = await read_paced(reader, int(message.headers["content-length"]),
+                                            pause_s)
         elif not is_request:
             message.body = await reader.read()
             message.keeps = False
