[soak] roll-outs of good, slow and failing versions

A good version is complete in time, a bad one reverted (read back from the store); a bad one gets at most a tenth of the requests and 50, and none sent later than 5 s after its 50th bad answer. Unit tests hold the bounds.

--- a/test/soak/check_test.py
+++ b/test/soak/check_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 import callers
+import rollouts
 import upstreams
 
 CHARGE, READ, DRAFT, CHAT, EXPORT = callers.ASSURED
@@ -116,6 +117,27 @@
         killed = spans(ledger(), ("planned", "node", 9.0, 12.0), ("trouble", "node", 9.5, 10.5))
         self.assertEqual(self.broken(cut(CHARGE), killed), [])
 
+    def exposure(self, of_new, bad_answers=0, sent_at=10.0):
+        """What a roll-out of 100 requests breaks when so many of them reach the new version."""
+        made = upstreams.Ledger(bad_answers=[0.01 * number for number in range(bad_answers)])
+        outcomes = []
+        for number in range(100):
+            attempt, version = f"a{number}", "v2" if number < of_new else "v1"
+            made.record(upstreams.Run(attempt, "lm-0-1", "team-1", sent_at, False, "lm", version))
+            outcomes.append(outcome(DRAFT, 200, attempt=attempt))
+            outcomes[-1].sent = sent_at
+        return rollouts.check_exposure(outcomes, made, "lm", "v2", 1.0, 12.0)
+
+    def test_a_bad_version_that_gets_too_many_requests(self):
+        self.assertEqual(self.exposure(60), [])
+        self.assertTrue(self.exposure(61))
+
+    def test_a_bad_version_that_is_taken_back_too_late(self):
+        self.assertEqual(self.exposure(1, bad_answers=49), [])
+        self.assertTrue(self.exposure(1, bad_answers=50))
+        self.assertEqual(self.exposure(1, bad_answers=50, sent_at=5.4), [])
+        self.assertEqual(self.exposure(0, bad_answers=50), [])
+
     def test_the_ledger_keeps_spans_with_what_follows_them(self):
         made = ledger()
         with made.during("trouble", "lm-0", 100.0):
