[soak] daemons listen below the range of outgoing connections

Its port had been found by binding to 0, so it lay in the range from which the kernel takes ports of outgoing connections (32768 to 60999), and any connection on the shared machine could take it meanwhile. Who held it was not recorded, so this cause is suspected, not proven.

--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 from pathlib import Path
@@ -9,6 +10,9 @@
 from proxy import Proxy
 
 STOP_LIMIT_S = 8
+# Below the range from which the kernel takes ports of outgoing connections.
+LISTENING_PORTS = (10240, 32768)
+GIVEN_PORTS = set()
 
 SETTINGS = """[node]
 name = {name}
@@ -38,9 +42,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that no outgoing connection takes while its daemon is away."""
+    while True:
+        port = random.SystemRandom().randrange(*LISTENING_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 class Process:
