[core] roll-outs: a step needs results also when first parts are compared only later

Callers saw nothing yet; found in review. A version could get half of the requests, and then all of them, without one result since the step before.

Cause: the results of a step are the results now less those at its beginning, without a sign. Until the old version's first parts are compared, each passed response is a result; from then on only as many as have a first part that was compared. The number falls, and the difference wraps around.

The test failed before: the share was 500 permille where 200 was allowed. Now the difference is at least zero, so that the step waits until there are more results than before it.

--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -409,7 +409,9 @@
         return false;
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
-    const std::uint32_t results = this->results() - this->results_before;
+    // A result may count no longer once there is something to compare it with.
+    const std::uint32_t results =
+        std::max(this->results(), this->results_before) - this->results_before;
     const double max_sum = advance_part * (suspicious_sum + this->sum_margin(now));
     return was_held && results >= this->needed_results(now) && this->max_sum() < max_sum &&
            !this->paces.is_suspicious();
--- a/unittests/core/rollout_controller_test.cpp
+++ b/unittests/core/rollout_controller_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace ragwortcove::core;
 using namespace std::chrono_literals;
 
@@ -162,3 +164,25 @@
     }
     CHECK_FALSE(decide(controller, 6s).directive.halted);
 }
+
+// Guards against EXPOSURE: what counts as a result changes when the old version's first parts are
+// compared, so that there may be fewer results than before the step.
+TEST_CASE("a step waits for results when first parts are compared only from then on")
+{
+    constexpr duration interval = 100ms;
+    rollout_controller controller{ordered, {}, start};
+    std::uint32_t largest_share = 0;
+    for (duration age = 0s; age < 9s; age += interval) {
+        const auto requests = static_cast<std::uint32_t>(age / 10ms);
+        const bool are_compared = age > 5600ms;
+        const version_counts from{requests, requests, 0, are_compared ? 10U : 0U, 0, 0, 0};
+        const std::uint32_t to_count = std::min(requests / 4, 40U);
+        const version_counts to{to_count, to_count, 0, 0, 0, 0, 0};
+        rollout_report made = report(age, from, to);
+        made.share_permille = decide(controller, age).directive.share_permille;
+        if (are_compared)
+            largest_share = std::max(largest_share, made.share_permille);
+        controller.on_report(incarnation{1}, made, start + age);
+    }
+    CHECK(largest_share <= 200);
+}
