[core] roll-outs: a version that was taken back stays out when the next one is ordered

Callers would have been sent to a bad version again (EXPOSURE): its upstreams are announced for some seconds after `reverted`, and when the operator orders the next version meanwhile, the order's document names only that one. The old bad version then was as regular as the good one. Also, the upstreams of a next version were not held out until its order came while the document of an earlier, reverted order was still there; that is the usual case of a second roll-out of a service.

An order now keeps the versions that earlier orders of the target found to be bad, for as long as they are announced, and a version beside an order is held like one without any order. A version counts as serving beside it only if it is neither ordered nor taken back, so that the last one is not held.

A node that starts after the next order came cannot know of the earlier one: the document has its status no longer once the next state is stored.

--- a/include/ragwortcove/core/rollout_split.hpp
+++ b/include/ragwortcove/core/rollout_split.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -121,6 +122,8 @@
         time_point share_until;
         bool halted = false;
         std::map<route_name, rollout_route_counts> counts;
+        /// Versions of earlier orders that were found to be bad.
+        std::set<version_name> taken_back;
     };
     struct version_state {
         std::uint32_t in_flight = 0;
@@ -149,7 +152,13 @@
     [[nodiscard]] bool is_preferred_canary(const target_state& target,
                                            const announced_upstream& upstream) const;
     [[nodiscard]] bool is_held(const target_state& target, const version_name& version) const;
+    /// The use of an upstream whose version is not the one that is ordered.
+    [[nodiscard]] upstream_role role_beside_order(const target_state& target,
+                                                  const version_name& version) const;
     void set_order(const rollout_order& order, time_point now);
+    /// Versions that a new order finds to be bad.
+    [[nodiscard]] static std::set<version_name> versions_taken_back(const target_state& target,
+                                                                    const version_name& ordered);
     static void count_in_flight(target_state& target, const rollout_observation& seen);
     [[nodiscard]] static bool is_regular(const target_state& target, const version_name& version);
     /// Whether any upstream of the target has sent several events in one response.
--- a/lib/core/rollout_split.cpp
+++ b/lib/core/rollout_split.cpp
@@ -140,6 +140,21 @@
     this->between_events_floor = this->between_events.late_limit();
 }
 
+// The upstreams of a version that was taken back are announced for some time after that.
+std::set<version_name> rollout_split::versions_taken_back(const target_state& target,
+                                                          const version_name& ordered)
+{
+    if (!target.rollout)
+        return {};
+    std::set<version_name> found = target.rollout->taken_back;
+    if (target.rollout->halted || target.rollout->order.state == rollout_state::reverted)
+        found.insert(target.rollout->order.version);
+    found.erase(ordered);
+    std::erase_if(found,
+                  [&](const version_name& version) { return !target.versions.contains(version); });
+    return found;
+}
+
 void rollout_split::set_order(const rollout_order& order, time_point now)
 {
     target_state* target = this->state_of(order.target);
@@ -152,7 +167,7 @@
         current->order = order;
         return;
     }
-    current = ordered{order, now, 0, now, false, {}};
+    current = ordered{order, now, 0, now, false, {}, versions_taken_back(*target, order.version)};
     target->all_times.set_floors();
     for (auto& [route, times] : target->times)
         times.set_floors();
@@ -183,11 +198,22 @@
     if (found == target.versions.end() || this->latest >= found->second.held_until)
         return false;
     return std::any_of(target.versions.begin(), target.versions.end(), [&](const auto& other) {
-        return other.second.is_known && other.first != version &&
+        const bool is_regular_version =
+            !target.rollout || (other.first != target.rollout->order.version &&
+                                !target.rollout->taken_back.contains(other.first));
+        return other.second.is_known && other.first != version && is_regular_version &&
                this->latest >= other.second.held_until;
     });
 }
 
+upstream_role rollout_split::role_beside_order(const target_state& target,
+                                               const version_name& version) const
+{
+    const bool is_excluded =
+        target.rollout->taken_back.contains(version) || this->is_held(target, version);
+    return is_excluded ? upstream_role::excluded : upstream_role::regular;
+}
+
 upstream_role rollout_split::role_of(const announced_upstream& upstream) const
 {
     const upstream_role role = this->role_by_version(upstream);
@@ -210,9 +236,10 @@
     switch (rollout.order.state) {
     case rollout_state::pending:
     case rollout_state::running:
-        return is_new ? upstream_role::canary : upstream_role::regular;
+        return is_new ? upstream_role::canary : this->role_beside_order(*target, upstream.version);
     case rollout_state::reverted:
-        return is_new ? upstream_role::excluded : upstream_role::regular;
+        return is_new ? upstream_role::excluded
+                      : this->role_beside_order(*target, upstream.version);
     case rollout_state::complete:
         break;
     }
--- a/unittests/core/rollout_split_test.cpp
+++ b/unittests/core/rollout_split_test.cpp
@@ -326,3 +326,46 @@
     CHECK(counts.old_version.passed == 1);
     CHECK(counts.new_version.sent == 1);
 }
+
+// Guards against EXPOSURE: the operator orders a third version while the upstreams of the second
+// one, which was taken back, are still announced.
+TEST_CASE("a version that was taken back gets nothing when the next version is ordered")
+{
+    const announced_upstream third = upstream("c", version_name{"v3"});
+    rollout_split split;
+    set_upstreams(split, {old_one, new_one}, start);
+    set_order(split, rollout_state::running, start);
+    SUBCASE("its state was stored")
+    {
+        set_order(split, rollout_state::reverted, start + 4s);
+    }
+    SUBCASE("it was halted, and its state was not stored yet")
+    {
+        split.on_directive(directive(0, true), start + 4s);
+    }
+    set_upstreams(split, {old_one, new_one, third}, start + 5s);
+    const std::vector<rollout_order> next{
+        {target, third.version, 12s, rollout_state::pending, revision{9}}};
+    split.set_orders(next, start + 5s);
+    CHECK(split.role_of(old_one) == upstream_role::regular);
+    CHECK(split.role_of(new_one) == upstream_role::excluded);
+    CHECK_FALSE(split.may_send(new_one, start + 5s));
+    CHECK(split.role_of(third) == upstream_role::canary);
+    set_order(split, rollout_state::pending, start + 6s);
+    CHECK(split.role_of(new_one) == upstream_role::canary);
+}
+
+// Guards against EXPOSURE: the second roll-out of a service, whose upstreams are announced before
+// the order's document arrives. The document of the earlier order is still there.
+TEST_CASE("a new version is held out beside an earlier order that was taken back")
+{
+    const announced_upstream third = upstream("c", version_name{"v3"});
+    rollout_split split;
+    set_upstreams(split, {old_one}, start);
+    set_order(split, rollout_state::reverted, start);
+    set_upstreams(split, {old_one, third}, start + 9s);
+    CHECK(split.role_of(old_one) == upstream_role::regular);
+    CHECK(split.role_of(third) == upstream_role::excluded);
+    set_upstreams(split, {old_one, third}, start + 9s + unordered_version_hold);
+    CHECK(split.role_of(third) == upstream_role::regular);
+}
