[http] a cancelled exchange is not told complete any more

Found in review; the test failed before (complete was told after cancel). What callers can see: the process ends, or a stream looks complete that is not.

Cause: the end of a response is told when the turn is over. An exchange that is cancelled between its last byte and then was not known any more, so that cancel had no effect. A call handler tells its attempts apart only by cancelling: when a silent stream ends without a further event in the turn that brings a grant for its replacement, the end of the old response was applied to the new attempt, which has no head yet and goes on at its upstream.

An exchange is now remembered until its end is told, and cancel removes it. The connection is kept or closed as before.

--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace ragwortcove::http {
@@ -46,6 +47,8 @@
     loop& on;
     microseconds keep_time;
     std::map<outbound_exchange, link_pointer> active;
+    /// Exchanges whose response is whole, until their end is told.
+    std::set<outbound_exchange> completing;
     std::map<std::string, std::deque<link_pointer>, std::less<>> kept;
     outbound_exchange last_exchange = 0;
     timer_id sweep_timer = 0;
@@ -173,11 +176,13 @@
     const auto found = this->active.find(from.exchange);
     const link_pointer self = found->second;
     this->active.erase(found);
-    from.exchange = 0;
-    run_after_turn(this->on, [this, self] {
+    const outbound_exchange ended = std::exchange(from.exchange, 0);
+    this->completing.insert(ended);
+    run_after_turn(this->on, [this, self, ended] {
         const auto complete = std::move(self->handlers.complete);
         this->keep_or_close(self);
-        complete();
+        if (this->completing.erase(ended) != 0)
+            complete();
     });
 }
 
@@ -320,6 +325,7 @@
 
 void outbound_client::cancel(outbound_exchange exchange)
 {
+    this->self->completing.erase(exchange);
     const auto found = this->self->active.find(exchange);
     if (found == this->self->active.end())
         return;
--- a/unittests/http/outbound_test.cpp
+++ b/unittests/http/outbound_test.cpp
@@ -221,6 +221,39 @@
     CHECK_FALSE(got.over());
 }
 
+// Guards against a crash and a response that only looks complete: a request that moves to another
+// upstream would get the end of the earlier one's response.
+TEST_CASE("a cancelled exchange is not told complete, although its last byte came in this turn")
+{
+    calling_client calling;
+    raw_server upstream([](raw_connection& connection) {
+        for (int count = 0; count < 2; ++count)
+            answer_once(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    outcome got;
+    outbound_exchange exchange = 0;
+    outbound_request request;
+    request.to = {"127.0.0.1", upstream.port()};
+    request.identity = "upstream-1";
+    request.method = "GET";
+    request.target = "/x";
+    request.headers = {{"Host", "h"}};
+    outbound_handlers handlers;
+    handlers.head = [&](status_line_and_headers&& head) { got.head = std::move(head); };
+    handlers.body = [&](std::string_view bytes) {
+        got.body += bytes;
+        run_after_turn(calling.on, [&] { calling.client.cancel(exchange); });
+    };
+    handlers.complete = [&] { got.complete = true; };
+    handlers.failed = [&](outbound_failure why) { got.failure = why; };
+    exchange = calling.client.start(std::move(request), std::move(handlers));
+    REQUIRE(run_until(calling.on, [&] { return !got.body.empty(); }));
+    static_cast<void>(run_until(
+        calling.on, [] { return false; }, std::chrono::milliseconds(50)));
+    CHECK_FALSE(got.over());
+    CHECK(calling.ask(upstream.port()).complete);
+}
+
 TEST_CASE("an answer that comes before a long body was read leaves no connection behind")
 {
     calling_client calling;
