[core] roll-outs: complete only with results from the step with all requests

Found in review; the test failed before (complete was stored 12 times over, and at the deadline). A version that answers nothing once it has all requests gives neither good nor bad results in the 0.05 of the time limit that the last step is held, so that it counted as clean and the old upstreams were stopped: EXPOSURE, and no upstream is left to answer.

The last step now needs as many results as a step before it, scaled to the traffic like theirs. Without them the roll-out is taken back before the deadline, as without evidence in earlier steps.

--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -114,6 +114,8 @@
     [[nodiscard]] bool is_present(const known_entry& entry, time_point now) const;
     [[nodiscard]] bool all_moved(time_point now) const;
     [[nodiscard]] std::uint32_t needed_results(time_point now) const;
+    /// Whether the step has brought enough results.
+    [[nodiscard]] bool has_results(time_point now) const;
     [[nodiscard]] std::uint32_t planned_share(time_point now) const;
     [[nodiscard]] bool may_advance(time_point now) const;
     void adopt_applied_share(time_point now);
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -392,6 +392,14 @@
     return static_cast<std::uint32_t>(std::clamp(expected, min_results, most));
 }
 
+bool rollout_controller::has_results(time_point now) const
+{
+    // A result may count no longer once there is something to compare it with.
+    const std::uint32_t results =
+        std::max(this->results(), this->results_before) - this->results_before;
+    return results >= this->needed_results(now);
+}
+
 std::uint32_t rollout_controller::planned_share(time_point now) const
 {
     if (this->step == 0)
@@ -409,11 +417,8 @@
         return false;
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
-    // A result may count no longer once there is something to compare it with.
-    const std::uint32_t results =
-        std::max(this->results(), this->results_before) - this->results_before;
     const double max_sum = advance_part * (suspicious_sum + this->sum_margin(now));
-    return was_held && results >= this->needed_results(now) && this->max_sum() < max_sum &&
+    return was_held && this->has_results(now) && this->max_sum() < max_sum &&
            !this->paces.is_suspicious();
 }
 
@@ -447,7 +452,7 @@
     const bool was_held =
         seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const bool is_clean = this->is_clean(now);
-    const bool is_last = this->step == last_step && was_held;
+    const bool is_last = this->step == last_step && was_held && this->has_results(now);
     if (is_last && is_clean && this->all_moved(now))
         return rollout_state::complete;
     if (this->progress(now) >= latest_end_at)
--- a/unittests/core/rollout_controller_test.cpp
+++ b/unittests/core/rollout_controller_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <optional>
 
 using namespace ragwortcove::core;
 using namespace std::chrono_literals;
@@ -186,3 +187,25 @@
     }
     CHECK(largest_share <= 200);
 }
+
+// Guards against EXPOSURE: a version that answers nothing once it has all requests gives no bad
+// result before the step is over.
+TEST_CASE("a version that answers nothing with all requests is not complete")
+{
+    rollout_controller controller{ordered, {}, start};
+    std::optional<std::uint32_t> answered;
+    for (duration age = 0s; age < 9500ms; age += 200ms) {
+        const auto requests = static_cast<std::uint32_t>(age / 50ms);
+        const rollout_step step = decide(controller, age);
+        CHECK(step.store_state != rollout_state::complete);
+        if (step.directive.share_permille == 1000 && !answered)
+            answered = requests / 4;
+        version_counts to = good(answered.value_or(requests / 4));
+        to.sent = requests / 4;
+        rollout_report made = report(age, good(requests), to);
+        made.share_permille = step.directive.share_permille;
+        controller.on_report(incarnation{1}, made, start + age);
+    }
+    CHECK(answered);
+    CHECK(decide(controller, 9500ms).store_state == rollout_state::reverted);
+}
