[gateway] test, failing: a roll-out ends before its deadline although all nodes restart

The fault is not fixed here. The age of an order is the longest that any process remembers. When all nodes restart at once none remembers its beginning, and the roll-out begins anew: no state is stored by the deadline of the order (a duty missed), and requests that the new version had before do not count against its share. Restarts one after another pass, since a new controller hears of the order's age from the others.

The lines of a fix: write the order's age, or the wall-clock time at which it was first seen, into the status with `running`, and take the larger age.

--- a/unittests/gateway/rollout_service_test.cpp
+++ b/unittests/gateway/rollout_service_test.cpp
@@ -534,6 +534,32 @@
           2);
 }
 
+// Guards against a duty missed: the age of an order is what the processes remember of it, and in a
+// roll of all nodes none of them remembers its beginning.
+TEST_CASE("a roll-out ends before its deadline although all nodes restart during it")
+{
+    simulated_fleet fleet{3};
+    fleet.begin();
+    fleet.pass(4s);
+    SUBCASE("one after another")
+    {
+        for (std::size_t index = 0; index < 3; ++index) {
+            fleet.start(index);
+            fleet.tell_orders();
+            fleet.pass(500ms);
+        }
+        fleet.pass(6500ms);
+    }
+    SUBCASE("at once")
+    {
+        for (std::size_t index = 0; index < 3; ++index)
+            fleet.start(index);
+        fleet.tell_orders();
+        fleet.pass(8s);
+    }
+    CHECK(fleet.order->has_ended());
+}
+
 TEST_CASE("a state is stored on the newest order, once the store takes it")
 {
     simulated_fleet fleet{3};
