--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace ragwortcove::core {
 
@@ -37,6 +38,8 @@
     [[nodiscard]] std::optional<double> median() const;
 
 private:
+    [[nodiscard]] std::vector<double> sorted_samples() const;
+
     static constexpr std::size_t max_samples = 5;
     std::array<double, max_samples> samples{};
     std::size_t count = 0;
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -63,14 +63,21 @@
     ++this->count;
 }
 
+std::vector<double> recent_times::sorted_samples() const
+{
+    const std::size_t held = std::min(this->count, max_samples);
+    std::vector<double> sorted(this->samples.begin(),
+                               this->samples.begin() + static_cast<std::ptrdiff_t>(held));
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+}
+
 std::optional<double> recent_times::median() const
 {
     if (this->count == 0)
         return std::nullopt;
-    const std::size_t held = std::min(this->count, max_samples);
-    std::array<double, max_samples> sorted = this->samples;
-    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
-    return sorted.at(held / 2);
+    const std::vector<double> sorted = this->sorted_samples();
+    return sorted.at(sorted.size() / 2);
 }
 
 std::optional<double> recent_times::ratio_of(double sample) const
@@ -81,11 +88,9 @@
         const double earlier = std::max(this->samples.front(), min_value);
         return std::max(sample / earlier, earlier / std::max(sample, min_value));
     }
-    const std::size_t held = std::min(this->count, max_samples);
-    std::array<double, max_samples> sorted = this->samples;
-    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(held));
+    const std::vector<double> sorted = this->sorted_samples();
     // One response may be fast by chance.
-    const double least = sorted.at(held < min_samples_for_second ? 0 : 1);
+    const double least = sorted.at(sorted.size() < min_samples_for_second ? 0 : 1);
     return sample / std::max(least, min_value);
 }
 
