--- a/include/ragwortcove/core/rollout_controller.hpp
+++ b/include/ragwortcove/core/rollout_controller.hpp
@@ -75,6 +75,8 @@
     /// Whether the step has brought enough results.
     [[nodiscard]] bool has_results(time_point now) const;
     [[nodiscard]] std::uint32_t planned_share(time_point now) const;
+    /// Whether the step under way has lasted its minimum time.
+    [[nodiscard]] bool has_held_step(time_point now) const;
     [[nodiscard]] bool may_advance(time_point now) const;
     void adopt_applied_share(time_point now);
     void advance(time_point now);
--- a/lib/core/rollout_controller.cpp
+++ b/lib/core/rollout_controller.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/rollout_controller.hpp"
 
+#include "seconds.hpp"
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -69,11 +71,6 @@
 /// A new controller waits so long for reports before it changes a share.
 static constexpr duration adoption_time = 700ms;
 
-static double seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 static constexpr std::array<std::uint32_t version_counts::*, 7> all_counts{
     &version_counts::sent,
     &version_counts::passed,
@@ -304,16 +301,19 @@
     return keeps_share ? planned : std::min(planned, suspicious_permille);
 }
 
+bool rollout_controller::has_held_step(time_point now) const
+{
+    return seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
+}
+
 bool rollout_controller::may_advance(time_point now) const
 {
     const double progress = this->progress(now);
     if (this->step == last_step || progress > latest_step_at ||
         progress < plan.at(this->step + 1).earliest_at)
         return false;
-    const bool was_held =
-        seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const double max_sum = advance_part * (suspicious_sum + this->sum_margin(now));
-    return was_held && this->has_results(now) && this->max_sum() < max_sum &&
+    return this->has_held_step(now) && this->has_results(now) && this->max_sum() < max_sum &&
            !this->paces.is_suspicious();
 }
 
@@ -344,10 +344,9 @@
 {
     if (this->halted)
         return rollout_state::reverted;
-    const bool was_held =
-        seconds(now - this->step_since) >= min_step_part * seconds(this->order.time_limit);
     const bool is_clean = this->is_clean(now);
-    const bool is_last = this->step == last_step && was_held && this->has_results(now);
+    const bool is_last =
+        this->step == last_step && this->has_held_step(now) && this->has_results(now);
     if (is_last && is_clean && this->all_moved(now))
         return rollout_state::complete;
     if (this->progress(now) >= latest_end_at)
--- a/lib/core/team_quota.cpp
+++ b/lib/core/team_quota.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/team_quota.hpp"
 
+#include "seconds.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -27,11 +29,6 @@
 /// Time after which an unused bucket is removed; by then it is full again in any case.
 static constexpr duration bucket_memory = 60s;
 
-static double seconds(duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 // Maximum number of units beyond the quota that this node grants in a window. A request within the
 // tolerance delays no other request while there are free slots.
 double team_quota::tolerated_units(const team_rule& team) const
--- a/lib/core/version_comparison.cpp
+++ b/lib/core/version_comparison.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/version_comparison.hpp"
 
+#include "seconds.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -43,11 +45,6 @@
 static constexpr double burst_results = 2.0;
 static constexpr double burst_per_good = 0.7;
 
-static double seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 static const comparison_rates& rates_of(version_comparison::result_kind kind)
 {
     return kind == version_comparison::result_kind::response ? failure_rates : late_rates;
