[http] the loop's clock counts the time for which the machine was suspended

What callers would see: after a suspension a node acted on leases, shares of a quota, canary shares and deadlines that had run out meanwhile, since its clock had stood still.

Cause: libwebsockets' clock is CLOCK_MONOTONIC. All decisions take their time from the loop, which reads CLOCK_BOOTTIME now; tests may give another clock.

http_unittest: new case with a clock that jumps by 10 s; a timer due then runs, a later one does not.

--- a/include/ragwortcove/http/loop.hpp
+++ b/include/ragwortcove/http/loop.hpp
@@ -24,10 +24,16 @@
     std::function<void()> closed;
 };
 
+/// Source of a loop's time, which never goes back.
+using loop_clock = std::function<std::chrono::microseconds()>;
+
+/// Time since the system started, including time for which the machine was suspended.
+[[nodiscard]] std::chrono::microseconds boot_time();
+
 /// libwebsockets event loop with timers and a thread-safe way to hand it work.
 class loop {
 public:
-    loop();
+    explicit loop(loop_clock clock = boot_time);
     ~loop();
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
@@ -40,7 +46,6 @@
     /// Runs `work` once after `delay`; loop's thread only.
     timer_id after(std::chrono::microseconds delay, std::function<void()> work);
     void cancel(timer_id timer);
-    /// Monotonic time.
     [[nodiscard]] std::chrono::microseconds now() const;
     /// Calls `readable` whenever a datagram socket has something to read.
     void watch_datagrams(int descriptor, std::function<void()> readable);
--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <ctime>
 #include <sys/timerfd.h>
 #include <unistd.h>
 #include <utility>
@@ -117,8 +118,19 @@
 
 static void run_due_timers(loop::state& self);
 
-loop::loop() : self(std::make_unique<state>())
+// Leases and deadlines run out while a machine is suspended, so the monotonic clock, which stands
+// still then, will not do.
+std::chrono::microseconds boot_time()
 {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+loop::loop(loop_clock clock) : self(std::make_unique<state>())
+{
+    this->self->clock = std::move(clock);
     this->self->context = create_context();
     assert(this->self->context != nullptr && "libwebsockets context not created");
     this->self->datagram_vhost = create_datagram_vhost(this->self->context);
@@ -189,7 +201,7 @@
     itimerspec when{};
     if (!self.timers.empty()) {
         const auto due = self.timers.begin()->first.first;
-        const std::chrono::microseconds now(lws_now_usecs());
+        const std::chrono::microseconds now = self.clock();
         const auto wait = std::max(due - now, std::chrono::microseconds(1));
         const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
         when.it_value.tv_sec = seconds.count();
@@ -203,7 +215,7 @@
     std::uint64_t expirations = 0;
     // Nothing to read means that the alarm was moved since.
     static_cast<void>(::read(self.alarm, &expirations, sizeof expirations));
-    const std::chrono::microseconds now(lws_now_usecs());
+    const std::chrono::microseconds now = self.clock();
     while (!self.timers.empty() && self.timers.begin()->first.first <= now) {
         auto due = self.timers.extract(self.timers.begin());
         self.due_times.erase(due.key().second);
@@ -235,7 +247,7 @@
 
 std::chrono::microseconds loop::now() const
 {
-    return std::chrono::microseconds(lws_now_usecs());
+    return this->self->clock();
 }
 
 void loop::watch_datagrams(int descriptor, std::function<void()> readable)
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -30,6 +30,7 @@
 
 struct loop::state {
     lws_context* context = nullptr;
+    loop_clock clock;
     /// Whether libwebsockets takes its connections down for good.
     bool ending = false;
     descriptor_id last_descriptor = 0;
--- a/unittests/http/loop_test.cpp
+++ b/unittests/http/loop_test.cpp
@@ -24,6 +24,23 @@
         CHECK(order == std::vector<int>{1, 2});
     }
 
+    SUBCASE("what is due after the machine was suspended runs when it goes on")
+    {
+        std::chrono::microseconds suspended{0};
+        loop on_suspended([&] { return boot_time() + suspended; });
+        const std::chrono::microseconds start = on_suspended.now();
+        bool due = false;
+        bool later = false;
+        on_suspended.after(std::chrono::seconds(10), [&] { due = true; });
+        on_suspended.after(std::chrono::seconds(60), [&] { later = true; });
+        on_suspended.after(std::chrono::milliseconds(1),
+                           [&] { suspended = std::chrono::seconds(10); });
+        on_suspended.after(std::chrono::milliseconds(2), [] {});
+        REQUIRE(run_until(on_suspended, [&] { return due; }));
+        CHECK_FALSE(later);
+        CHECK(on_suspended.now() - start >= std::chrono::seconds(10));
+    }
+
     SUBCASE("a timer may set the next one")
     {
         int rounds = 0;
