[gateway] large changes go from node to node; a starting node is no reader until it knows the fleet

A large change is offered now: the assigned readers are the roots of trees in which each node offers what it has to four others, which read it from that node. Before it reads the store itself, a node waits 0.1 to 0.6 s, by the size of the fleet. Reading and auditing begin when the view of the fleet is settled.

--- a/include/ragwortcove/core/fleet_view.hpp
+++ b/include/ragwortcove/core/fleet_view.hpp
@@ -45,8 +45,6 @@
     /// settled. An owner is replaced only when its process is known to have ended or it has
     /// announced that it is leaving, not when it is unreachable.
     [[nodiscard]] node_name exclusive_owner_of(std::string_view key) const;
-    /// Whether another serving node has been found, or the time-out for finding one has passed.
-    [[nodiscard]] bool is_discovery_finished(time_point now) const;
     /// Whether this node knows the serving nodes as the rest of the fleet does. Not so for a moment
     /// after its start, or after a pause of its process.
     [[nodiscard]] bool is_settled(time_point now) const;
@@ -75,7 +73,6 @@
 
     node_settings self;
     membership members;
-    time_point started_at;
     time_point next_greeting_at;
     time_point next_reconcile_at;
     time_point last_tick_at;
--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -60,6 +60,11 @@
     /// Handles the revision that another node reports to have.
     void on_peer_revision(adapter::document_kind kind, core::revision revision,
                           const http::socket_address& peer);
+    /// The same, where the other node is to be read from at once: it serves few nodes.
+    void on_peer_offer(adapter::document_kind kind, core::revision revision,
+                       const http::socket_address& peer);
+    /// Sets how long a change that another node has may take to arrive by itself.
+    void set_arrival_time(core::duration time) { this->arrival_time = time; }
     /// Applies changes sent by a reader. If revisions before the changes are missing, the store and
     /// then `peer` are asked for all documents.
     void on_peer_delta(const document_delta& delta, const http::socket_address& peer);
@@ -84,7 +89,8 @@
         bool loaded = false;
         bool store_available = true;
         std::uint32_t failures = 0;
-        /// Whether a call that fetches the revision reported by another node is scheduled or open.
+        /// Whether a call that fetches the revision reported by another node is scheduled, or open.
+        bool fetch_scheduled = false;
         bool catching_up = false;
         /// When the last such call was sent, on the loop's clock.
         core::duration last_fetch_at = -std::chrono::hours{1};
@@ -119,6 +125,7 @@
     document_feed_handlers handlers;
     std::array<kind_state, adapter::replicated_kind_count> kinds;
     bool reading = false;
+    core::duration arrival_time = std::chrono::milliseconds{100};
 };
 
 } // namespace ragwortcove::gateway
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -53,10 +53,6 @@
     {
         return this->view.exclusive_owner_of(key);
     }
-    [[nodiscard]] bool is_discovery_finished() const
-    {
-        return this->view.is_discovery_finished(this->now());
-    }
     [[nodiscard]] bool is_settled() const { return this->view.is_settled(this->now()); }
     [[nodiscard]] const std::vector<std::string>& serving_nodes() const
     {
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -58,6 +58,10 @@
                              state_write_handler&& done);
     void on_directory_changed(const core::directory_changes& changes);
     void exchange_documents();
+    /// Tells the nodes that this one serves to read from it what they lack.
+    void offer_documents();
+    /// Decides whether this node reads the store, and reads it once if an audit is due.
+    void update_reading(core::time_point at);
     [[nodiscard]] wire::PeerDatagram make_digest() const;
     void announce(const document_delta& delta);
     /// Time left of the removal grace period, in which an upstream that is absent from the store's
--- a/lib/core/feed_readers.cpp
+++ b/lib/core/feed_readers.cpp
@@ -11,6 +11,7 @@
 
 /// Number of nodes that are assigned to read.
 static constexpr std::size_t assigned_readers = 3;
+static constexpr std::size_t receivers_per_node = 4;
 /// Number of active readers below which another node becomes a substitute reader.
 static constexpr std::size_t min_active_readers = 2;
 /// How long a reader counts as active after its last report.
@@ -87,6 +88,24 @@
     return true;
 }
 
+// If a node passes a change on to few others, no node and no link has to serve all, and a change
+// reaches hundreds of nodes in a few steps.
+std::vector<node_name> feed_readers::receivers(std::span<const std::string> serving) const
+{
+    const std::vector<std::size_t> order = rendezvous_order("readers", serving);
+    const auto own = std::find_if(order.begin(), order.end(), [&](std::size_t index) {
+        return serving[index] == this->self.value;
+    });
+    if (own == order.end())
+        return {};
+    const auto rank = static_cast<std::size_t>(own - order.begin());
+    const std::size_t first = assigned_readers + rank * receivers_per_node;
+    std::vector<node_name> found;
+    for (std::size_t at = first; at < std::min(first + receivers_per_node, order.size()); ++at)
+        found.push_back(node_name{serving[order[at]]});
+    return found;
+}
+
 // All readers may have been cut off from changes without an error. Each node therefore reads once
 // at random times; the more nodes there are, the less often each one reads.
 bool feed_readers::audit_due(std::size_t serving, random_engine& random, time_point now)
--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -15,8 +15,6 @@
 static constexpr std::size_t max_greeted = 3;
 /// How long a node that did not respond is excluded from the owners.
 static constexpr duration unreachable_duration = 1s;
-/// How long a starting node waits to discover other nodes.
-static constexpr duration discovery_timeout = 1s;
 /// A view that no settled node confirms counts as settled after this time. Nodes that all start at
 /// once start within 0.3 s, and gossip among hundreds of them takes a few rounds.
 static constexpr duration settle_timeout = 700ms;
@@ -39,7 +37,7 @@
 }
 
 fleet_view::fleet_view(const node_settings& settings, time_point now)
-    : self{settings}, members{settings}, started_at{now}, last_tick_at{now}, settling_since{now}
+    : self{settings}, members{settings}, last_tick_at{now}, settling_since{now}
 {
     static_cast<void>(this->refresh_owners(now));
 }
@@ -244,13 +242,6 @@
     return node_name{this->serving[rendezvous_first(key, this->serving)]};
 }
 
-bool fleet_view::is_discovery_finished(time_point now) const
-{
-    const bool knows_another =
-        this->serving.size() > 1 || this->serving.front() != this->self.name.value;
-    return knows_another || now - this->started_at >= discovery_timeout;
-}
-
 std::size_t fleet_view::lost_node_count() const
 {
     std::size_t count = 0;
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -16,9 +16,8 @@
 /// Base of the delay after a failed call: exponential backoff with full jitter.
 static constexpr core::duration retry_base_delay = 100ms;
 static constexpr core::duration max_retry_delay = 1s;
-/// Time to wait for a change that another node already has before fetching it.
-static constexpr core::duration fetch_delay = 100ms;
-/// The same while the store is unavailable to this node.
+/// Time to wait for a change that another node already has before fetching it, while the store is
+/// unavailable to this node.
 static constexpr core::duration fetch_delay_without_store = 1ms;
 /// Minimum time between two fetches of a kind: while changes are frequent, one response brings
 /// many.
@@ -320,15 +319,38 @@
                                      const http::socket_address& peer)
 {
     kind_state& state = this->state_of(kind);
-    if (revision <= state.revision || state.catching_up)
+    if (revision <= state.revision || state.catching_up || state.fetch_scheduled)
         return;
-    state.catching_up = true;
+    state.fetch_scheduled = true;
     const core::duration min_delay =
-        state.store_available && state.loaded ? fetch_delay : fetch_delay_without_store;
+        state.store_available && state.loaded ? this->arrival_time : fetch_delay_without_store;
     const core::duration delay =
         std::max(min_delay, state.last_fetch_at + min_fetch_interval - this->event_loop.now());
-    this->event_loop.after(
-        delay, [this, &state, revision, peer] { this->catch_up(state, revision, peer); });
+    this->event_loop.after(delay, [this, &state, revision, peer] {
+        state.fetch_scheduled = false;
+        if (!state.catching_up)
+            this->catch_up(state, revision, peer);
+    });
+}
+
+void document_feed::on_peer_offer(adapter::document_kind kind, core::revision revision,
+                                  const http::socket_address& peer)
+{
+    kind_state& state = this->state_of(kind);
+    if (revision <= state.revision || state.catching_up || !state.loaded)
+        return;
+    state.catching_up = true;
+    const core::duration delay =
+        std::max(fetch_delay_without_store,
+                 state.last_fetch_at + min_fetch_interval - this->event_loop.now());
+    this->event_loop.after(delay, [this, &state, revision, peer] {
+        if (revision <= state.revision) {
+            state.catching_up = false;
+            return;
+        }
+        state.last_fetch_at = this->event_loop.now();
+        this->fetch_from_peer(state, peer);
+    });
 }
 
 void document_feed::on_peer_delta(const document_delta& delta, const http::socket_address& peer)
@@ -352,10 +374,9 @@
 void document_feed::catch_up(kind_state& state, core::revision revision,
                              const http::socket_address& peer)
 {
-    if (revision <= state.revision) {
-        state.catching_up = false;
+    if (revision <= state.revision)
         return;
-    }
+    state.catching_up = true;
     state.last_fetch_at = this->event_loop.now();
     if (state.watch_call != 0) {
         this->store.cancel(std::exchange(state.watch_call, 0));
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -21,9 +21,14 @@
 static constexpr core::duration reader_digest_period = 300ms;
 /// Interval at which this node checks whether it should be a reader.
 static constexpr core::duration reading_check_period = 50ms;
-/// Changes up to this size are sent in a datagram; the other nodes fetch larger ones from the
-/// store.
+/// Changes up to this size are sent in a datagram; larger ones are offered to a few nodes, which
+/// read them from this one and offer them in turn.
 static constexpr std::size_t max_delta_bytes = 8U << 10U;
+/// How long a change may take to arrive, before a node reads the store itself: for a few nodes, and
+/// more for each further one.
+static constexpr core::duration min_arrival_time = 100ms;
+static constexpr core::duration arrival_time_per_node = 3ms;
+static constexpr core::duration max_arrival_time = 600ms;
 
 // A leaving node continues to read: until its process ends, its messages keep other nodes from
 // becoming readers.
@@ -32,11 +37,10 @@
     const core::time_point at = this->now();
     if (at >= this->next_reading_check_at) {
         this->next_reading_check_at = at + reading_check_period;
-        const std::vector<std::string>& serving = this->nodes->serving_nodes();
-        if (this->nodes->is_discovery_finished())
-            this->feed->set_reading(this->readers.should_read(serving, at));
-        if (this->readers.audit_due(serving.size(), this->random, at))
-            this->feed->audit();
+        // Of many nodes that start together, each knows few others at first, and would take itself
+        // for a reader.
+        if (this->nodes->is_settled())
+            this->update_reading(at);
     }
     if (at >= this->next_digest_at) {
         this->next_digest_at = at + digest_period;
@@ -52,6 +56,17 @@
     }
 }
 
+void gateway::update_reading(core::time_point at)
+{
+    const std::vector<std::string>& serving = this->nodes->serving_nodes();
+    const auto count = static_cast<core::duration::rep>(serving.size());
+    this->feed->set_arrival_time(
+        std::min(max_arrival_time, min_arrival_time + arrival_time_per_node * count));
+    this->feed->set_reading(this->readers.should_read(serving, at));
+    if (this->readers.audit_due(serving.size(), this->random, at))
+        this->feed->audit();
+}
+
 wire::PeerDatagram gateway::make_digest() const
 {
     wire::PeerDatagram message;
@@ -69,8 +84,7 @@
     wire::PeerDatagram message;
     std::string changes = adapter::write_changes(delta.changes);
     if (changes.size() > max_delta_bytes) {
-        message = this->make_digest();
-        this->nodes->send_to_all(message);
+        this->offer_documents();
         return;
     }
     wire::DocumentDelta& body = *message.mutable_delta();
@@ -82,6 +96,14 @@
     this->nodes->send_to_all(message);
 }
 
+void gateway::offer_documents()
+{
+    wire::PeerDatagram message = this->make_digest();
+    message.mutable_digest()->set_offers(true);
+    for (const core::node_name& receiver : this->readers.receivers(this->nodes->serving_nodes()))
+        this->nodes->send(receiver, message);
+}
+
 core::duration gateway::removal_grace_left() const
 {
     return std::max(core::duration{0}, this->directory.removal_grace_until() - this->now());
@@ -103,11 +125,16 @@
     const core::endpoint address = this->nodes->peer_address(from);
     if (address.port == 0)
         return;
+    const http::socket_address peer = to_socket_address(address);
     for (int index = 0; index < digest.revisions_size(); ++index) {
-        if (static_cast<std::size_t>(index) < adapter::replicated_kind_count)
-            this->feed->on_peer_revision(static_cast<adapter::document_kind>(index),
-                                         core::revision{digest.revisions(index)},
-                                         to_socket_address(address));
+        if (static_cast<std::size_t>(index) >= adapter::replicated_kind_count)
+            continue;
+        const auto kind = static_cast<adapter::document_kind>(index);
+        const core::revision revision{digest.revisions(index)};
+        if (digest.offers())
+            this->feed->on_peer_offer(kind, revision, peer);
+        else
+            this->feed->on_peer_revision(kind, revision, peer);
     }
 }
 
@@ -129,6 +156,9 @@
 
 void gateway::apply_documents(const document_update& update)
 {
+    // A full list stands for changes that did not come in a datagram, to others no more than here.
+    if (update.is_full_list && this->nodes->is_settled())
+        this->offer_documents();
     switch (update.kind) {
     case adapter::document_kind::rules:
         this->apply_rules(update);
--- a/unittests/core/feed_readers_test.cpp
+++ b/unittests/core/feed_readers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
 #include <vector>
 
 using namespace ragwortcove::core;
@@ -158,3 +159,33 @@
     CHECK(audits >= 240);
     CHECK(audits <= 360);
 }
+
+TEST_CASE("a large change reaches each node once, in a few steps from the assigned readers")
+{
+    for (const std::size_t count : {1U, 3U, 4U, 9U, 81U, 195U, 860U}) {
+        CAPTURE(count);
+        const simulated_nodes nodes{count};
+        std::set<std::string> reached;
+        std::vector<std::string> step;
+        for (const std::size_t index : nodes.order()) {
+            if (step.size() < 3)
+                step.push_back(nodes.names[index]);
+        }
+        std::size_t steps = 0;
+        while (!step.empty()) {
+            std::vector<std::string> next;
+            for (const std::string& name : step) {
+                CHECK(reached.insert(name).second);
+                const feed_readers sender{node_name{name}};
+                for (const node_name& receiver : sender.receivers(nodes.names))
+                    next.push_back(receiver.value);
+            }
+            step = std::move(next);
+            ++steps;
+        }
+        CHECK(reached.size() == count);
+        CHECK(steps <= 5);
+    }
+    const feed_readers joining{node_name{"unknown"}};
+    CHECK(joining.receivers(std::vector<std::string>{"n1", "n2"}).empty());
+}
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -386,6 +386,37 @@
         CHECK(fixture.feed->all_documents(document_kind::upstreams).documents.size() == 3);
         CHECK(other.lists == 0);
     }
+    SUBCASE("what another node offers is read from it at once, and not from the store")
+    {
+        other.documents["servers"]["i-9"] = 20;
+        other.revision = 20;
+        // The store is read only after a time in which the offer can come.
+        fixture.feed->set_arrival_time(300ms);
+        fixture.feed->on_peer_revision(document_kind::upstreams, {20}, address);
+        fixture.pass(50ms);
+        CHECK(fixture.feed->revision_of(document_kind::upstreams).value == 4);
+        fixture.feed->on_peer_offer(document_kind::upstreams, {20}, address);
+        fixture.feed->on_peer_offer(document_kind::upstreams, {20}, address);
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 20; }));
+        CHECK(fixture.updates.back().is_full_list);
+        fixture.pass(400ms);
+        CHECK(other.lists == 1);
+        CHECK(fixture.store.lists == kind_count);
+    }
+    SUBCASE("an offer that cannot be read is followed by a read of the store")
+    {
+        other.error_status = 503;
+        fixture.store.put("servers", "i-2");
+        fixture.feed->on_peer_offer(document_kind::upstreams, fixture.store.revision_now(),
+                                    address);
+        fixture.pass(100ms);
+        CHECK(fixture.feed->revision_of(document_kind::upstreams).value == 4);
+        fixture.feed->on_peer_revision(document_kind::upstreams, fixture.store.revision_now(),
+                                       address);
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 11; }));
+    }
     SUBCASE("frequent changes need few calls")
     {
         for (std::uint64_t count = 0; count != 20; ++count) {
