--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -17,7 +17,7 @@
 static constexpr duration unreachable_duration = 1s;
 /// A view that no settled node confirms counts as settled after this time. Nodes that all start at
 /// once start within 0.3 s, and gossip among hundreds of them takes a few rounds.
-static constexpr duration settle_timeout = 700ms;
+static constexpr duration settle_timeout = 400ms;
 /// A heartbeat that was sent before a pause may arrive after it, and confirms nothing.
 static constexpr duration min_settle_time = 100ms;
 /// A longer time between two ticks is a pause, within which others may have taken this node for
