[gateway] starting nodes agree on who reads before they serve; first audits are spread

Nodes that are about to serve count now when readers are chosen, and no node reads for others in its first second; its own first lists hold until then. The first audits of nodes that start together are spread from the start on, at one a second for all; with the known number of nodes they would have begun after 97 s.

--- a/include/ragwortcove/core/feed_readers.hpp
+++ b/include/ragwortcove/core/feed_readers.hpp
@@ -28,11 +28,11 @@
     /// period while one reader has had no disturbance: the store was then available, and refused
     /// only the other readers.
     [[nodiscard]] time_point removal_grace_until(time_point now) const;
-    /// Whether this node should read now; `serving` names the nodes that serve.
-    [[nodiscard]] bool should_read(std::span<const std::string> serving, time_point now);
+    /// Whether this node should read now; `present` names the nodes that serve or are about to.
+    [[nodiscard]] bool should_read(std::span<const std::string> present, time_point now);
     /// Nodes that this one passes a change on to that is too large for a datagram: the assigned
     /// readers are the roots of trees that hold each serving node once.
-    [[nodiscard]] std::vector<node_name> receivers(std::span<const std::string> serving) const;
+    [[nodiscard]] std::vector<node_name> receivers(std::span<const std::string> present) const;
     /// Whether this node is an assigned reader, rather than a substitute.
     [[nodiscard]] bool is_assigned() const { return this->assigned; }
     /// Whether this node should now read once, to check that the readers have missed no change.
--- a/include/ragwortcove/core/fleet_view.hpp
+++ b/include/ragwortcove/core/fleet_view.hpp
@@ -51,6 +51,8 @@
 
     /// Names of the serving nodes, sorted; this node alone if it knows none.
     [[nodiscard]] const std::vector<std::string>& serving_nodes() const { return this->serving; }
+    /// Names of the nodes that serve or are about to, sorted.
+    [[nodiscard]] const std::vector<std::string>& present_nodes() const { return this->present; }
     /// Number of nodes that are considered dead but may still be running, unreachable to this node.
     [[nodiscard]] std::size_t lost_node_count() const;
     [[nodiscard]] const membership& nodes() const { return this->members; }
@@ -84,6 +86,7 @@
     std::vector<incarnation> ended;
     std::vector<std::string> owners;
     std::vector<std::string> serving;
+    std::vector<std::string> present;
     std::map<node_name, time_point> unreachable_until;
 };
 
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -58,6 +58,10 @@
     {
         return this->view.serving_nodes();
     }
+    [[nodiscard]] const std::vector<std::string>& present_nodes() const
+    {
+        return this->view.present_nodes();
+    }
     /// Number of serving nodes, including this one.
     [[nodiscard]] std::size_t serving_node_count() const
     {
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -105,6 +105,7 @@
     http::timer_id tick_timer = 0;
     core::time_point next_digest_at;
     core::time_point next_reader_digest_at;
+    core::time_point started_at;
     core::time_point next_reading_check_at;
     core::time_point drain_started_at;
     bool draining = false;
--- a/lib/core/feed_readers.cpp
+++ b/lib/core/feed_readers.cpp
@@ -115,9 +115,10 @@
     if (is_first || is_due) {
         const double mean = static_cast<double>(audit_period.count()) *
                             static_cast<double>(std::max<std::size_t>(serving, 1));
-        // Uniform between half and one and a half times the mean.
-        this->next_audit_at =
-            now + duration{static_cast<duration::rep>(mean * (0.5 + uniform(random)))};
+        // Uniform between half and one and a half times the mean. The first ones are spread from
+        // the start on, so that nodes that start together audit at the same rate.
+        const double periods = is_first ? uniform(random) : 0.5 + uniform(random);
+        this->next_audit_at = now + duration{static_cast<duration::rep>(mean * periods)};
     }
     return is_due;
 }
--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -186,10 +186,15 @@
         owners_now.push_back(this->self.name.value);
     std::sort(owners_now.begin(), owners_now.end());
     std::vector<std::string> serving_now;
+    std::vector<std::string> present_now;
     for (const member_claim& claim : this->members.all()) {
         if (is_serving(claim))
             serving_now.push_back(claim.name.value);
+        if (is_serving(claim) || claim.state == member_state::joining)
+            present_now.push_back(claim.name.value);
     }
+    std::sort(present_now.begin(), present_now.end());
+    this->present = std::move(present_now);
     if (serving_now.empty())
         serving_now.push_back(this->self.name.value);
     std::sort(serving_now.begin(), serving_now.end());
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -125,6 +125,7 @@
     feed_handlers.announce = [this](const document_delta& delta) { this->announce(delta); };
     this->feed =
         std::make_unique<document_feed>(loop, this->store, run.value, std::move(feed_handlers));
+    this->started_at = this->now();
     this->tick();
 }
 
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -21,6 +21,8 @@
 static constexpr core::duration reader_digest_period = 300ms;
 /// Interval at which this node checks whether it should be a reader.
 static constexpr core::duration reading_check_period = 50ms;
+/// Time from the start of this node to its first reading for others.
+static constexpr core::duration first_reading_delay = 1s;
 /// Changes up to this size are sent in a datagram; larger ones are offered to a few nodes, which
 /// read them from this one and offer them in turn.
 static constexpr std::size_t max_delta_bytes = 8U << 10U;
@@ -37,9 +39,9 @@
     const core::time_point at = this->now();
     if (at >= this->next_reading_check_at) {
         this->next_reading_check_at = at + reading_check_period;
-        // Of many nodes that start together, each knows few others at first, and would take itself
-        // for a reader.
-        if (this->nodes->is_settled())
+        // Of many nodes that start together, each knows few others that serve, and would take
+        // itself for a reader. It has lists of its own.
+        if (this->nodes->is_settled() && at - this->started_at >= first_reading_delay)
             this->update_reading(at);
     }
     if (at >= this->next_digest_at) {
@@ -58,12 +60,13 @@
 
 void gateway::update_reading(core::time_point at)
 {
-    const std::vector<std::string>& serving = this->nodes->serving_nodes();
-    const auto count = static_cast<core::duration::rep>(serving.size());
+    // Nodes that do not serve yet read, too: they wait for the first rules.
+    const std::vector<std::string>& present = this->nodes->present_nodes();
+    const auto count = static_cast<core::duration::rep>(present.size());
     this->feed->set_arrival_time(
         std::min(max_arrival_time, min_arrival_time + arrival_time_per_node * count));
-    this->feed->set_reading(this->readers.should_read(serving, at));
-    if (this->readers.audit_due(serving.size(), this->random, at))
+    this->feed->set_reading(this->readers.should_read(present, at));
+    if (this->readers.audit_due(present.size(), this->random, at))
         this->feed->audit();
 }
 
@@ -100,7 +103,7 @@
 {
     wire::PeerDatagram message = this->make_digest();
     message.mutable_digest()->set_offers(true);
-    for (const core::node_name& receiver : this->readers.receivers(this->nodes->serving_nodes()))
+    for (const core::node_name& receiver : this->readers.receivers(this->nodes->present_nodes()))
         this->nodes->send(receiver, message);
 }
 
--- a/unittests/core/feed_readers_test.cpp
+++ b/unittests/core/feed_readers_test.cpp
@@ -150,14 +150,27 @@
     constexpr std::size_t nodes = 30;
     std::vector<feed_readers> readers(nodes, feed_readers{node_name{"n"}});
     random_engine random{5};
-    int audits = 0;
     time_point now{1h};
-    for (const time_point end = now + 300s; now < end; now += 50ms) {
-        for (feed_readers& each : readers)
-            audits += each.audit_due(nodes, random, now) ? 1 : 0;
+    const auto audits_within = [&](duration time) {
+        int audits = 0;
+        for (const time_point end = now + time; now < end; now += 50ms) {
+            for (feed_readers& each : readers)
+                audits += each.audit_due(nodes, random, now) ? 1 : 0;
+        }
+        return audits;
+    };
+    SUBCASE("over minutes")
+    {
+        const int audits = audits_within(300s);
+        CHECK(audits >= 240);
+        CHECK(audits <= 360);
+    }
+    SUBCASE("in the first seconds after they start together")
+    {
+        const int audits = audits_within(15s);
+        CHECK(audits >= 8);
+        CHECK(audits <= 22);
     }
-    CHECK(audits >= 240);
-    CHECK(audits <= 360);
 }
 
 TEST_CASE("a large change reaches each node once, in a few steps from the assigned readers")
