--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -69,6 +69,7 @@
     peer_documents_read = 404,
     peer_documents_failed = 405,
     reading_changed = 406,
+    fleet_view_changed = 407,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -92,6 +92,7 @@
     core::random_engine random;
     core::effect_list effects;
     core::fleet_view view;
+    bool was_settled = false;
     int datagram_socket = -1;
     http::timer_id timer = 0;
 };
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -159,6 +159,11 @@
                     "this instance begins to read documents from the platform for the others, or "
                     "leaves that to them",
                     "none; many of them on one instance mean that it does not hear the others"},
+    log_event_entry{
+        log_event::fleet_view_changed, "fleet_view_changed", log_level::info,
+        "this instance knows the fleet as the others do (`settled`), or has been paused "
+        "and must hear from them first; until then it accounts for no quota",
+        "look for what paused the VM when it repeats"},
 
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -57,6 +57,12 @@
     step(context);
     this->apply_effects();
     const bool has_changed = this->view.refresh_owners(context.now);
+    const bool is_settled = this->view.is_settled(context.now);
+    if (std::exchange(this->was_settled, is_settled) != is_settled)
+        daemon::write_log(daemon::log_event::fleet_view_changed,
+                          {{"settled", is_settled ? "true" : "false"},
+                           {"serving", std::to_string(this->serving_node_count())},
+                           {"lost", std::to_string(this->lost_node_count())}});
     for (const core::incarnation ended : this->view.take_ended())
         this->handlers.ended(ended);
     if (has_changed)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -267,6 +267,8 @@
           this->feed->is_store_available() ? 1.0 : 0.0},
          {"serving_nodes", "nodes that serve, this one among them",
           to_value(this->nodes->serving_node_count())},
+         {"fleet_view_settled", "whether this node knows the fleet as the other nodes do",
+          this->nodes->is_settled() ? 1.0 : 0.0},
          {"ready", "whether this node is ready", this->ready() ? 1.0 : 0.0}});
 }
 
