--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -160,7 +160,7 @@
 
 membership_changes fleet_view::collect_changes()
 {
-    const membership_changes changes = this->members.take_changes();
+    membership_changes changes = this->members.take_changes();
     this->ended.insert(this->ended.end(), changes.ended.begin(), changes.ended.end());
     this->must_choose_owners = this->must_choose_owners || changes.owners_changed;
     return changes;
