--- a/include/ragwortcove/core/fleet_view.hpp
+++ b/include/ragwortcove/core/fleet_view.hpp
@@ -11,7 +11,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -54,10 +54,6 @@
         return this->view.exclusive_owner_of(key);
     }
     [[nodiscard]] bool is_settled() const { return this->view.is_settled(this->now()); }
-    [[nodiscard]] const std::vector<std::string>& serving_nodes() const
-    {
-        return this->view.serving_nodes();
-    }
     [[nodiscard]] const std::vector<std::string>& present_nodes() const
     {
         return this->view.present_nodes();
--- a/unittests/gateway/quota_fleet_test.cpp
+++ b/unittests/gateway/quota_fleet_test.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
