--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -77,6 +77,7 @@
     store_era_began = 408,
     store_era_invalid = 409,
     store_response_outdated = 410,
+    documents_left_out = 411,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -193,6 +193,11 @@
                     "a response of the store from before it came back from a copy came late; it is "
                     "ignored",
                     "none"},
+    log_event_entry{
+        log_event::documents_left_out, "documents_left_out", log_level::warning,
+        "entries of the store, `count` of them, have no readable name or revision; they "
+        "are left out, the others hold",
+        "look at who writes entries of that kind"},
 
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -99,6 +99,16 @@
         this->list_store(state);
 }
 
+static void log_left_out(adapter::document_kind kind, std::size_t count, core::store_position at)
+{
+    if (count == 0)
+        return;
+    daemon::write_log(log_event::documents_left_out,
+                      {{"documents", to_text(kind)},
+                       {"count", std::to_string(count)},
+                       {"revision", std::to_string(at.revision.value)}});
+}
+
 bool document_feed::take_store_list(kind_state& state, const adapter::document_list& all,
                                     core::duration sent_at, bool announces)
 {
@@ -107,6 +117,7 @@
         return false;
     for (adapter::store_document& document : taken.documents)
         document.era = taken.era;
+    log_left_out(state.kind, taken.unreadable, taken.position());
     state.read_upto = std::max(state.read_upto, taken.position());
     this->apply_list(state, std::move(taken), announces);
     return true;
@@ -225,6 +236,7 @@
         return false;
     for (adapter::document_change& change : taken.changes)
         change.document.era = taken.era;
+    log_left_out(state.kind, taken.unreadable, taken.position());
     state.read_upto = std::max(state.read_upto, taken.position());
     const core::revision before = state.documents.position().revision;
     const core::time_point now{this->event_loop.now()};
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -1,5 +1,6 @@
 #include "gateway.pb.h"
 #include "http_values.hpp"
+#include "platform/announcement.hpp"
 #include "platform/rules.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/gateway/gateway.hpp"
--- a/unittests/adapter/documents_test.cpp
+++ b/unittests/adapter/documents_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/announcement.hpp"
 #include "platform/rules.hpp"
 #include "platform/store_document.hpp"
 
