[soak] another writer leaves odd entries; the run closes its own connections

The tracebacks at a run's end came from connections that the proxy had accepted and never closed, 88 in a run of 4 s.

--- a/include/ragwortcove/standin/store_model.hpp
+++ b/include/ragwortcove/standin/store_model.hpp
@@ -68,6 +68,8 @@
 
     void set_faults(const store_faults& ordered) { this->faults = ordered; }
     [[nodiscard]] bool down() const { return this->faults.down; }
+    /// Writes a document whose content is any text, as another writer may leave it.
+    void write_raw(const std::string& kind, const std::string& name, std::string_view raw_content);
     /// Forgets all changes: a watch that does not know the newest revision must list.
     void compact();
     /// Keeps a copy of all documents, in place of an earlier one.
@@ -96,6 +98,8 @@
         core::revision latest;
     };
 
+    /// An answer with the text in place of each raw content.
+    [[nodiscard]] store_answer answer_with(std::string body) const;
     [[nodiscard]] std::optional<store_answer> turn_away(bool is_write, core::time_point now);
     [[nodiscard]] store_reply reply_with(store_answer&& answer);
     [[nodiscard]] store_answer carry_out(const adapter::store_call& call);
@@ -117,6 +121,8 @@
     stored_contents contents;
     stored_contents copy;
     core::store_era current_era{1};
+    /// Raw contents, by the string that stands for each in its document.
+    std::map<std::string, std::string> raw_contents;
     platform_counts counted;
 };
 
--- a/lib/standin/platform_server.cpp
+++ b/lib/standin/platform_server.cpp
@@ -219,6 +219,11 @@
         this->store.restore_copy();
         return true;
     }
+    if (kind == "odd_entry") {
+        this->store.write_raw(get_text(body, "of"), get_text(body, "name"),
+                              get_text(body, "content"));
+        return true;
+    }
     if (kind == "none") {
         this->faults = {};
         return true;
@@ -233,7 +238,7 @@
         respond_error(
             this->server, exchange, 400,
             "kind: expected down, slow, lost_answers, refuse, silent_watches, compact, copy, "
-            "restore or none");
+            "restore, odd_entry or none");
         return;
     }
     this->store.set_faults(this->faults);
--- a/lib/standin/store_model.cpp
+++ b/lib/standin/store_model.cpp
@@ -123,7 +123,7 @@
             part.documents.push_back(at->second);
         }
     }
-    return {status_ok, adapter::write_page(part, goes_on), std::nullopt};
+    return this->answer_with(adapter::write_page(part, goes_on));
 }
 
 adapter::store_document* store_model::find(std::string_view kind, std::string_view name)
@@ -159,7 +159,7 @@
     const auto found = of_kind->second.find(call.name);
     if (found == of_kind->second.end())
         return missing();
-    return {status_ok, adapter::write_document(found->second), std::nullopt};
+    return this->answer_with(adapter::write_document(found->second));
 }
 
 store_answer store_model::record(const std::string& kind, adapter::store_document& document,
@@ -261,7 +261,7 @@
     }
     if (changes.changes.empty())
         return std::nullopt;
-    return store_answer{status_ok, adapter::write_changes(changes), std::nullopt};
+    return this->answer_with(adapter::write_changes(changes));
 }
 
 store_answer store_model::end_watch() const
@@ -271,6 +271,28 @@
     return {status_ok, adapter::write_changes(none), std::nullopt};
 }
 
+void store_model::write_raw(const std::string& kind, const std::string& name,
+                            std::string_view raw_content)
+{
+    const std::string stand_in = "raw-content-" + std::to_string(this->raw_contents.size());
+    this->raw_contents[stand_in] = raw_content;
+    adapter::store_document& written = this->contents.kinds[kind][name];
+    written.name = name;
+    written.content = stand_in;
+    static_cast<void>(this->record(kind, written, false));
+}
+
+store_answer store_model::answer_with(std::string body) const
+{
+    for (const auto& [stand_in, raw_content] : this->raw_contents) {
+        const std::string quoted = "\"" + stand_in + "\"";
+        for (std::size_t at = body.find(quoted); at != std::string::npos;
+             at = body.find(quoted, at + raw_content.size()))
+            body.replace(at, quoted.size(), raw_content);
+    }
+    return {status_ok, std::move(body), std::nullopt};
+}
+
 void store_model::compact()
 {
     this->contents.history.clear();
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -27,6 +27,12 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def close(self):
+        """Listens no more, and breaks what passes through."""
+        if self.server:
+            self.server.close()
+        self.reset_all()
+
     async def accept(self, reader, writer):
         if self.mode in ("refuse", "reset"):
             writer.transport.abort()
@@ -40,6 +46,8 @@
         await asyncio.gather(self.pump(reader, far_writer, True),
                              self.pump(far_reader, writer, False))
         self.writers -= {writer, far_writer}
+        writer.close()
+        far_writer.close()
 
     async def pump(self, reader, writer, is_forward):
         try:
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -154,11 +154,16 @@
         if await self.store.put("servers", self.instance, counted, replaces=not is_known):
             self.stored = (self.instance, spec)
 
-    async def crash(self):
-        """Ends at once: connections break, nothing is said."""
-        self.server.close()
+    def close(self):
+        """Listens no more, and breaks all connections."""
+        if self.server:
+            self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
+
+    async def crash(self):
+        """Ends at once: connections break, nothing is said."""
+        self.close()
         gone, self.instance = self.instance, None
         await self.store.remove("servers", gone)
 
--- a/unittests/standin/store_model_test.cpp
+++ b/unittests/standin/store_model_test.cpp
@@ -234,3 +234,20 @@
     CHECK(refused.retry_after.has_value());
     CHECK(ask(store, get_document{"things", "a", true}).status == 404);
 }
+
+TEST_CASE("a store model answers with any content that another writer has left")
+{
+    store_model store({}, 1);
+    const std::string content = "[[[1e99999999999]]]";
+    store.write_raw("servers", "odd", content);
+    store.write_raw("servers", "other", "nonsense");
+    const std::string list = ask(store, list_documents{"servers"}).body;
+    CHECK(list.find(R"("spec":[[[1e99999999999]]])") != std::string::npos);
+    CHECK(list.find(R"("spec":nonsense)") != std::string::npos);
+    CHECK(ask(store, get_document{"servers", "odd"}).body.find(content) != std::string::npos);
+    const auto changes = store.look_at_watch({"servers", {0}, std::chrono::milliseconds{100}});
+    REQUIRE(changes.has_value());
+    CHECK(changes->body.find(content) != std::string::npos);
+    REQUIRE(ask(store, remove_document{"servers", "odd"}).status == 200);
+    CHECK(ask(store, list_documents{"servers"}).body.find(content) == std::string::npos);
+}
