[core] the repeats of all nodes stay within the shared budget while nodes start, are killed or cannot reach each other

What upstreams would see (BUDGET, repeats beyond what is allowed, summed over all nodes): the fleet's allowance was divided by the nodes that a node takes for serving. Nodes that cannot reach each other take each other for dead, and nodes that start know no other, so each spent the whole allowance; a node that was killed forgot what it had spent. No test played the budget at all.

Class: a part of a shared quantity worked out from the nodes that are in reach.

The part that a node earns by its own requests is as before. New gauge known_nodes.

--- a/include/ragwortcove/core/fleet_view.hpp
+++ b/include/ragwortcove/core/fleet_view.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,10 @@
     [[nodiscard]] const std::vector<std::string>& serving_nodes() const { return this->serving; }
     /// Names of the nodes that serve or are about to, sorted.
     [[nodiscard]] const std::vector<std::string>& present_nodes() const { return this->present; }
+    /// Number of nodes that share what the whole fleet may spend: all that may be serving, whether
+    /// this node reaches them or not. Zero while it has heard of no other node although it has
+    /// seeds.
+    [[nodiscard]] std::size_t known_node_count() const { return this->known_nodes; }
     /// Number of nodes that are considered dead but may still be running, unreachable to this node.
     [[nodiscard]] std::size_t lost_node_count() const;
     [[nodiscard]] const membership& nodes() const { return this->members; }
@@ -69,6 +74,7 @@
     void broadcast_heartbeat(step_context& context);
     void update_settled(time_point now);
     [[nodiscard]] membership_changes collect_changes();
+    [[nodiscard]] std::size_t count_known(std::span<const member_claim> claims) const;
     /// Returns whether they differ from those before.
     bool choose_owners(time_point now);
 
@@ -86,6 +92,7 @@
     std::vector<std::string> owners;
     std::vector<std::string> serving;
     std::vector<std::string> present;
+    std::size_t known_nodes = 0;
     std::map<node_name, time_point> unreachable_until;
 };
 
--- a/include/ragwortcove/core/repeat_budget.hpp
+++ b/include/ragwortcove/core/repeat_budget.hpp
@@ -23,13 +23,18 @@
 /// that all shares together stay within the whole budget without communication between nodes.
 class repeat_budget {
 public:
-    explicit repeat_budget(const repeat_limits& given) : limits{given} {}
+    /// An earlier process of this node may have spent its part of the allowance just before
+    /// `started_at`, so this one has none until the window is over.
+    explicit repeat_budget(const repeat_limits& given, time_point started_at = {})
+        : limits{given}, allowance_from{started_at + given.window}
+    {
+    }
 
     void count_request(const target_name& target, time_point now);
     /// Whether `spend` would succeed.
     [[nodiscard]] bool has_left(const target_name& target, std::size_t nodes, time_point now);
     /// Spends one repeat; false when the budget is used up. `nodes` is the number of nodes that
-    /// share the allowance.
+    /// share the allowance, reachable or not; zero when it is unknown, and the node has no part.
     [[nodiscard]] bool spend(const target_name& target, std::size_t nodes, time_point now);
 
 private:
@@ -38,8 +43,11 @@
         std::deque<time_point> repeats;
     };
     void expire(window_counts& counts, time_point now) const;
+    /// This node's part of the allowance.
+    [[nodiscard]] double allowance(std::size_t nodes, time_point now) const;
 
     repeat_limits limits;
+    time_point allowance_from;
     std::map<target_name, window_counts> by_target;
 };
 
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -41,7 +41,8 @@
     core::failure_domain_name failure_domain;
     std::function<std::shared_ptr<const core::rule_index>()> rules;
     std::function<const core::announced_upstream*(const core::upstream_name&)> find_upstream;
-    std::function<std::size_t()> serving_node_count;
+    /// Number of nodes that share the repeats' allowance, as `core::fleet_view`.
+    std::function<std::size_t()> known_node_count;
     /// Decides which version of a target gets a request.
     rollout_service& rollouts;
     /// Takes that a process of an upstream has said in a response that it leaves.
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -63,6 +63,8 @@
     {
         return this->view.serving_nodes().size();
     }
+    /// As `core::fleet_view`.
+    [[nodiscard]] std::size_t known_node_count() const { return this->view.known_node_count(); }
     [[nodiscard]] std::size_t lost_node_count() const { return this->view.lost_node_count(); }
     /// Caller addresses of all live nodes.
     [[nodiscard]] std::vector<core::endpoint> entry_addresses() const;
--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -187,7 +187,8 @@
     std::sort(owners_now.begin(), owners_now.end());
     std::vector<std::string> serving_now;
     std::vector<std::string> present_now;
-    for (const member_claim& claim : this->members.all()) {
+    const std::vector<member_claim> claims = this->members.all();
+    for (const member_claim& claim : claims) {
         if (is_serving(claim))
             serving_now.push_back(claim.name.value);
         if (is_serving(claim) || claim.state == member_state::joining)
@@ -195,6 +196,7 @@
     }
     std::sort(present_now.begin(), present_now.end());
     this->present = std::move(present_now);
+    this->known_nodes = this->count_known(claims);
     if (serving_now.empty())
         serving_now.push_back(this->self.name.value);
     std::sort(serving_now.begin(), serving_now.end());
@@ -204,6 +206,20 @@
     return has_changed;
 }
 
+// A dead node may be running on the other side of a partition, and spend its own part there.
+std::size_t fleet_view::count_known(std::span<const member_claim> claims) const
+{
+    const bool has_other_seed =
+        std::any_of(this->self.seeds.begin(), this->self.seeds.end(),
+                    [this](const endpoint& seed) { return seed != this->self.peers; });
+    if (claims.size() == 1 && has_other_seed)
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(claims.begin(), claims.end(), [](const member_claim& claim) {
+            return claim.state != member_state::leaving;
+        }));
+}
+
 std::vector<incarnation> fleet_view::take_ended()
 {
     return std::exchange(this->ended, {});
--- a/lib/core/repeat_budget.cpp
+++ b/lib/core/repeat_budget.cpp
@@ -1,7 +1,5 @@
 #include "ragwortcove/core/repeat_budget.hpp"
 
-#include <algorithm>
-
 namespace ragwortcove::core {
 
 /// Share of the budget that is used, less than 1 because requests and their repeats may fall into
@@ -30,9 +28,15 @@
     window_counts& counts = this->by_target[target];
     this->expire(counts, now);
     const double earned = this->limits.share * static_cast<double>(counts.requests.size());
-    const double allowance =
-        this->limits.allowance / static_cast<double>(std::max<std::size_t>(nodes, 1));
-    return static_cast<double>(counts.repeats.size()) + 1.0 <= usable_share * (earned + allowance);
+    const double usable = usable_share * (earned + this->allowance(nodes, now));
+    return static_cast<double>(counts.repeats.size()) + 1.0 <= usable;
+}
+
+double repeat_budget::allowance(std::size_t nodes, time_point now) const
+{
+    if (nodes == 0 || now < this->allowance_from)
+        return 0.0;
+    return this->limits.allowance / static_cast<double>(nodes);
 }
 
 bool repeat_budget::spend(const target_name& target, std::size_t nodes, time_point now)
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -465,7 +465,7 @@
         return;
     const time_point at = this->now();
     const bool budget_left =
-        this->env.repeats.has_left(call.target, this->env.serving_node_count(), at);
+        this->env.repeats.has_left(call.target, this->env.known_node_count(), at);
     daemon::write_log(log_event::upstream_silent,
                       {{"request", call.facts.attempt},
                        {"route", call.route->name.value},
@@ -490,7 +490,7 @@
 bool call_handler::take_from_silent(open_call& call)
 {
     if (!this->may_replace(call) ||
-        !this->env.repeats.spend(call.target, this->env.serving_node_count(), this->now())) {
+        !this->env.repeats.spend(call.target, this->env.known_node_count(), this->now())) {
         this->arm_idle_timer(call);
         return false;
     }
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -342,7 +342,7 @@
         core::decide_next_step(*call.route, history, end, true) == core::next_step::place_again;
     if (would_repeat && core::counts_as_repeat(end))
         budget_left =
-            this->env.repeats.spend(call.target, this->env.serving_node_count(), this->now());
+            this->env.repeats.spend(call.target, this->env.known_node_count(), this->now());
     const core::next_step step = core::decide_next_step(*call.route, history, end, budget_left);
     this->log_failure(call, end, budget_left, step == core::next_step::place_again);
     switch (step) {
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -41,7 +41,7 @@
       control_connections(loop, control_idle_timeout),
       store(loop, this->control_connections,
             {to_socket_address(given.store), store_response_timeout, log_unreadable_era}),
-      repeats(given.repeats)
+      repeats(given.repeats, core::time_point{loop.now()})
 {
     http::inbound_handlers caller_handlers;
     caller_handlers.requested = [this](http::inbound_exchange id, http::inbound_request&& request) {
@@ -120,7 +120,7 @@
         loop, *this->caller_server, this->upstream_connections, *this->placement, this->repeats,
         this->metrics, given.failure_domain, [this] { return this->rules; },
         [this](const core::upstream_name& name) { return this->directory.find(name); },
-        [this] { return this->nodes->serving_node_count(); }, *this->rollouts,
+        [this] { return this->nodes->known_node_count(); }, *this->rollouts,
         [this](const core::upstream_process& process) {
             this->on_upstream_leaves(process, this->settings.name);
         }});
@@ -287,6 +287,8 @@
           this->feed->is_store_available() ? 1.0 : 0.0},
          {"serving_nodes", "nodes that serve, this one among them",
           to_value(this->nodes->serving_node_count())},
+         {"known_nodes", "nodes that share the allowance of repeats, zero if unknown",
+          to_value(this->nodes->known_node_count())},
          {"fleet_view_settled", "whether this node knows the fleet as the other nodes do",
           this->nodes->is_settled() ? 1.0 : 0.0},
          {"ready", "whether this node is ready", this->ready() ? 1.0 : 0.0}});
