[gateway] test: announcements in the tests of document sets are whole

An entry that names no upstream has no place among its writer's since, and the test's entries lacked a service and an address: 6 assertions of two cases failed on, as I saw only in the whole run of gateway_unittest after it. The checks are the same.

--- a/unittests/gateway/document_set_test.cpp
+++ b/unittests/gateway/document_set_test.cpp
@@ -35,7 +35,15 @@
                                     core::store_position position,
                                     const std::string& state = "ready", std::int64_t born = 1000)
 {
-    return make_document(name, {{"born", born}, {"seq", seq}, {"state", state}}, position);
+    return make_document(name,
+                         {{"service", "t"},
+                          {"addr", "10.0.0.1:80"},
+                          {"zone", "a"},
+                          {"version", "v1"},
+                          {"born", born},
+                          {"seq", seq},
+                          {"state", state}},
+                         position);
 }
 
 static document_list make_list(core::store_position position, std::vector<store_document> documents)
