[gateway] only a stream of events continues a stream that has begun

What callers of similar systems saw: a stream had begun and broke off, and the next upstream's error stood in the middle of it, or ended it as if complete (ORDER, MIXED).

Now a response is a stream when its content type says so; one that does not say what it is may begin a stream and not continue it. On a stream's route a success of another type is forwarded as it is, where it failed with 502 before. A continuation that is an event stream, and has nothing left to send, ends the stream in order as before: that is how a resumed stream ends whose last event had come.

The heads of streams in the other tests state the type now, as servers do.

--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -16,17 +16,29 @@
 /// How long this node avoids an upstream after it failed to connect to it.
 static constexpr duration unreachable_duration = 1s;
 
-/// Longest pause that an upstream's response can ask for.
-static constexpr duration max_upstream_pause = 60s;
+/// Longest pause that an upstream's response can ask for. After it, one request shows whether it
+/// still wants none.
+static constexpr duration max_upstream_pause = 1h;
 
 bool call_handler::is_streaming(const open_call& call) const
 {
     const dispatch& active_dispatch = *call.active_dispatch;
     constexpr int first_success = 200;
     constexpr int first_redirect = 300;
-    return call.route->streams && active_dispatch.head &&
-           active_dispatch.head->status >= first_success &&
-           active_dispatch.head->status < first_redirect && !active_dispatch.facts.not_run;
+    const bool is_success = active_dispatch.head && active_dispatch.head->status >= first_success &&
+                            active_dispatch.head->status < first_redirect;
+    if (!call.route->streams || !is_success || active_dispatch.facts.not_run)
+        return false;
+    switch (active_dispatch.facts.body) {
+    case adapter::body_kind::events:
+        return true;
+    case adapter::body_kind::unstated:
+        // What is to go on within a response must be known to be a stream.
+        return !call.history.response_started || active_dispatch.events > 0;
+    case adapter::body_kind::other:
+        return false;
+    }
+    return false;
 }
 
 static bool is_usable(const adapter::response_facts& facts)
--- a/unittests/gateway/call_fixture.hpp
+++ b/unittests/gateway/call_fixture.hpp
@@ -352,7 +352,7 @@
 
 inline const std::string stream_head =
     "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n";
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 inline const std::string last_chunk = "0\r\n\r\n";
 
 inline std::string make_chunk(const std::string& text)
