[gateway] a pause that an upstream asks for holds for its process, its whole time, and also when its request was given up

Class: what the other side has said is tied to something that changes for other reasons, or is dropped with the request that brought it.

--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -104,6 +104,8 @@
     void note_statements(const open_call& call, const adapter::response_facts& facts);
     /// Records that the upstream of the active dispatch wants nothing from this node for a while.
     void on_upstream_pauses(const open_call& call, core::duration stated);
+    /// Cancels the active dispatch, and keeps the pause that an unread refusal asks for.
+    void give_up_dispatch(const open_call& call);
     /// Drops a response to another request, and waits for the one to this request.
     void skip_misplaced_response(const open_call& call, int status);
     [[nodiscard]] bool is_paused(const core::announced_upstream& upstream, core::time_point at);
--- a/include/ragwortcove/http/outbound.hpp
+++ b/include/ragwortcove/http/outbound.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,10 @@
 
     /// No handler is called from inside this call.
     outbound_exchange start(outbound_request&& request, outbound_handlers&& handlers);
+    /// Head of an exchange's response that has come and was not read yet; unset when there is none,
+    /// or a part of it was read.
+    [[nodiscard]] std::optional<status_line_and_headers>
+    peek_head(outbound_exchange exchange) const;
     /// Ends an exchange and closes its connection at once; no handler is called after.
     void cancel(outbound_exchange exchange);
     /// Drops the response whose head has just come, since it belongs to another exchange, and waits
--- a/include/ragwortcove/http/tcp_stream.hpp
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -60,6 +60,8 @@
     [[nodiscard]] std::uint64_t sent_bytes() const;
     /// Whether nothing has come that was not read yet: no byte, no end, no reset.
     [[nodiscard]] bool is_quiet() const;
+    /// Bytes that have come and were not read yet, which stay to be read; `max_bytes` at most.
+    [[nodiscard]] std::string peek(std::size_t max_bytes) const;
     [[nodiscard]] bool is_open() const;
 
     struct state;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -145,7 +145,7 @@
     log_event_entry{
         log_event::upstream_pauses, "upstream_pauses", log_level::info,
         "an upstream has turned a request away and wants nothing from this instance for "
-        "`pause_ms`, at most a minute; others go on to send to it",
+        "`pause_ms`, at most an hour; others go on to send to it",
         "look at the upstream when it is named often"},
     log_event_entry{log_event::retry_after_unreadable, "retry_after_unreadable", log_level::warning,
                     "an upstream that turned a request away states no number of seconds in its "
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -245,8 +245,10 @@
 bool call_handler::is_paused(const core::announced_upstream& upstream, time_point at)
 {
     const auto found = this->pauses.find(upstream.name);
-    return found != this->pauses.end() && at < found->second.until &&
-           found->second.started_at == upstream.started_at;
+    if (found == this->pauses.end() || at >= found->second.until)
+        return false;
+    // Only a later process has not asked for it: an announcement of an earlier one is outdated.
+    return upstream.started_at <= found->second.started_at;
 }
 
 std::optional<duration> call_handler::retry_after_pause(const core::target_name& target)
@@ -494,7 +496,7 @@
         this->arm_idle_timer(call);
         return false;
     }
-    this->env.upstreams.cancel(call.active_dispatch->exchange);
+    this->give_up_dispatch(call);
     this->record_failure(call, core::dispatch_end::silent);
     this->log_failure(call, core::dispatch_end::silent, true, true);
     call.avoid.push_back(call.active_dispatch->upstream);
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -67,11 +67,16 @@
     const dispatch& active_dispatch = *call.active_dispatch;
     const duration pause = std::min(stated, max_upstream_pause);
     const time_point until = this->now() + pause;
-    upstream_pause& known = this->pauses[active_dispatch.upstream];
-    const bool is_same_process = known.started_at == active_dispatch.upstream_started_at;
+    const std::int64_t started_at = active_dispatch.upstream_started_at;
+    const auto [found, is_new] = this->pauses.try_emplace(active_dispatch.upstream);
+    upstream_pause& known = found->second;
+    // A late response of an earlier process says nothing of the one after it.
+    if (!is_new && started_at < known.started_at)
+        return;
+    const bool is_same_process = started_at == known.started_at;
     known.until = is_same_process ? std::max(known.until, until) : until;
     known.target = call.target;
-    known.started_at = active_dispatch.upstream_started_at;
+    known.started_at = started_at;
     daemon::write_log(log_event::upstream_pauses, {{"request", call.facts.attempt},
                                                    {"upstream", active_dispatch.upstream.value},
                                                    {"stated_ms", to_ms_text(stated)},
@@ -121,6 +126,20 @@
         this->on_upstream_leaves(active_dispatch);
 }
 
+// A refusal that has come already may ask for a pause, which holds for all requests.
+void call_handler::give_up_dispatch(const open_call& call)
+{
+    const http::outbound_exchange exchange = call.active_dispatch->exchange;
+    const auto unread = this->env.upstreams.peek_head(exchange);
+    this->env.upstreams.cancel(exchange);
+    if (!unread)
+        return;
+    const adapter::response_facts facts =
+        adapter::read_response_headers(*unread, call.facts.attempt);
+    if (facts.pause)
+        this->on_upstream_pauses(call, *facts.pause);
+}
+
 // The response to this request is still to come on the connection.
 void call_handler::skip_misplaced_response(const open_call& call, int status)
 {
@@ -543,7 +562,7 @@
     const bool was_silent =
         was_sent && (call->active_dispatch->silent || !call->active_dispatch->head);
     if (was_sent) {
-        this->env.upstreams.cancel(call->active_dispatch->exchange);
+        this->give_up_dispatch(*call);
         call->history.may_have_run = true;
     }
     this->release_placement(*call, was_silent ? core::placement_outcome::silent
@@ -567,7 +586,7 @@
                             call->route == nullptr ? "" : call->route->name.value);
     const bool was_silent = call->active_dispatch && call->active_dispatch->silent;
     if (call->active_dispatch) {
-        this->env.upstreams.cancel(call->active_dispatch->exchange);
+        this->give_up_dispatch(*call);
         call->history.may_have_run = true;
     }
     this->release_placement(*call, was_silent ? core::placement_outcome::silent
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -20,6 +20,8 @@
 static constexpr int used_tenths_of_idle_time = 6;
 /// Kept connections to one identity.
 static constexpr std::size_t most_kept_per_identity = 32;
+/// Bytes that a response's head is looked for in.
+static constexpr std::size_t max_peeked_bytes = 4U << 10U;
 
 namespace {
 
@@ -325,6 +327,23 @@
     return id;
 }
 
+std::optional<status_line_and_headers> outbound_client::peek_head(outbound_exchange exchange) const
+{
+    const auto found = this->self->active.find(exchange);
+    if (found == this->self->active.end() || !found->second->stream ||
+        found->second->reader->has_started())
+        return std::nullopt;
+    std::optional<status_line_and_headers> head;
+    response_reader reader(false, {[&head](status_line_and_headers&& read) {
+                                       if (!head)
+                                           head = std::move(read);
+                                   },
+                                   [](std::string_view) {}, [] {}});
+    // What cannot be read has no head.
+    static_cast<void>(reader.take(found->second->stream->peek(max_peeked_bytes)));
+    return head;
+}
+
 void outbound_client::cancel(outbound_exchange exchange)
 {
     this->self->completing.erase(exchange);
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -295,6 +295,17 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::string tcp_stream::peek(std::size_t max_bytes) const
+{
+    if (!this->self->open || this->self->opening)
+        return {};
+    std::string bytes(max_bytes, '\0');
+    const ssize_t count =
+        ::recv(this->self->descriptor, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+    return bytes;
+}
+
 bool tcp_stream::is_open() const
 {
     return this->self->open && !this->self->closing;
--- a/unittests/gateway/call_notices_test.cpp
+++ b/unittests/gateway/call_notices_test.cpp
@@ -170,4 +170,110 @@
     }
 }
 
+TEST_CASE("a pause holds for the process that asked for it, whatever is announced under its name")
+{
+    gateway_fixture node;
+    const auto refusal = [](const std::string& retry_after) {
+        return make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: " + retry_after + "\r\n");
+    };
+    const auto announce_start = [&node](std::int64_t started_at) {
+        node.announced.front().started_at = started_at;
+        node.rollouts->set_upstreams(std::vector(node.announced));
+    };
+    scripted_upstream pausing({refusal("30"), make_response(200, "anew")});
+    node.add_upstream("i-1", pausing.server);
+    announce_start(5);
+    CHECK(contains(node.send_request("/once/"), " 503 "));
+    SUBCASE("an earlier start, as from a copy of the store")
+    {
+        announce_start(4);
+        CHECK(contains(node.send_request("/once/"), " 503 "));
+        CHECK(pausing.request_count == 1);
+    }
+    SUBCASE("no start")
+    {
+        announce_start(0);
+        CHECK(contains(node.send_request("/once/"), " 503 "));
+        CHECK(pausing.request_count == 1);
+    }
+    SUBCASE("a later start ends it")
+    {
+        announce_start(6);
+        CHECK(contains(node.send_request("/once/"), "anew"));
+    }
+}
+
+TEST_CASE("a late refusal of an earlier process does not end the pause of the one after it")
+{
+    gateway_fixture node;
+    const std::string paused = make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: 30\r\n");
+    const std::string briefly = make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: 0.1\r\n");
+    paced_upstream earlier({{400ms, briefly}}, ending::hangs);
+    node.add_upstream("i-1", earlier.server);
+    node.announced.front().started_at = 5;
+    node.rollouts->set_upstreams(std::vector(node.announced));
+    raw_client first(node.callers->port(), [](raw_connection& connection) {
+        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
+                        "Authorization: Bearer k\r\n\r\n");
+        static_cast<void>(connection.receive_all());
+    });
+    REQUIRE(node.run([&] { return earlier.request_count == 1; }));
+
+    scripted_upstream later({paused, make_response(200, "too early")});
+    node.announced.front().started_at = 6;
+    node.announced.front().address.port = later.server.port();
+    node.rollouts->set_upstreams(std::vector(node.announced));
+    CHECK(contains(node.send_request("/once/"), " 503 "));
+    REQUIRE(node.run([&] { return first.done(); }));
+    node.run([] { return false; }, 200ms);
+    CHECK(contains(node.send_request("/once/"), " 503 "));
+    CHECK(later.request_count == 1);
+}
+
+TEST_CASE("a pause is kept when its request is given up before the refusal was read")
+{
+    gateway_fixture node;
+    paced_upstream pausing(
+        {{150ms, make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: 30\r\n")}},
+        ending::hangs);
+    node.add_upstream("i-1", pausing.server);
+    raw_client caller(node.callers->port(), [](raw_connection& connection) {
+        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
+                        "Authorization: Bearer k\r\n\r\n");
+        static_cast<void>(connection.receive_all());
+    });
+    REQUIRE(node.run([&] { return pausing.request_count == 1; }));
+    // The loop does not run while the refusal arrives.
+    std::this_thread::sleep_for(300ms);
+    node.calls->end_all_calls();
+    REQUIRE(node.run([&] { return caller.done(); }));
+    CHECK(contains(node.send_request("/once/"), " 503 "));
+    CHECK(pausing.request_count == 1);
+}
+
+TEST_CASE("a pause lasts as long as the upstream states, for an hour at most")
+{
+    gateway_fixture node;
+    captured_log log;
+    std::string stated;
+    std::string kept;
+    SUBCASE("some minutes")
+    {
+        stated = "150.5";
+        kept = "150500";
+    }
+    SUBCASE("days")
+    {
+        stated = "400000";
+        kept = "3600000";
+    }
+    scripted_upstream pausing(
+        {make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: " + stated + "\r\n")});
+    node.add_upstream("i-1", pausing.server);
+    node.send_request("/once/");
+    CHECK(captured_log::field(log.find("upstream_pauses"), "pause_ms") == kept);
+}
+
 } // namespace ragwortcove::gateway::test
