[http] an empty chunked body that arrives in pieces does not end the process

What operators would see: a node ends by itself (SIGABRT) when a caller's request, or an upstream's response, has an empty chunked body whose last five bytes arrive as '0 CR LF' and then one byte: all connections of the node break.

Cause: Beast's parser asserts that it has five bytes or more when it looks for the end of the last chunk a second time (basic_parser, parse_chunk_header); the assertions are part of our builds. No test fed a chunked message byte by byte.

A parser that has left bytes is asked again with five or more only. What it waits for is a head, the line of a chunk or a trailer, and with what follows each of them is longer, so nothing waits that could be read.

The new case of http_unittest ends with SIGABRT before and passes after, with nine other endings in pieces of any size.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -111,9 +111,17 @@
     return message_fault::malformed;
 }
 
-/// Feeds what is kept to the parser until it wants more or is done.
-template <class Parser> static message_fault feed(Parser& parser, std::string& kept)
+/// Bytes with which a parser that has wanted more goes on at the least: Beast's asserts them when
+/// it looks for the end of the last chunk a second time.
+static constexpr std::size_t min_resumed_bytes = 5;
+
+/// Feeds what is kept to the parser until it wants more or is done. `wants_more` tells whether it
+/// has left bytes to be read again with later ones.
+template <class Parser>
+static message_fault feed(Parser& parser, std::string& kept, bool& wants_more)
 {
+    if (wants_more && kept.size() < min_resumed_bytes)
+        return message_fault::none;
     std::size_t used = 0;
     error_code error;
     while (used < kept.size() && !parser.is_done()) {
@@ -124,6 +132,7 @@
             break;
     }
     kept.erase(0, used);
+    wants_more = !kept.empty() && !parser.is_done();
     return fault_of(error);
 }
 
@@ -139,11 +148,13 @@
     handlers given;
     std::unique_ptr<event_parser<true>> parser;
     std::string kept;
+    bool wants_more = false;
     bool complete = false;
 
     void begin()
     {
         this->complete = false;
+        this->wants_more = false;
         this->parser = std::make_unique<event_parser<true>>();
         this->parser->eager(true);
         this->parser->header_limit(this->limits.header_bytes);
@@ -164,7 +175,7 @@
     {
         if (this->complete || this->kept.empty())
             return message_fault::none;
-        const message_fault fault = feed(*this->parser, this->kept);
+        const message_fault fault = feed(*this->parser, this->kept, this->wants_more);
         if (fault != message_fault::none)
             return fault;
         if (this->parser->is_done()) {
@@ -222,6 +233,7 @@
     bool no_body = false;
     std::unique_ptr<event_parser<false>> parser;
     std::string kept;
+    bool wants_more = false;
     bool complete = false;
     bool started = false;
     bool announced = false;
@@ -237,6 +249,7 @@
         this->parser->skip(this->no_body);
         this->parser->header_limit(most_response_header_bytes);
         this->parser->body_limit(boost::none);
+        this->wants_more = false;
         this->announced = false;
         this->skipping = false;
         this->parser->on_head = [this] {
@@ -263,7 +276,7 @@
         while (!this->complete && !this->kept.empty()) {
             this->started = true;
             const std::size_t before = this->kept.size();
-            const message_fault fault = feed(*this->parser, this->kept);
+            const message_fault fault = feed(*this->parser, this->kept, this->wants_more);
             if (fault != message_fault::none)
                 return fault;
             if (!this->parser->is_done())
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 namespace ragwortcove::http {
 
 namespace {
@@ -122,4 +125,93 @@
     CHECK_FALSE(reader.inside_message());
 }
 
+TEST_CASE("a chunked message that arrives in pieces of any size is read, whole or malformed")
+{
+    struct ending {
+        std::string body;
+        bool is_whole = false;
+    };
+    const std::vector<ending> endings{
+        {"0\r\n\r\n", true},
+        {"1\r\nx\r\n0\r\n\r\n", true},
+        {"0\r\nA: b\r\n\r\n", true},
+        {"0;x=y\r\n\r\n", true},
+        {"0\r\nab\r\n0\ro\r\n"},
+        {"0\r\n\rx"},
+        {"0\r\n\n\n"},
+        {"\r\n0\r\n\r\n"},
+        {"0\r\n:\r\n\r\n"},
+        {"00000000000000000\r\n\r\n"},
+    };
+    for (const ending& each : endings) {
+        for (std::size_t piece = 1; piece <= each.body.size(); ++piece) {
+            CAPTURE(each.body);
+            CAPTURE(piece);
+            const auto take_pieces = [&](auto& reader, const std::string& head) {
+                REQUIRE(reader.take(head) == message_fault::none);
+                for (std::size_t at = 0; at < each.body.size(); at += piece) {
+                    if (reader.take(std::string_view(each.body).substr(at, piece)) !=
+                        message_fault::none)
+                        return;
+                }
+            };
+            response_reader response = make_response_reader();
+            take_pieces(response, chunked_response);
+            request_reader request = make_request_reader({});
+            take_pieces(request, chunked_request);
+            if (!each.is_whole)
+                continue;
+            CHECK(response.is_complete());
+            CHECK_FALSE(request.inside_message());
+        }
+    }
+}
+
+TEST_CASE("a response that is dropped gives way to the one after it")
+{
+    response_reader* running = nullptr;
+    std::string statuses;
+    std::string body;
+    response_reader::handlers handlers;
+    handlers.head = [&](status_line_and_headers&& head) {
+        statuses += std::to_string(head.status) + " ";
+        if (head.status != 200)
+            running->skip();
+    };
+    handlers.body = [&](std::string_view bytes) { body += bytes; };
+    handlers.complete = [] {};
+    response_reader reader(false, std::move(handlers));
+    running = &reader;
+    const std::string dropped = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    const std::string awaited = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+    SUBCASE("in one piece")
+    {
+        CHECK(reader.take(dropped + dropped + awaited) == message_fault::none);
+        CHECK(reader.is_complete());
+        CHECK(statuses == "503 503 200 ");
+        CHECK(body == "own");
+    }
+    SUBCASE("byte by byte")
+    {
+        for (const char each : dropped + awaited)
+            REQUIRE(reader.take({&each, 1}) == message_fault::none);
+        CHECK(reader.is_complete());
+        CHECK(body == "own");
+    }
+    SUBCASE("not without bound")
+    {
+        message_fault fault = message_fault::none;
+        for (int count = 0; count < 10 && fault == message_fault::none; ++count)
+            fault = reader.take(dropped);
+        CHECK(fault == message_fault::malformed);
+    }
+    SUBCASE("one that ends with the connection leaves none")
+    {
+        CHECK(reader.take("HTTP/1.1 503 Busy\r\n\r\nbusy") == message_fault::none);
+        CHECK(reader.finish() == message_fault::truncated);
+        CHECK(body.empty());
+    }
+}
+
 } // namespace ragwortcove::http
