--- a/include/ragwortcove/core/version_evidence.hpp
+++ b/include/ragwortcove/core/version_evidence.hpp
@@ -133,7 +133,6 @@
     std::map<std::string, running_median> between_tokens;
     std::map<upstream_name, upstream_state> upstreams;
     std::map<std::string, old_observation> last_old;
-    bool new_seen = false;
     std::uint32_t new_completed = 0;
     std::uint32_t new_pairs = 0;
     std::uint32_t old_completed = 0;
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -80,10 +80,10 @@
         return;
     from.dead = true;
     this->on.cancel(from.connect_timer);
-    link_pointer self;
+    link_pointer kept_alive;
     const auto found = this->active.find(from.exchange);
     if (found != this->active.end() && found->second.get() == &from) {
-        self = found->second;
+        kept_alive = found->second;
         this->active.erase(found);
     }
     const auto queue = this->kept.find(from.identity);
@@ -91,16 +91,16 @@
         for (auto at = queue->second.begin(); at != queue->second.end(); ++at) {
             if (at->get() != &from)
                 continue;
-            self = *at;
+            kept_alive = *at;
             queue->second.erase(at);
             break;
         }
         if (queue->second.empty())
             this->kept.erase(queue);
     }
-    run_after_turn(this->on, [self] {
-        if (self)
-            self->stream.reset();
+    run_after_turn(this->on, [kept_alive] {
+        if (kept_alive)
+            kept_alive->stream.reset();
     });
 }
 
@@ -178,13 +178,13 @@
 void outbound_client::state::completed(link& from)
 {
     const auto found = this->active.find(from.exchange);
-    const link_pointer self = found->second;
+    const link_pointer done = found->second;
     this->active.erase(found);
     const outbound_exchange ended = std::exchange(from.exchange, 0);
     this->completing.insert(ended);
-    run_after_turn(this->on, [this, self, ended] {
-        const auto complete = std::move(self->handlers.complete);
-        this->keep_or_close(self);
+    run_after_turn(this->on, [this, done, ended] {
+        const auto complete = std::move(done->handlers.complete);
+        this->keep_or_close(done);
         if (this->completing.erase(ended) != 0)
             complete();
     });
