--- a/unittests/gateway/call_notices_test.cpp
+++ b/unittests/gateway/call_notices_test.cpp
@@ -6,6 +6,18 @@
 
 namespace ragwortcove::gateway::test {
 
+/// A caller's request, and the wait for its whole response.
+static std::function<void(raw_connection&)> request_of(const std::string& path)
+{
+    return [path](raw_connection& connection) {
+        connection.send("GET " + path +
+                        " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
+                        "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
+                        "Authorization: Bearer k\r\n\r\n");
+        static_cast<void>(connection.receive_all());
+    };
+}
+
 TEST_CASE("no request goes to an upstream after a response that says that it leaves")
 {
     gateway_fixture node;
@@ -117,18 +129,8 @@
         scripted_upstream pausing({refusal("5"), good});
         node.add_upstream("i-1", pausing.server);
         node.fill_slots("i-1");
-        raw_client waiting(node.callers->port(), [](raw_connection& connection) {
-            connection.send("GET /again/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
-                            "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                            "Authorization: Bearer k\r\n\r\n");
-            static_cast<void>(connection.receive_all());
-        });
-        raw_client second(node.callers->port(), [](raw_connection& connection) {
-            connection.send("GET /again/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
-                            "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                            "Authorization: Bearer k\r\n\r\n");
-            static_cast<void>(connection.receive_all());
-        });
+        raw_client waiting(node.callers->port(), request_of("/again/"));
+        raw_client second(node.callers->port(), request_of("/again/"));
         node.run([&] { return node.placement->owned_placements().waiting() == 2; }, 500ms);
         const placement_number first = node.held.back();
         node.held.pop_back();
@@ -212,12 +214,7 @@
     node.add_upstream("i-1", earlier.server);
     node.announced.front().started_at = 5;
     node.rollouts->set_upstreams(std::vector(node.announced));
-    raw_client first(node.callers->port(), [](raw_connection& connection) {
-        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
-                        "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                        "Authorization: Bearer k\r\n\r\n");
-        static_cast<void>(connection.receive_all());
-    });
+    raw_client first(node.callers->port(), request_of("/once/"));
     REQUIRE(node.run([&] { return earlier.request_count == 1; }));
 
     scripted_upstream later({paused, make_response(200, "too early")});
@@ -238,12 +235,7 @@
         {{150ms, make_response(503, "", "X-Not-Executed: 1\r\nRetry-After: 30\r\n")}},
         ending::hangs);
     node.add_upstream("i-1", pausing.server);
-    raw_client caller(node.callers->port(), [](raw_connection& connection) {
-        connection.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\n"
-                        "X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                        "Authorization: Bearer k\r\n\r\n");
-        static_cast<void>(connection.receive_all());
-    });
+    raw_client caller(node.callers->port(), request_of("/once/"));
     REQUIRE(node.run([&] { return pausing.request_count == 1; }));
     // The loop does not run while the refusal arrives.
     std::this_thread::sleep_for(300ms);
