[soak] some callers give their requests up

4 of 100 requests are left 0 to 40 ms after they were sent, so that refusals that ask for a pause, and responses, meet callers that are gone.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -31,6 +31,9 @@
 # Share of requests whose body comes in chunks, and the pause after each of its bytes.
 CHUNKED_SHARE = 0.05
 BYTE_PAUSE_S = 0.002
+# Share of requests that callers give up, and after how long.
+LEAVING_SHARE = 0.04
+LEAVES_AFTER_S = (0.0, 0.04)
 # Some callers keep a list of addresses for so many of its lifetimes.
 LONG_LIFETIMES = 3
 # Bodies beyond this length are kept as their digest.
@@ -79,6 +82,8 @@
     says_leaving: bool = False
     # Whether the other side ended the connection before the answer was complete.
     cut: bool = False
+    # Whether the caller gave the request up.
+    left: bool = False
 
 
 def kept(body):
@@ -88,8 +93,9 @@
 class Caller:
     """Asks where to connect, keeps its connection while it lasts, and sends one request at a time."""
 
-    def __init__(self, nodes, outcomes, seed, reads_slowly=False, operator=None):
+    def __init__(self, nodes, outcomes, seed, reads_slowly=False, operator=None, leaves=False):
         self.nodes = nodes
+        self.leaves = leaves
         self.outcomes = outcomes
         self.random = random.Random(seed)
         self.known = []
@@ -174,6 +180,10 @@
             outcome.opened, outcome.sent = True, time.monotonic()
             async with asyncio.timeout(DEADLINE_S + 1.0):
                 await self.write_request(writer, f"POST {kind.path}x HTTP/1.1", headers)
+                if self.leaves and self.random.random() < LEAVING_SHARE:
+                    await asyncio.sleep(self.random.uniform(*LEAVES_AFTER_S))
+                    outcome.left = True
+                    return self.end(outcome)
                 head = await wire.read_head(reader)
                 outcome.status = head.status
                 outcome.signature = head.headers.get("x-server-signature")
@@ -189,6 +199,11 @@
         except (wire.Broken, OSError, ValueError):
             outcome.cut = outcome.opened
             self.close()
+        return self.end(outcome)
+
+    def end(self, outcome):
+        if outcome.left:
+            self.close()
         outcome.ended = time.monotonic()
         self.outcomes.append(outcome)
         return outcome
