--- a/unittests/adapter/odd_entries_test.cpp
+++ b/unittests/adapter/odd_entries_test.cpp
@@ -251,6 +251,24 @@
     CHECK(location_of_error(R"({"tenants":[{"name":"t\r\nX: y"}]})") == "tenants[0].name");
 }
 
+TEST_CASE("a team's name may hold whatever a header's value can")
+{
+    for (const std::string& name :
+         std::vector<std::string>{"Family Desk", "Z\xc3\xbcrich", "t-1"}) {
+        CAPTURE(name);
+        const auto read =
+            read_ruleset(boost::json::parse(R"({"tenants":[{"name":")" + name + R"("}]})"));
+        REQUIRE(std::holds_alternative<core::ruleset>(read));
+        CHECK(std::get<core::ruleset>(read).teams.front().name.value == name);
+    }
+    for (const std::string& name :
+         std::vector<std::string>{R"(a\nb)", R"(a\u0000)", R"(a\u007f)", ""}) {
+        CAPTURE(name);
+        CHECK(std::holds_alternative<document_error>(
+            read_ruleset(boost::json::parse(R"({"tenants":[{"name":")" + name + R"("}]})"))));
+    }
+}
+
 TEST_CASE("a roll-out with a time limit out of range is rejected with its place")
 {
     store_document document;
