--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -59,6 +59,7 @@
     Kind("chat", "/stream/resume/", True, True),
     Kind("export", "/plain/large/", False, False, True),
 )
+STREAMS = tuple(kind for kind in ASSURED if kind.streams)
 # The route and the team of the last one come and go.
 KINDS = (*ASSURED, EXTRA)
 KIND_WEIGHTS = (4, 4, 4, 4, 1, 1)
@@ -84,6 +85,8 @@
     cut: bool = False
     # Whether the caller gave the request up.
     left: bool = False
+    # Whether it has a part that ends upstreams.
+    is_bad: bool = False
 
 
 def kept(body):
@@ -93,8 +96,9 @@
 class Caller:
     """Asks where to connect, keeps its connection while it lasts, and sends one request at a time."""
 
-    def __init__(self, nodes, outcomes, seed, reads_slowly=False, operator=None, leaves=False):
+    def __init__(self, nodes, outcomes, seed, reads_slowly=False, operator=None, leaves=False, parts=None):
         self.nodes = nodes
+        self.parts = parts
         self.leaves = leaves
         self.outcomes = outcomes
         self.random = random.Random(seed)
@@ -165,15 +169,16 @@
             await writer.drain()
             await asyncio.sleep(BYTE_PAUSE_S)
 
-    async def send(self, kind):
+    async def send(self, kind, bad_part=None):
         attempt = f"{self.random.getrandbits(64):016x}"
-        outcome = Outcome(kind, attempt, "", time.monotonic(), 0.0)
+        outcome = Outcome(kind, attempt, "", time.monotonic(), 0.0, is_bad=bad_part is not None)
         headers = {"Host": "soak.example", "X-Attempt-Id": attempt, "Content-Length": 5,
                    "X-Deadline-Ms": int(DEADLINE_S * 1000),
                    "Authorization": f"Bearer {'key-2' if kind is EXTRA else 'key-1'}"}
         if kind.streams:
             headers |= {"X-Model": "m", "X-Token-Count": "120,60",
-                        "X-Prefix-Hash": f"a1:40,{attempt[:8]}:80"}
+                        "X-Prefix-Hash": self.parts.prompt(attempt, bad_part) if self.parts
+                        else f"a1:40,{attempt[:8]}:80"}
         try:
             async with asyncio.timeout(DEADLINE_S):
                 outcome.node, reader, writer = await self.connect()
@@ -320,7 +325,7 @@
             wrong = wrong_success(outcome, ledger.runs.get(outcome.attempt, []))
             if wrong:
                 broken.append(f"{outcome.attempt}: {outcome.kind.name}: {wrong}")
-        allowed = (401, 404) if outcome.kind is EXTRA else ()
+        allowed = (401, 404) if outcome.kind is EXTRA else (400,) if outcome.is_bad else ()
         if outcome.status in (400, 401, 403, 404) and outcome.status not in allowed:
             broken.append(f"{outcome.attempt}: a proper request got {outcome.status}")
         how = lost(outcome, ledger)
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -13,6 +13,8 @@
 EVENT_GAP_S = 0.04
 WORK_S = 0.02
 LARGE_BYTES = 5 << 20
+# Time from the head of a response to the end of an upstream that a part of the prompt ends.
+ENDS_AFTER_S = 0.06
 # Bytes without end: how long they last when nobody closes, and their pace on a connection.
 FLOOD_S = 2.0
 FLOOD_BYTES = 32768
@@ -132,6 +134,9 @@
         self.pause_s = 0.0
         # Whether all answers say that the instance leaves.
         self.says_it_leaves = False
+        # The parts of prompts that end upstreams, and what then ends this one.
+        self.parts = None
+        self.end = None
         # Where bytes come without end.
         self.flood = None
         self.floods = 0
@@ -210,12 +215,17 @@
             return self.refuse(writer, {**common, "Retry-After": f"{self.pause_s:.2f}"})
         if self.random.random() < self.refusing:
             return self.refuse(writer, common)
+        bad_part = self.parts and self.parts.bad_part_of(request)
+        if bad_part:
+            self.parts.arrivals[bad_part].append(arrival)
         instance = self.instance
         self.ledger.record(Run(attempt, instance, request.headers.get("x-tenant", ""),
                                time.monotonic(), "authorization" in request.headers,
                                self.target, self.version))
         signed = {**common, "X-Server-Signature": f"{instance}.{attempt}"}
         await asyncio.sleep(WORK_S * self.pace + self.slow_s)
+        if bad_part:
+            return await self.end_on(bad_part, signed, writer)
         if self.flood:
             return await self.answer_without_end(signed, writer)
         if self.random.random() < self.lost:
@@ -232,6 +242,17 @@
         await writer.drain()
         return True
 
+    async def end_on(self, bad_part, signed, writer):
+        """Begins a response, and ends soon after with all that it does."""
+        instance = self.instance
+        head = {**signed, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(wire.render("HTTP/1.1 200 OK", head))
+        await asyncio.sleep(ENDS_AFTER_S)
+        if self.instance == instance:
+            self.parts.ends[bad_part].append(time.monotonic())
+            self.end()
+        return False
+
     def count_bad_answer(self):
         if self.version != "v1":
             self.ledger.bad_answers.append(time.monotonic())
