--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -113,7 +113,8 @@
                     "look for lines of the same `request`; without one no request was read"},
 
     log_event_entry{log_event::attempt_failed, "attempt_failed", log_level::warning,
-                    "an upstream did not complete a request; `detail` says how",
+                    "an upstream did not complete a request; `detail` or `how` says in which way, "
+                    "`prompt_parts` which parts its prompt began with",
                     "look at the upstream when it is named often"},
     log_event_entry{log_event::upstream_ejected, "upstream_ejected", log_level::warning,
                     "an upstream gets no requests until it answers probes", "look at the upstream"},
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -1,9 +1,11 @@
 #include "call_responses.hpp"
 
+#include "ragwortcove/core/part_id.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/gateway/call_handler.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace ragwortcove::gateway {
@@ -352,6 +354,16 @@
     this->release_placement(call, outcome_of(end));
 }
 
+/// Ids of the first parts of a prompt, as callers write them, for the log.
+static std::string list_parts(std::span<const core::prompt_part> parts)
+{
+    constexpr std::size_t max_listed = 8;
+    std::string text;
+    for (const core::prompt_part& part : parts.first(std::min(parts.size(), max_listed)))
+        text += (text.empty() ? "" : ",") + core::to_text(core::part_id{part.id});
+    return text;
+}
+
 void call_handler::log_failure(const open_call& call, core::dispatch_end end, bool budget_left,
                                bool again)
 {
@@ -367,7 +379,8 @@
                        {"part_sent", to_text(call.history.response_started)},
                        {"may_have_run", to_text(call.history.may_have_run)},
                        {"budget_left", to_text(budget_left)},
-                       {"again", to_text(again)}});
+                       {"again", to_text(again)},
+                       {"prompt_parts", list_parts(call.facts.parts)}});
     this->env.metrics.count("failed_attempts", "how", describe(end));
 }
 
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -173,6 +173,14 @@
         CHECK(captured_log::field(line, "upstream") == "i-1");
         CHECK(captured_log::field(line, "last_failure") == "broken");
     }
+    SUBCASE("the request's prompt was in the way")
+    {
+        paced_upstream breaking({{0ms, ""}});
+        node.add_upstream("i-1", breaking.server);
+        node.send_request("/once/",
+                          "Authorization: Bearer k\r\nX-Prefix-Hash: a1:40, 0B2:7,c:9\r\n");
+        CHECK(captured_log::field(log.find("attempt_failed"), "prompt_parts") == "a1,b2,c");
+    }
 }
 
 TEST_CASE("a request is cancelled when its caller disconnects")
