--- /dev/null
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -0,0 +1,119 @@
+/// \file
+/// Prompt parts under which upstreams have ended, and which requests are held back for it.
+#pragma once
+
+#include "ragwortcove/core/part_id.hpp"
+#include "ragwortcove/core/types.hpp"
+#include "ragwortcove/core/upstream_directory.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace ragwortcove::core {
+
+/// End of an upstream's process while a request with the part waited there for its response.
+struct upstream_end {
+    upstream_process process;
+    time_point at;
+    bool operator==(const upstream_end&) const = default;
+};
+
+/// What is known of a prompt part under which upstreams have ended.
+struct part_record {
+    part_id part;
+    /// Raised each time the part is cleared. A record of an earlier generation is outdated.
+    std::uint32_t generation = 0;
+    /// Ends in this generation, oldest first; each process once.
+    std::vector<upstream_end> ends;
+    /// Number of trials in this generation, and when the last one was sent.
+    std::uint32_t trials = 0;
+    time_point last_trial_at;
+    bool operator==(const part_record&) const = default;
+};
+
+/// Whether a request may be sent, by its parts. Later values are stricter.
+enum class part_admission {
+    admitted,
+    /// One request at a time may be sent, with permission of the part's owner.
+    needs_trial,
+    /// No request may be sent before the next trial.
+    waits,
+    /// No request may be sent until an operator releases the part.
+    barred,
+};
+
+/// The strictest admission of a request's parts.
+struct part_decision {
+    part_admission admission = part_admission::admitted;
+    /// The part that it comes from; meaningless for an admitted request.
+    part_id part;
+    /// Time until the next trial, for `waits`.
+    duration retry_after{0};
+};
+
+/// Number of ends that a record keeps; more do not change any decision.
+inline constexpr std::size_t max_ends_of_part = 8;
+/// Number of parts that are tracked at a time.
+inline constexpr std::size_t max_tracked_parts = 512;
+/// Highest generation that a record states; a part is hardly cleared that often.
+inline constexpr std::uint32_t max_part_generation = 1'000'000;
+/// Number of trials of a part that are permitted in one generation.
+inline constexpr std::uint32_t max_part_trials = 3;
+
+/// Evidence against prompt parts, merged from all nodes. A merge takes the later generation, or the
+/// union within a generation, so the order of messages does not matter and repeated ones are
+/// harmless.
+class part_quarantine {
+public:
+    [[nodiscard]] part_decision decide(std::span<const part_id> parts, time_point now) const;
+    /// Records that a process ended while requests with these parts waited for its responses.
+    /// Returns the parts whose records have changed.
+    std::vector<part_id> record_end(const upstream_end& end, std::span<const part_id> parts,
+                                    time_point now);
+    /// Records that an upstream has responded to a request with these parts and has not ended.
+    /// Returns those of them that were held back and are not any more.
+    std::vector<part_id> record_response(std::span<const part_id> parts, time_point now);
+    /// Takes what another node, or the store, knows of a part; returns whether that was news.
+    bool merge(const part_record& other, time_point now);
+    /// Permits one trial of a part if one is due and no other permission is open. To be called by
+    /// the part's owner. A permission that is not used lapses.
+    [[nodiscard]] bool permit_trial(part_id part, time_point now);
+    /// Records that a request is sent as a trial.
+    void record_trial(part_id part, time_point now);
+    /// Clears a part although it may still end upstreams; returns false when nothing held it back.
+    bool release(part_id part, time_point now);
+    /// Drops records that have not mattered for a while.
+    void tick(time_point now);
+
+    /// Null when nothing is known of the part.
+    [[nodiscard]] const part_record* find(part_id part) const;
+    /// Records of the parts that are held back, in the order of their ids.
+    [[nodiscard]] std::vector<part_record> held_back() const;
+    [[nodiscard]] std::size_t size() const { return this->entries.size(); }
+
+private:
+    struct entry {
+        part_record record;
+        /// When the part last mattered: an end, a response, or a request that was held back.
+        mutable time_point used_at;
+        /// Until when a permission for a trial is open that this node has given.
+        time_point permitted_until;
+    };
+    entry& entry_of(part_id part, time_point now);
+    void make_room();
+    void clear(entry& cleared, time_point now);
+
+    std::map<part_id, entry> entries;
+};
+
+/// Number of separate occasions on which upstreams ended. Ends at nearly the same time have one
+/// cause more often than not, such as a rack that loses power.
+[[nodiscard]] std::size_t count_occasions(const part_record& record);
+/// Whether requests with the part are held back.
+[[nodiscard]] bool is_held_back(const part_record& record);
+
+} // namespace ragwortcove::core
--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -45,6 +45,7 @@
     upstream_name name;
     /// As in the process's announcement.
     std::int64_t started_at = 0;
+    bool operator==(const upstream_process&) const = default;
 };
 
 /// Pool in which the requests for an upstream are placed.
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -66,6 +66,12 @@
     upstream_pauses = 310,
     retry_after_unreadable = 311,
     response_misplaced = 312,
+    upstream_ended = 313,
+    part_held_back = 314,
+    part_trial_sent = 315,
+    part_cleared = 316,
+    part_unreadable = 317,
+    part_not_stored = 318,
 
     member_changed = 400,
     peer_disconnected = 401,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -12,6 +12,7 @@
 #include "ragwortcove/core/upstream_directory.hpp"
 #include "ragwortcove/gateway/gateway_metrics.hpp"
 #include "ragwortcove/gateway/open_call.hpp"
+#include "ragwortcove/gateway/part_guard.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
 #include "ragwortcove/gateway/rollout_service.hpp"
 #include "ragwortcove/http/inbound.hpp"
@@ -45,6 +46,8 @@
     std::function<std::size_t()> known_node_count;
     /// Decides which version of a target gets a request.
     rollout_service& rollouts;
+    /// Decides which requests are held back for a part of their prompts.
+    part_guard& parts;
     /// Takes that a process of an upstream has said in a response that it leaves.
     std::function<void(const core::upstream_process&)> upstream_leaves;
 };
@@ -79,6 +82,28 @@
     /// Chooses the version that may get the request, and places it there.
     void place(open_call& call);
     void place_in_pool(open_call& call, core::target_name&& pool);
+    /// The strictest admission of the parts for which the request has no permission.
+    [[nodiscard]] core::part_decision decide_parts(const open_call& call) const;
+    /// Keeps a request from all upstreams for now, for a part of its prompt.
+    void hold_back(open_call& call, const core::part_decision& decision);
+    /// Whether a granted request may be sent. If a trial is to be permitted first, the answer
+    /// comes to `on_trial_decision`.
+    [[nodiscard]] bool may_send(open_call& call, placement_number number,
+                                const core::placement_grant& grant);
+    void on_trial_decision(http::inbound_exchange exchange, placement_number number,
+                           const core::placement_grant& grant, core::part_id part, bool permitted);
+    /// Takes the permissions for trials from a request that an upstream may have run.
+    static void end_trial(open_call& call);
+    /// Tells the guard of parts that the connection was lost while the request waited on it. If so,
+    /// `on_fate_known` is called later.
+    bool report_lost_connection(const open_call& call);
+    /// Whether the request is placed only once it is known if another one's upstream has ended.
+    [[nodiscard]] bool must_wait_for_fate(open_call& call);
+    void on_fate_known(http::inbound_exchange exchange);
+    /// Tells the guard of parts that the upstream responds and has not ended.
+    void report_response(open_call& call);
+    /// The same for a response that has come to its end.
+    void report_complete_response(open_call& call);
     [[nodiscard]] core::placement_request make_placement_request(const open_call& call);
     /// Upstreams that no request of this node is to be placed on now.
     [[nodiscard]] std::vector<core::upstream_name> avoided_upstreams(core::time_point at);
@@ -106,6 +131,8 @@
     void on_upstream_pauses(const open_call& call, core::duration stated);
     /// Cancels the active dispatch, and keeps the pause that an unread refusal asks for.
     void give_up_dispatch(const open_call& call);
+    /// Sends nothing to an upstream for a moment that nobody can connect to.
+    void avoid_unreachable(const core::upstream_name& upstream);
     /// Drops a response to another request, and waits for the one to this request.
     void skip_misplaced_response(const open_call& call, int status);
     [[nodiscard]] bool is_paused(const core::announced_upstream& upstream, core::time_point at);
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include "ragwortcove/gateway/fleet.hpp"
 #include "ragwortcove/gateway/gateway_metrics.hpp"
 #include "ragwortcove/gateway/gateway_settings.hpp"
+#include "ragwortcove/gateway/part_guard.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
 #include "ragwortcove/gateway/rollout_service.hpp"
 #include "ragwortcove/http/inbound.hpp"
@@ -55,6 +56,13 @@
     void apply_rules(const document_update& update);
     void apply_upstreams(const document_update& update);
     void apply_rollouts();
+    void apply_parts(const document_update& update);
+    [[nodiscard]] part_guard_dependencies make_part_dependencies();
+    /// Stores what this node, as their owner, knows of prompt parts that are held back.
+    void store_parts();
+    void store_part(const core::part_record& record, bool replaces);
+    void remove_stored_part(core::part_id part);
+    void on_part_written(core::part_id part, bool is_written, const adapter::store_error& error);
     [[nodiscard]] rollout_dependencies make_rollout_dependencies();
     void store_rollout_state(const core::rollout_order& order, core::rollout_state state,
                              state_write_handler&& done);
@@ -108,11 +116,13 @@
     std::unique_ptr<fleet> nodes;
     std::unique_ptr<placement_service> placement;
     std::unique_ptr<rollout_service> rollouts;
+    std::unique_ptr<part_guard> parts;
     std::unique_ptr<call_handler> calls;
     std::unique_ptr<document_feed> feed;
     http::timer_id tick_timer = 0;
     core::time_point next_digest_at;
     core::time_point next_reader_digest_at;
+    core::time_point next_part_storing_at;
     core::time_point started_at;
     core::time_point next_reading_check_at;
     core::time_point drain_started_at;
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -4,6 +4,7 @@
 
 #include "platform/headers.hpp"
 #include "ragwortcove/core/call_policy.hpp"
+#include "ragwortcove/core/part_id.hpp"
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/gateway/event_splitter.hpp"
@@ -11,6 +12,7 @@
 #include "ragwortcove/http/inbound.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/outbound.hpp"
+#include "ragwortcove/http/tcp_stream.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -26,6 +28,7 @@
     core::version_name version;
     /// When the upstream's process started, as it announces.
     std::int64_t upstream_started_at = 0;
+    http::socket_address address;
     /// Whether the upstream was still slow after its start when the request was sent.
     bool is_warming_up = false;
     http::outbound_exchange exchange = 0;
@@ -41,6 +44,10 @@
     bool silent = false;
     /// Whether the end has been counted for or against the version.
     bool end_observed = false;
+    /// Whether the connection ended before the response did.
+    bool connection_lost = false;
+    /// Whether the upstream has responded for long enough to show that it does not end on it.
+    bool has_responded = false;
 };
 
 struct open_call {
@@ -51,6 +58,13 @@
     std::shared_ptr<const core::rule_index> rules;
     const core::http_route* route = nullptr;
     const core::team_rule* team = nullptr;
+    /// Parts of the prompt that other requests may have, too.
+    std::vector<core::part_id> shared_parts;
+    /// Those of them for which the request may be sent as a trial, until an upstream may have run
+    /// it.
+    std::vector<core::part_id> permitted_parts;
+    /// How many of these are recorded as sent.
+    std::size_t sent_trials = 0;
     core::target_name target;
     /// Where the request is placed: the target's own pool, or that of its canaries.
     core::target_name pool;
@@ -78,6 +92,8 @@
     /// Those of `avoid` that the request was taken from since they were silent.
     std::vector<core::upstream_name> left_silent;
     std::optional<dispatch> active_dispatch;
+    /// Whether the request waits to hear if its last upstream has ended, before it is placed again.
+    bool awaits_fate = false;
     /// The upstream of the last dispatch, empty before the first one, and when it last sent a byte;
     /// until then, when the request was sent to it.
     core::upstream_name last_upstream;
--- a/include/ragwortcove/http/outbound.hpp
+++ b/include/ragwortcove/http/outbound.hpp
@@ -75,6 +75,8 @@
     /// Drops the response whose head has just come, since it belongs to another exchange, and waits
     /// for this one's. Only to be called by the `head` handler. The connection is not kept.
     void skip_response(outbound_exchange exchange);
+    /// Whether a connection to an identity is open, as far as this end knows.
+    [[nodiscard]] bool has_connection(std::string_view identity) const;
     /// Closes the kept connections of an identity.
     void forget(std::string_view identity);
     [[nodiscard]] const outbound_counters& counters() const;
--- /dev/null
+++ b/lib/core/part_quarantine.cpp
@@ -0,0 +1,253 @@
+#include "ragwortcove/core/part_quarantine.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+/// Ends within this time of each other count as one occasion.
+static constexpr duration same_occasion = 100ms;
+/// Occasions, with no response between them, from which on a part is held back. The first one may
+/// be the end of any upstream; a second one happens to few parts by chance.
+static constexpr std::size_t occasions_to_hold_back = 2;
+/// Time from the last end or trial to the next trial, by the number of trials so far.
+static constexpr std::array<duration, max_part_trials> trial_delays{0ms, 30s, 30min};
+/// Time within which a trial shows whether the upstream ends, and the retry time meanwhile.
+static constexpr duration trial_time = 5s;
+static constexpr duration retry_during_trial = 500ms;
+/// Time within which a permitted trial is sent, or else its permission lapses.
+static constexpr duration permission_lifetime = 1s;
+/// How long a record is kept that holds nothing back.
+static constexpr duration idle_record_lifetime = 10min;
+
+std::size_t count_occasions(const part_record& record)
+{
+    std::size_t count = 0;
+    time_point occasion_start;
+    for (const upstream_end& end : record.ends) {
+        if (count > 0 && end.at - occasion_start <= same_occasion)
+            continue;
+        occasion_start = end.at;
+        ++count;
+    }
+    return count;
+}
+
+bool is_held_back(const part_record& record)
+{
+    return record.trials > 0 || count_occasions(record) >= occasions_to_hold_back;
+}
+
+static time_point next_trial_at(const part_record& record)
+{
+    const time_point last_end = record.ends.empty() ? time_point{} : record.ends.back().at;
+    return std::max(last_end, record.last_trial_at) + trial_delays.at(record.trials);
+}
+
+/// Whether the outcome of the last trial is not known yet.
+static bool is_trial_open(const part_record& record, time_point now)
+{
+    const bool has_ended = !record.ends.empty() && record.ends.back().at > record.last_trial_at;
+    return record.trials > 0 && !has_ended && now - record.last_trial_at < trial_time;
+}
+
+static part_decision decide_one(const part_record& record, time_point now)
+{
+    if (!is_held_back(record))
+        return {};
+    if (is_trial_open(record, now))
+        return {part_admission::waits, record.part, retry_during_trial};
+    if (record.trials >= max_part_trials)
+        return {part_admission::barred, record.part, {}};
+    const time_point due_at = next_trial_at(record);
+    if (now < due_at)
+        return {part_admission::waits, record.part, due_at - now};
+    return {part_admission::needs_trial, record.part, {}};
+}
+
+part_decision part_quarantine::decide(std::span<const part_id> parts, time_point now) const
+{
+    part_decision strictest;
+    if (this->entries.empty())
+        return strictest;
+    for (const part_id part : parts) {
+        const auto found = this->entries.find(part);
+        if (found == this->entries.end())
+            continue;
+        const part_decision decision = decide_one(found->second.record, now);
+        if (decision.admission == part_admission::admitted)
+            continue;
+        found->second.used_at = now;
+        if (decision.admission > strictest.admission)
+            strictest = decision;
+    }
+    return strictest;
+}
+
+// Parts that are held back go last: a caller that sends ever new parts must not release them.
+void part_quarantine::make_room()
+{
+    if (this->entries.size() < max_tracked_parts)
+        return;
+    const auto is_dropped_before = [](const auto& left, const auto& right) {
+        const bool left_held = is_held_back(left.second.record);
+        const bool right_held = is_held_back(right.second.record);
+        if (left_held != right_held)
+            return right_held;
+        return left.second.used_at < right.second.used_at;
+    };
+    this->entries.erase(
+        std::min_element(this->entries.begin(), this->entries.end(), is_dropped_before));
+}
+
+part_quarantine::entry& part_quarantine::entry_of(part_id part, time_point now)
+{
+    const auto found = this->entries.find(part);
+    if (found != this->entries.end())
+        return found->second;
+    this->make_room();
+    entry& created = this->entries[part];
+    created.record.part = part;
+    created.used_at = now;
+    return created;
+}
+
+/// Adds an end unless it is known; returns whether it is new.
+static bool add_end(part_record& record, const upstream_end& added)
+{
+    const auto is_same = [&](const upstream_end& known) { return known.process == added.process; };
+    if (std::any_of(record.ends.begin(), record.ends.end(), is_same))
+        return false;
+    if (record.ends.size() >= max_ends_of_part)
+        return false;
+    const auto is_later = [](const upstream_end& left, const upstream_end& right) {
+        return left.at < right.at;
+    };
+    record.ends.insert(std::upper_bound(record.ends.begin(), record.ends.end(), added, is_later),
+                       added);
+    return true;
+}
+
+std::vector<part_id> part_quarantine::record_end(const upstream_end& end,
+                                                 std::span<const part_id> parts, time_point now)
+{
+    std::vector<part_id> changed;
+    for (const part_id part : parts) {
+        entry& known = this->entry_of(part, now);
+        known.used_at = now;
+        if (add_end(known.record, end))
+            changed.push_back(part);
+    }
+    return changed;
+}
+
+void part_quarantine::clear(entry& cleared, time_point now)
+{
+    const part_id part = cleared.record.part;
+    const std::uint32_t generation = cleared.record.generation + 1;
+    cleared.record = part_record{part, generation, {}, 0, {}};
+    cleared.used_at = now;
+}
+
+// An upstream ends on every request with such a part, so one response clears all parts of its
+// request, whatever ended the upstreams before.
+std::vector<part_id> part_quarantine::record_response(std::span<const part_id> parts,
+                                                      time_point now)
+{
+    std::vector<part_id> cleared;
+    if (this->entries.empty())
+        return cleared;
+    for (const part_id part : parts) {
+        const auto found = this->entries.find(part);
+        if (found == this->entries.end() ||
+            (found->second.record.ends.empty() && found->second.record.trials == 0))
+            continue;
+        if (is_held_back(found->second.record))
+            cleared.push_back(part);
+        this->clear(found->second, now);
+    }
+    return cleared;
+}
+
+bool part_quarantine::merge(const part_record& other, time_point now)
+{
+    const auto found = this->entries.find(other.part);
+    const std::uint32_t generation =
+        found == this->entries.end() ? 0 : found->second.record.generation;
+    const bool says_nothing = other.ends.empty() && other.trials == 0;
+    if (other.generation < generation ||
+        (found == this->entries.end() && says_nothing && other.generation == 0))
+        return false;
+    entry& known = this->entry_of(other.part, now);
+    const part_record before = known.record;
+    if (other.generation > generation)
+        known.record = part_record{other.part, other.generation, {}, 0, {}};
+    for (const upstream_end& end : other.ends)
+        add_end(known.record, end);
+    if (other.trials > known.record.trials) {
+        known.record.trials = std::min(other.trials, max_part_trials);
+        known.record.last_trial_at = std::max(known.record.last_trial_at, other.last_trial_at);
+    }
+    if (known.record == before)
+        return false;
+    known.used_at = now;
+    return true;
+}
+
+bool part_quarantine::permit_trial(part_id part, time_point now)
+{
+    const auto found = this->entries.find(part);
+    if (found == this->entries.end() || now < found->second.permitted_until)
+        return false;
+    if (decide_one(found->second.record, now).admission != part_admission::needs_trial)
+        return false;
+    found->second.permitted_until = now + permission_lifetime;
+    return true;
+}
+
+void part_quarantine::record_trial(part_id part, time_point now)
+{
+    const auto found = this->entries.find(part);
+    if (found == this->entries.end())
+        return;
+    part_record& record = found->second.record;
+    record.trials = std::min(record.trials + 1, max_part_trials);
+    record.last_trial_at = now;
+}
+
+bool part_quarantine::release(part_id part, time_point now)
+{
+    const auto found = this->entries.find(part);
+    if (found == this->entries.end() || !is_held_back(found->second.record))
+        return false;
+    this->clear(found->second, now);
+    return true;
+}
+
+void part_quarantine::tick(time_point now)
+{
+    std::erase_if(this->entries, [now](const auto& each) {
+        return !is_held_back(each.second.record) &&
+               now - each.second.used_at > idle_record_lifetime;
+    });
+}
+
+const part_record* part_quarantine::find(part_id part) const
+{
+    const auto found = this->entries.find(part);
+    return found == this->entries.end() ? nullptr : &found->second.record;
+}
+
+std::vector<part_record> part_quarantine::held_back() const
+{
+    std::vector<part_record> result;
+    for (const auto& [part, each] : this->entries) {
+        if (is_held_back(each.record))
+            result.push_back(each.record);
+    }
+    return result;
+}
+
+} // namespace ragwortcove::core
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -157,6 +157,32 @@
                     "an upstream sent a response to another request on a kept connection; it is "
                     "dropped, and the request waits for its own",
                     "look at the upstream when it is named often"},
+    log_event_entry{log_event::upstream_ended, "upstream_ended", log_level::info,
+                    "an upstream's process has ended while `requests` of this instance waited "
+                    "for its responses, with `parts` in their prompts",
+                    "none"},
+    log_event_entry{log_event::part_held_back, "part_held_back", log_level::warning,
+                    "upstreams have ended under this part of prompts, `upstreams` of them, "
+                    "with no response between; requests with it are sent as trials only, one "
+                    "at a time, `trials` of 3 so far; `from` is this instance, another one or "
+                    "the store",
+                    "look at what the part is; `ragwortcove release` lets it through again"},
+    log_event_entry{log_event::part_trial_sent, "part_trial_sent", log_level::info,
+                    "a request with a part that is held back is sent, to find out whether "
+                    "upstreams still end on it",
+                    "none"},
+    log_event_entry{log_event::part_cleared, "part_cleared", log_level::info,
+                    "a part that was held back is not any more: an upstream has responded to "
+                    "a request with it, or an operator has released it",
+                    "none"},
+    log_event_entry{log_event::part_unreadable, "part_unreadable", log_level::warning,
+                    "an entry of the store for a part that is held back cannot be read; it is "
+                    "ignored",
+                    "correct or remove the entry at `place`"},
+    log_event_entry{log_event::part_not_stored, "part_not_stored", log_level::warning,
+                    "what is known of a part that is held back could not be stored; it is "
+                    "retried, and the instances tell each other meanwhile",
+                    "look at the platform when it repeats"},
 
     log_event_entry{log_event::member_changed, "member_changed", log_level::info,
                     "another instance joined, left, is suspected or is dead",
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -4,6 +4,7 @@
 #include "ragwortcove/daemon/event_log.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace ragwortcove::gateway {
@@ -43,11 +44,23 @@
     return found == this->calls.end() ? nullptr : &found->second;
 }
 
+// The last part is the request's own, or its session's.
+static std::vector<core::part_id> shared_parts_of(std::span<const core::prompt_part> parts)
+{
+    std::vector<core::part_id> shared;
+    if (parts.empty())
+        return shared;
+    for (const core::prompt_part& part : parts.first(parts.size() - 1))
+        shared.push_back({part.id});
+    return shared;
+}
+
 void call_handler::handle_request(http::inbound_exchange exchange, http::inbound_request&& request)
 {
     open_call& call = this->calls[exchange];
     call.exchange = exchange;
     call.facts = adapter::read_call(request.head);
+    call.shared_parts = shared_parts_of(call.facts.parts);
     call.request = std::move(request);
     call.arrived_at = this->now();
     call.rules = this->env.rules();
@@ -277,6 +290,13 @@
 
 void call_handler::place(open_call& call)
 {
+    if (this->must_wait_for_fate(call))
+        return;
+    const core::part_decision decision = this->decide_parts(call);
+    if (decision.admission > core::part_admission::needs_trial) {
+        this->hold_back(call, decision);
+        return;
+    }
     call.placement_started_at = this->now();
     const bool on_canary = this->env.rollouts.split().choose_canary(
         {call.target, call.route->name, call.route->idempotent}, this->random,
@@ -323,6 +343,8 @@
     const bool is_serving = upstream != nullptr && !upstream->leaving;
     const bool is_paused = upstream != nullptr && this->is_paused(*upstream, this->now());
     if (is_serving && !is_paused && this->env.rollouts.split().may_send(*upstream, this->now())) {
+        if (!this->may_send(call, number, grant))
+            return;
         if (call.active_dispatch && !this->take_from_silent(call)) {
             this->env.placement.withdraw(number);
             return;
@@ -408,6 +430,7 @@
     call.active_dispatch->upstream = upstream.name;
     call.active_dispatch->version = upstream.version;
     call.active_dispatch->upstream_started_at = upstream.started_at;
+    call.active_dispatch->address = {upstream.address.address, upstream.address.port};
     call.active_dispatch->is_warming_up = at < upstream.warm_at;
     call.active_dispatch->sent_at = at;
     call.last_upstream = upstream.name;
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -18,6 +18,9 @@
 /// How long this node avoids an upstream after it failed to connect to it.
 static constexpr duration unreachable_duration = 1s;
 
+/// Time after the first event of a stream from which on its upstream does not end for its request.
+static constexpr duration min_response_time = 500ms;
+
 /// Longest pause that an upstream's response can ask for. After it, one request shows whether it
 /// still wants none.
 static constexpr duration max_upstream_pause = 1h;
@@ -103,6 +106,8 @@
         return;
     }
     this->on_upstream_progress(*call);
+    this->env.parts.on_sign_of_life(
+        {call->active_dispatch->upstream, call->active_dispatch->upstream_started_at});
     call->active_dispatch->facts = std::move(facts);
     call->active_dispatch->head = std::move(head);
     const bool is_unusable = this->is_streaming(*call) && !is_usable(call->active_dispatch->facts);
@@ -177,6 +182,10 @@
             call->last_event_number = number;
         this->env.callers.write(exchange, event);
     }
+    const dispatch& active_dispatch = *call->active_dispatch;
+    if (active_dispatch.events > 0 &&
+        this->now() - active_dispatch.first_event_at >= min_response_time)
+        this->report_response(*call);
     this->end_too_long_responses(*call);
 }
 
@@ -229,6 +238,8 @@
         this->handle_failed_dispatch(*call, core::dispatch_end::error_answer);
         return;
     }
+    if (status < first_client_error)
+        this->report_complete_response(*call);
     call->history.may_have_run = true;
     this->release_placement(*call, core::placement_outcome::completed);
     this->forward_response(*call);
@@ -237,11 +248,13 @@
 void call_handler::complete_stream(open_call& call)
 {
     if (call.active_dispatch->splitter.inside_event()) {
+        call.active_dispatch->connection_lost = true;
         this->handle_failed_dispatch(call, core::dispatch_end::broken);
         return;
     }
     if (!call.history.response_started)
         this->begin_stream(call);
+    this->report_complete_response(call);
     this->env.callers.finish(call.exchange);
     const time_point at = this->now();
     daemon::write_log(
@@ -259,6 +272,11 @@
     this->end_call(call);
 }
 
+void call_handler::avoid_unreachable(const core::upstream_name& upstream)
+{
+    this->unreachable_until[upstream] = this->now() + unreachable_duration;
+}
+
 void call_handler::on_dispatch_failed(http::inbound_exchange exchange,
                                       http::outbound_failure failure)
 {
@@ -267,8 +285,8 @@
         return;
     const bool not_sent = failure == http::outbound_failure::not_sent;
     if (not_sent)
-        this->unreachable_until[call->active_dispatch->upstream] =
-            this->now() + unreachable_duration;
+        this->avoid_unreachable(call->active_dispatch->upstream);
+    call->active_dispatch->connection_lost = failure == http::outbound_failure::connection_lost;
     this->handle_failed_dispatch(*call, not_sent ? core::dispatch_end::not_sent
                                                  : core::dispatch_end::broken);
 }
@@ -406,13 +424,18 @@
             this->env.repeats.spend(call.target, this->env.known_node_count(), this->now());
     const core::next_step step = core::decide_next_step(*call.route, history, end, budget_left);
     this->log_failure(call, end, budget_left, step == core::next_step::place_again);
+    const bool awaits_fate = this->report_lost_connection(call);
+    if (!core::proves_not_run(end))
+        end_trial(call);
     switch (step) {
     case core::next_step::place_again:
         if (core::proves_not_run(end))
             allow_silent_again(call);
         call.avoid.push_back(call.active_dispatch->upstream);
         call.active_dispatch.reset();
-        this->place(call);
+        call.awaits_fate = awaits_fate;
+        if (!awaits_fate)
+            this->place(call);
         return;
     case core::next_step::pass_answer:
         this->forward_response(call);
--- a/lib/gateway/document_set.cpp
+++ b/lib/gateway/document_set.cpp
@@ -24,6 +24,8 @@
         return "upstreams";
     case adapter::document_kind::rollouts:
         return "rollouts";
+    case adapter::document_kind::held_parts:
+        return "held_parts";
     case adapter::document_kind::own_objects:
         return "objects";
     case adapter::document_kind::own_claims:
@@ -79,7 +81,8 @@
 }
 
 // The rules stay until others come: without any, no request would be served. The announcement of
-// an upstream goes, since the directory of upstreams has a grace period of its own.
+// an upstream goes, since the directory of upstreams has a grace period of its own. So does a held
+// part's document, since the part's owner writes it again.
 bool document_set::keeps_missing(const adapter::store_document& known, core::store_era list_era,
                                  core::time_point now) const
 {
@@ -91,6 +94,7 @@
     case adapter::document_kind::rollouts:
         return this->is_settling(now);
     case adapter::document_kind::upstreams:
+    case adapter::document_kind::held_parts:
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
         return false;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -116,11 +116,13 @@
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
+    this->parts = std::make_unique<part_guard>(this->make_part_dependencies());
+
     this->calls = std::make_unique<call_handler>(call_dependencies{
         loop, *this->caller_server, this->upstream_connections, *this->placement, this->repeats,
         this->metrics, given.failure_domain, [this] { return this->rules; },
         [this](const core::upstream_name& name) { return this->directory.find(name); },
-        [this] { return this->nodes->known_node_count(); }, *this->rollouts,
+        [this] { return this->nodes->known_node_count(); }, *this->rollouts, *this->parts,
         [this](const core::upstream_process& process) {
             this->on_upstream_leaves(process, this->settings.name);
         }});
@@ -155,7 +157,8 @@
 
 bool gateway::ready() const
 {
-    return this->rules != nullptr && this->feed && this->feed->is_complete() && !this->draining;
+    return this->rules != nullptr && this->feed && this->feed->is_complete() &&
+           this->parts->is_informed() && !this->draining;
 }
 
 void gateway::refresh_readiness()
@@ -176,6 +179,8 @@
     daemon::flush_log();
     this->placement->tick();
     this->rollouts->tick();
+    this->parts->tick();
+    this->store_parts();
     this->on_directory_changed(this->directory.tick(this->now()));
     this->refresh_readiness();
     this->exchange_documents();
@@ -197,6 +202,10 @@
     else if (message.body_case() == wire::PeerDatagram::kRolloutReport ||
              message.body_case() == wire::PeerDatagram::kRolloutDirective)
         this->rollouts->receive_message(from, message);
+    else if (message.body_case() == wire::PeerDatagram::kPartRecords ||
+             message.body_case() == wire::PeerDatagram::kPartTrialAsk ||
+             message.body_case() == wire::PeerDatagram::kPartTrialAnswer)
+        this->parts->receive_message(from, message);
     else
         this->placement->receive_message(from, message);
 }
@@ -283,6 +292,10 @@
           to_value(this->rollouts->split().active_orders().size())},
          {"rollouts_controlled", "roll-outs that this node controls",
           to_value(this->rollouts->controlled_count())},
+         {"held_back_parts", "prompt parts that requests are held back for",
+          to_value(this->parts->quarantine().held_back().size())},
+         {"tracked_parts", "prompt parts under which upstreams have ended lately",
+          to_value(this->parts->quarantine().size())},
          {"store_answers", "whether the store answered the last calls",
           this->feed->is_store_available() ? 1.0 : 0.0},
          {"serving_nodes", "nodes that serve, this one among them",
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -208,6 +208,9 @@
     case adapter::document_kind::rollouts:
         this->apply_rollouts();
         break;
+    case adapter::document_kind::held_parts:
+        this->apply_parts(update);
+        break;
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
         break; // A gateway does not store these documents.
@@ -310,11 +313,14 @@
     log_changes(changes.removed, "gone");
     log_changes(changes.restarted, "restarted");
     for (const core::upstream_name& name : changes.restarted) {
+        this->parts->on_process_gone(name);
         this->placement->forget_upstream(name);
         this->upstream_connections.forget(name.value);
     }
-    for (const core::upstream_name& name : changes.removed)
+    for (const core::upstream_name& name : changes.removed) {
+        this->parts->on_process_gone(name);
         this->upstream_connections.forget(name.value);
+    }
     this->rollouts->set_upstreams(this->directory.all());
 }
 
--- /dev/null
+++ b/lib/gateway/part_guard.cpp
@@ -0,0 +1,521 @@
+#include "ragwortcove/gateway/part_guard.hpp"
+
+#include "gateway.pb.h"
+#include "http_values.hpp"
+#include "part_messages.hpp"
+#include "ragwortcove/daemon/event_log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ragwortcove::gateway {
+
+using namespace std::chrono_literals;
+using core::part_admission;
+using core::part_id;
+using core::to_text;
+using daemon::log_event;
+
+/// Time after which the ends of all connections to a process have been read that broke at once.
+static constexpr core::duration first_look_delay = 5ms;
+/// Time from a probe that was accepted to the next one: a process may still accept while it ends.
+static constexpr core::duration second_probe_delay = 250ms;
+static constexpr std::uint32_t max_probes = 2;
+/// Time within which a process that runs accepts a connection.
+static constexpr core::duration probe_timeout = 100ms;
+/// How long a change of an upstream's announcement still tells why a connection was lost.
+static constexpr core::duration suspicion_lifetime = 5s;
+/// Number of processes that are examined at a time.
+static constexpr std::size_t max_suspicions = 256;
+/// Parts of the requests that waited at one process, beyond which further ones are left out.
+static constexpr std::size_t max_parts_of_process = 128;
+/// A datagram may be lost, so each change is sent so often, this far apart.
+static constexpr std::uint32_t sends_of_news = 3;
+static constexpr core::duration news_interval = 80ms;
+/// Records in one datagram.
+static constexpr int max_records_of_message = 32;
+/// Interval at which one other node is sent the records of all parts that are held back.
+static constexpr core::duration gossip_interval = 2s;
+/// How long a node that starts asks the others, and how often.
+static constexpr core::duration query_time = 500ms;
+static constexpr core::duration query_interval = 100ms;
+/// How often an owner is asked for a trial, and how long.
+static constexpr core::duration trial_request_interval = 40ms;
+static constexpr core::duration trial_request_timeout = 250ms;
+
+static std::string owner_key(part_id part)
+{
+    return "part/" + to_text(part);
+}
+
+static std::string join_upstreams(const core::part_record& record)
+{
+    std::string text;
+    for (const core::upstream_end& end : record.ends)
+        text += (text.empty() ? "" : ",") + end.process.name.value;
+    return text;
+}
+
+part_guard::part_guard(part_guard_dependencies&& dependencies)
+    : env(std::move(dependencies)), started_at(this->now())
+{
+}
+
+part_guard::~part_guard()
+{
+    for (const auto& [name, each] : this->suspicions)
+        this->env.event_loop.cancel(each.timer);
+}
+
+core::part_decision part_guard::decide(std::span<const part_id> all) const
+{
+    return this->parts.decide(all, this->now());
+}
+
+bool part_guard::owns(part_id part) const
+{
+    return this->env.owner_of(owner_key(part)) == this->env.self;
+}
+
+bool part_guard::has_evidence(std::span<const part_id> all) const
+{
+    return std::any_of(all.begin(), all.end(), [this](part_id part) {
+        const core::part_record* const known = this->parts.find(part);
+        return known != nullptr && (!known->ends.empty() || known->trials > 0);
+    });
+}
+
+// Whether an upstream has ended.
+
+part_guard::suspicion* part_guard::find_suspicion(const core::upstream_name& name)
+{
+    const auto found = this->suspicions.find(name);
+    return found == this->suspicions.end() ? nullptr : &found->second;
+}
+
+void part_guard::on_connection_lost(lost_connection&& lost, fate_handler&& done)
+{
+    suspicion* known = this->find_suspicion(lost.process.name);
+    if (known != nullptr && known->process != lost.process) {
+        this->tell_waiting(*known, process_fate::ended);
+        this->env.event_loop.cancel(known->timer);
+        this->suspicions.erase(lost.process.name);
+        known = nullptr;
+    }
+    const bool is_new = known == nullptr;
+    if (is_new && this->suspicions.size() >= max_suspicions) {
+        this->env.event_loop.post([done = std::move(done)] { done(process_fate::unknown); });
+        return;
+    }
+    suspicion& examined = is_new ? this->suspicions[lost.process.name] : *known;
+    const bool is_under_way = examined.timer != 0;
+    // The process has gone on since the connections before were lost.
+    if (!is_under_way)
+        examined.parts.clear();
+    examined.process = lost.process;
+    examined.address = std::move(lost.address);
+    examined.lost_at = this->now();
+    for (const part_id part : lost.parts) {
+        const bool is_listed =
+            std::find(examined.parts.begin(), examined.parts.end(), part) != examined.parts.end();
+        if (!is_listed && examined.parts.size() < max_parts_of_process)
+            examined.parts.push_back(part);
+    }
+    examined.waiting.push_back(std::move(done));
+    if (is_under_way)
+        return;
+    examined.probes = 0;
+    examined.timer = this->env.event_loop.after(
+        first_look_delay, [this, name = examined.process.name] { this->examine(name); });
+}
+
+bool part_guard::wait_for_fate(std::span<const part_id> all, fate_handler&& done)
+{
+    for (auto& [name, examined] : this->suspicions) {
+        if (examined.waiting.empty())
+            continue;
+        for (const part_id part : examined.parts) {
+            const std::array single{part};
+            const bool is_shared = std::find(all.begin(), all.end(), part) != all.end();
+            if (!is_shared || !this->has_evidence(single))
+                continue;
+            examined.waiting.push_back(std::move(done));
+            return true;
+        }
+    }
+    return false;
+}
+
+// A process that ends takes all its connections along.
+void part_guard::examine(const core::upstream_name& name)
+{
+    suspicion* const examined = this->find_suspicion(name);
+    if (examined == nullptr)
+        return;
+    examined->timer = 0;
+    if (this->env.has_connection(name)) {
+        ++examined->probes;
+        this->conclude_not_ended(*examined, process_fate::running);
+        return;
+    }
+    this->probe(*examined);
+}
+
+void part_guard::probe(suspicion& examined)
+{
+    const core::upstream_name name = examined.process.name;
+    const auto report = [this, name](process_fate fate) {
+        // The stream that calls this is destroyed with its result.
+        this->env.event_loop.post([this, name, fate] { this->on_probe_result(name, fate); });
+    };
+    ++examined.probes;
+    examined.is_probing = true;
+    http::tcp_stream_handlers handlers;
+    handlers.opened = [report] { report(process_fate::running); };
+    handlers.received = [](std::string_view) {};
+    handlers.ended = [report](http::stream_end) { report(process_fate::ended); };
+    examined.probe =
+        http::tcp_stream::connect(this->env.event_loop, examined.address, std::move(handlers));
+    if (!examined.probe) {
+        report(process_fate::unknown);
+        return;
+    }
+    examined.timer = this->env.event_loop.after(
+        probe_timeout, [this, name] { this->on_probe_result(name, process_fate::unknown); });
+}
+
+// Only the first result of a probe counts: one that is accepted may be closed at once.
+void part_guard::on_probe_result(const core::upstream_name& name, process_fate fate)
+{
+    suspicion* const examined = this->find_suspicion(name);
+    if (examined == nullptr || !std::exchange(examined->is_probing, false))
+        return;
+    this->env.event_loop.cancel(std::exchange(examined->timer, 0));
+    examined->probe.reset();
+    if (fate == process_fate::ended)
+        this->conclude_ended(name);
+    else
+        this->conclude_not_ended(*examined, fate);
+}
+
+void part_guard::conclude_not_ended(suspicion& examined, process_fate fate)
+{
+    if (fate == process_fate::running && examined.probes < max_probes) {
+        const core::upstream_name name = examined.process.name;
+        examined.timer =
+            this->env.event_loop.after(second_probe_delay, [this, name] { this->examine(name); });
+    }
+    this->tell_waiting(examined, fate);
+}
+
+// A handler may send the request again, and so lose another connection.
+void part_guard::tell_waiting(suspicion& examined, process_fate fate)
+{
+    for (fate_handler& each : std::exchange(examined.waiting, {}))
+        this->env.event_loop.post([each = std::move(each), fate] { each(fate); });
+}
+
+void part_guard::conclude_ended(const core::upstream_name& name)
+{
+    const auto found = this->suspicions.find(name);
+    suspicion ended = std::move(found->second);
+    this->suspicions.erase(found);
+    this->env.event_loop.cancel(ended.timer);
+    const std::vector<part_id> changed =
+        this->parts.record_end({ended.process, ended.lost_at}, ended.parts, this->now());
+    daemon::write_log(log_event::upstream_ended,
+                      {{"upstream", name.value},
+                       {"started_at", std::to_string(ended.process.started_at)},
+                       {"requests", std::to_string(ended.waiting.size())},
+                       {"parts", std::to_string(ended.parts.size())}});
+    for (const part_id part : changed)
+        this->log_held_back(*this->parts.find(part), this->env.self.value);
+    this->spread(changed);
+    this->tell_waiting(ended, process_fate::ended);
+}
+
+void part_guard::on_sign_of_life(const core::upstream_process& process)
+{
+    if (this->suspicions.empty())
+        return;
+    suspicion* const known = this->find_suspicion(process.name);
+    if (known == nullptr || known->process != process || known->timer != 0)
+        return;
+    this->suspicions.erase(process.name);
+}
+
+void part_guard::on_process_gone(const core::upstream_name& name)
+{
+    if (this->find_suspicion(name) != nullptr)
+        this->conclude_ended(name);
+}
+
+// What is known of parts.
+
+void part_guard::on_response(std::span<const part_id> all)
+{
+    const std::vector<part_id> cleared = this->parts.record_response(all, this->now());
+    for (const part_id part : cleared)
+        daemon::write_log(log_event::part_cleared,
+                          {{"part", to_text(part)}, {"from", this->env.self.value}});
+    this->spread(cleared);
+}
+
+void part_guard::log_held_back(const core::part_record& record, std::string_view from) const
+{
+    if (!core::is_held_back(record))
+        return;
+    daemon::write_log(log_event::part_held_back, {{"part", to_text(record.part)},
+                                                  {"ends", std::to_string(record.ends.size())},
+                                                  {"upstreams", join_upstreams(record)},
+                                                  {"trials", std::to_string(record.trials)},
+                                                  {"from", from}});
+}
+
+void part_guard::on_stored_record(const core::part_record& stored)
+{
+    static_cast<void>(this->take_record(stored, "the store"));
+}
+
+bool part_guard::take_record(const core::part_record& record, std::string_view from)
+{
+    const core::part_record* const known = this->parts.find(record.part);
+    const bool was_held_back = known != nullptr && core::is_held_back(*known);
+    if (!this->parts.merge(record, this->now()))
+        return false;
+    const core::part_record& merged = *this->parts.find(record.part);
+    if (core::is_held_back(merged))
+        this->log_held_back(merged, from);
+    else if (was_held_back)
+        daemon::write_log(log_event::part_cleared,
+                          {{"part", to_text(record.part)}, {"from", from}});
+    return true;
+}
+
+// Messages between nodes.
+
+void part_guard::spread(std::span<const part_id> changed)
+{
+    for (const part_id part : changed)
+        this->news[part] = sends_of_news;
+    this->send_news();
+}
+
+void part_guard::send_news()
+{
+    if (this->news.empty())
+        return;
+    this->next_news_at = this->now() + news_interval;
+    wire::PeerDatagram message;
+    wire::PartRecords* body = message.mutable_part_records();
+    for (auto& [part, sends_left] : this->news) {
+        --sends_left;
+        const core::part_record* const known = this->parts.find(part);
+        if (known == nullptr)
+            continue;
+        write_part_record(*known, this->now(), *body->add_records());
+        if (body->records_size() < max_records_of_message)
+            continue;
+        this->env.send_to_all(message);
+        body->clear_records();
+    }
+    if (body->records_size() > 0)
+        this->env.send_to_all(message);
+    std::erase_if(this->news, [](const auto& each) { return each.second == 0; });
+}
+
+void part_guard::receive_message(const core::node_name& from, const wire::PeerDatagram& message)
+{
+    switch (message.body_case()) {
+    case wire::PeerDatagram::kPartRecords:
+        this->on_records(from, message.part_records());
+        return;
+    case wire::PeerDatagram::kPartTrialAsk:
+        this->on_trial_ask(from, message.part_trial_ask());
+        return;
+    case wire::PeerDatagram::kPartTrialAnswer:
+        this->on_trial_answer(from, message.part_trial_answer());
+        return;
+    default:
+        return;
+    }
+}
+
+void part_guard::on_records(const core::node_name& from, const wire::PartRecords& message)
+{
+    wire::PeerDatagram reply;
+    wire::PartRecords& body = *reply.mutable_part_records();
+    std::vector<part_id> corrected;
+    std::size_t unreadable = 0;
+    for (const wire::PartRecord& each : message.records()) {
+        const std::optional<core::part_record> record = read_part_record(each, this->now());
+        if (!record) {
+            ++unreadable;
+            continue;
+        }
+        const core::part_record* const known = this->parts.find(record->part);
+        // Its sender holds a part back that has been cleared since.
+        if (known != nullptr && known->generation > record->generation &&
+            core::is_held_back(*record))
+            write_part_record(*known, this->now(), *body.add_records());
+        const bool was_held_back = known != nullptr && core::is_held_back(*known);
+        const bool is_news = this->take_record(*record, from.value);
+        if (is_news && message.corrects() && was_held_back)
+            corrected.push_back(record->part);
+    }
+    if (unreadable > 0)
+        daemon::write_log(log_event::peer_message_unreadable,
+                          {{"bytes", std::to_string(message.ByteSizeLong())}});
+    this->informed = this->informed || message.holds_all();
+    // Other nodes have heard from this one that the parts were to be held back.
+    this->spread(corrected);
+    body.set_corrects(true);
+    if (body.records_size() > 0)
+        this->env.send(from, reply);
+    if (message.wants_all() && this->is_informed())
+        this->send_held_back(from);
+}
+
+// The last message says that the receiver has them all.
+void part_guard::send_held_back(const core::node_name& to)
+{
+    wire::PeerDatagram message;
+    wire::PartRecords& body = *message.mutable_part_records();
+    for (const core::part_record& record : this->parts.held_back()) {
+        if (body.records_size() == max_records_of_message) {
+            this->env.send(to, message);
+            body.clear_records();
+        }
+        write_part_record(record, this->now(), *body.add_records());
+    }
+    body.set_holds_all(true);
+    this->env.send(to, message);
+}
+
+bool part_guard::is_informed() const
+{
+    return this->informed || this->now() - this->started_at >= query_time;
+}
+
+void part_guard::tick()
+{
+    const core::time_point at = this->now();
+    this->parts.tick(at);
+    std::erase_if(this->suspicions, [at](const auto& each) {
+        return each.second.timer == 0 && at - each.second.lost_at > suspicion_lifetime;
+    });
+    if (at >= this->next_news_at)
+        this->send_news();
+    this->retry_trial_requests();
+    if (!this->is_informed() && at >= this->next_query_at) {
+        this->next_query_at = at + query_interval;
+        wire::PeerDatagram message;
+        message.mutable_part_records()->set_wants_all(true);
+        this->env.send_to_all(message);
+    }
+    if (at < this->next_gossip_at)
+        return;
+    this->next_gossip_at = at + gossip_interval;
+    const core::node_name other = this->env.random_other_node();
+    if (!other.empty() && !this->parts.held_back().empty())
+        this->send_held_back(other);
+}
+
+// Trials.
+
+void part_guard::request_trial(part_id part, trial_handler&& done)
+{
+    const std::uint64_t number = ++this->last_trial_number;
+    open_trial_request& request = this->trial_requests[number];
+    request.part = part;
+    request.done = std::move(done);
+    request.first_sent_at = this->now();
+    this->send_trial_request(number, request);
+}
+
+void part_guard::send_trial_request(std::uint64_t number, open_trial_request& request)
+{
+    request.sent_at = this->now();
+    const core::part_record* const known = this->parts.find(request.part);
+    const core::node_name owner = this->env.owner_of(owner_key(request.part));
+    if (known == nullptr || owner == this->env.self) {
+        const bool permitted =
+            known == nullptr || this->parts.permit_trial(request.part, this->now());
+        this->env.event_loop.post(
+            [this, number, permitted] { this->finish_trial_request(number, permitted); });
+        return;
+    }
+    wire::PeerDatagram message;
+    wire::PartTrialAsk& body = *message.mutable_part_trial_ask();
+    body.set_sequence(number);
+    write_part_record(*known, this->now(), *body.mutable_record());
+    this->env.send(owner, message);
+}
+
+void part_guard::finish_trial_request(std::uint64_t number, bool permitted)
+{
+    const auto found = this->trial_requests.find(number);
+    if (found == this->trial_requests.end())
+        return;
+    const trial_handler done = std::move(found->second.done);
+    this->trial_requests.erase(found);
+    done(permitted);
+}
+
+void part_guard::retry_trial_requests()
+{
+    const core::time_point at = this->now();
+    std::vector<std::uint64_t> timed_out;
+    for (auto& [number, request] : this->trial_requests) {
+        if (at - request.first_sent_at >= trial_request_timeout)
+            timed_out.push_back(number);
+        else if (at - request.sent_at >= trial_request_interval)
+            this->send_trial_request(number, request);
+    }
+    for (const std::uint64_t number : timed_out)
+        this->finish_trial_request(number, false);
+}
+
+void part_guard::on_trial_ask(const core::node_name& from, const wire::PartTrialAsk& message)
+{
+    const std::optional<core::part_record> stated = read_part_record(message.record(), this->now());
+    if (!stated) {
+        daemon::write_log(log_event::peer_message_unreadable,
+                          {{"bytes", std::to_string(message.ByteSizeLong())}});
+        return;
+    }
+    static_cast<void>(this->take_record(*stated, from.value));
+    wire::PeerDatagram reply;
+    wire::PartTrialAnswer& body = *reply.mutable_part_trial_answer();
+    body.set_sequence(message.sequence());
+    // A node that is not the owner any more permits nothing beside the one that is.
+    const bool is_owner = this->owns(stated->part);
+    body.set_permitted(is_owner && this->parts.permit_trial(stated->part, this->now()));
+    if (const core::part_record* const known = this->parts.find(stated->part))
+        write_part_record(*known, this->now(), *body.mutable_record());
+    this->env.send(from, reply);
+}
+
+void part_guard::on_trial_answer(const core::node_name& from, const wire::PartTrialAnswer& message)
+{
+    const std::optional<core::part_record> stated = read_part_record(message.record(), this->now());
+    if (message.has_record() && stated)
+        static_cast<void>(this->take_record(*stated, from.value));
+    this->finish_trial_request(message.sequence(), message.permitted());
+}
+
+void part_guard::on_trial_sent(part_id part, std::string_view request)
+{
+    this->parts.record_trial(part, this->now());
+    const core::part_record* const known = this->parts.find(part);
+    daemon::write_log(log_event::part_trial_sent,
+                      {{"request", request},
+                       {"part", to_text(part)},
+                       {"trial", std::to_string(known == nullptr ? 0 : known->trials)},
+                       {"ends", std::to_string(known == nullptr ? 0 : known->ends.size())}});
+    const std::array changed{part};
+    this->spread(changed);
+}
+
+} // namespace ragwortcove::gateway
--- a/lib/gateway/placement_inbox.cpp
+++ b/lib/gateway/placement_inbox.cpp
@@ -153,6 +153,9 @@
     case wire::PeerDatagram::kRolloutReport:
     case wire::PeerDatagram::kRolloutDirective:
     case wire::PeerDatagram::kUpstreamLeaving:
+    case wire::PeerDatagram::kPartRecords:
+    case wire::PeerDatagram::kPartTrialAsk:
+    case wire::PeerDatagram::kPartTrialAnswer:
     case wire::PeerDatagram::BODY_NOT_SET:
         return;
     }
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -2,6 +2,7 @@
 
 #include "loop_state.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <map>
@@ -365,6 +366,20 @@
     found->second->reader->skip();
 }
 
+bool outbound_client::has_connection(std::string_view identity) const
+{
+    const auto is_open = [](const link_pointer& each) {
+        return !each->dead && each->opened && each->stream && each->stream->is_open();
+    };
+    const auto found = this->self->kept.find(identity);
+    if (found != this->self->kept.end() &&
+        std::any_of(found->second.begin(), found->second.end(), is_open))
+        return true;
+    return std::any_of(this->self->active.begin(), this->self->active.end(), [&](const auto& each) {
+        return each.second->identity == identity && is_open(each.second);
+    });
+}
+
 void outbound_client::forget(std::string_view identity)
 {
     const auto found = this->self->kept.find(identity);
--- a/test/soak/parts.py
+++ b/test/soak/parts.py
@@ -56,6 +56,11 @@
         middle = [self.random.choice(SHARED)] + ([bad] if bad else []) + [rare]
         return ",".join(f"{part}:30" for part in ["a1", *middle, attempt[:8]])
 
+    def summary(self):
+        """How often each bad part reached an upstream, and ended one."""
+        return "".join(f", {part}: {len(self.arrivals[part])} of {len(self.sent[part])} sent on, {len(ends)} ended"
+                       for part, ends in self.ends.items())
+
     def in_touch(self, outcome):
         return not self.run.ledger.touched("trouble", outcome.node, outcome.sent - CONTACT_S, outcome.ended)
 
--- /dev/null
+++ b/unittests/core/part_quarantine_test.cpp
@@ -0,0 +1,233 @@
+#include "ragwortcove/core/part_quarantine.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr part_id bad{0xbad};
+constexpr part_id other{0x07};
+
+upstream_end make_end(const std::string& name, time_point at)
+{
+    return {{{name}, 1}, at};
+}
+
+/// One node's quarantine on virtual time.
+struct quarantine_fixture {
+    part_quarantine parts;
+    time_point now{1h};
+    int ended = 0;
+
+    void end_upstream(part_id part = bad)
+    {
+        const std::array waiting{part};
+        this->parts.record_end(make_end("i-" + std::to_string(++this->ended), this->now), waiting,
+                               this->now);
+    }
+    [[nodiscard]] part_decision decide(part_id part = bad) const
+    {
+        const std::array parts_of_request{part_id{0x01}, part};
+        return this->parts.decide(parts_of_request, this->now);
+    }
+    void respond(part_id part = bad)
+    {
+        const std::array parts_of_request{part};
+        this->parts.record_response(parts_of_request, this->now);
+    }
+    /// Sends a trial that ends one more upstream.
+    void fail_trial()
+    {
+        REQUIRE(this->parts.permit_trial(bad, this->now));
+        this->parts.record_trial(bad, this->now);
+        this->now += 200ms;
+        this->end_upstream();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a part is held back once upstreams have ended under it on two occasions")
+{
+    quarantine_fixture node;
+    node.end_upstream();
+    CHECK(node.decide().admission == part_admission::admitted);
+
+    SUBCASE("the second end holds it back, and no other part")
+    {
+        node.now += 300ms;
+        node.end_upstream();
+        CHECK(node.decide().admission == part_admission::needs_trial);
+        CHECK(node.decide(other).admission == part_admission::admitted);
+    }
+    SUBCASE("a rack that ends at once is one occasion")
+    {
+        for (int count = 0; count < 5; ++count) {
+            node.now += 15ms;
+            node.end_upstream();
+        }
+        CHECK(node.decide().admission == part_admission::admitted);
+    }
+    SUBCASE("an end that several nodes have seen counts once")
+    {
+        const std::array waiting{bad};
+        node.parts.record_end(make_end("i-1", node.now + 1s), waiting, node.now + 1s);
+        CHECK(node.decide().admission == part_admission::admitted);
+    }
+    SUBCASE("a response between the ends makes them unrelated")
+    {
+        for (int count = 0; count < 30; ++count) {
+            node.now += 1s;
+            node.respond();
+            node.end_upstream();
+            CHECK(node.decide().admission == part_admission::admitted);
+        }
+    }
+    SUBCASE("a response long before them does not")
+    {
+        node.respond();
+        node.now += 24h;
+        node.end_upstream();
+        node.now += 1s;
+        node.end_upstream();
+        CHECK(node.decide().admission == part_admission::needs_trial);
+    }
+}
+
+TEST_CASE("a part that is held back is tried one request at a time, each time later")
+{
+    quarantine_fixture node;
+    node.end_upstream();
+    node.now += 1s;
+    node.end_upstream();
+
+    SUBCASE("a second trial is not permitted beside the first")
+    {
+        CHECK(node.parts.permit_trial(bad, node.now));
+        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+        node.parts.record_trial(bad, node.now);
+        CHECK(node.decide().admission == part_admission::waits);
+        CHECK(node.decide().retry_after <= 1s);
+        node.now += 2s;
+        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+    }
+    SUBCASE("a permission that is not used lapses")
+    {
+        CHECK(node.parts.permit_trial(bad, node.now));
+        node.now += 1500ms;
+        CHECK(node.parts.permit_trial(bad, node.now));
+    }
+    SUBCASE("a response to the trial lets all requests through")
+    {
+        REQUIRE(node.parts.permit_trial(bad, node.now));
+        node.parts.record_trial(bad, node.now);
+        node.now += 300ms;
+        node.respond();
+        CHECK(node.decide().admission == part_admission::admitted);
+    }
+    SUBCASE("three trials are sent in all, and then none until an operator releases the part")
+    {
+        node.fail_trial();
+        const part_decision first = node.decide();
+        CHECK(first.admission == part_admission::waits);
+        CHECK(first.retry_after >= 20s);
+        node.now += first.retry_after;
+        node.fail_trial();
+        const part_decision second = node.decide();
+        CHECK(second.admission == part_admission::waits);
+        CHECK(second.retry_after > 10 * first.retry_after);
+        node.now += second.retry_after;
+        node.fail_trial();
+        CHECK(node.decide().admission == part_admission::barred);
+        node.now += 24h * 30;
+        node.parts.tick(node.now);
+        CHECK(node.decide().admission == part_admission::barred);
+        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+        CHECK(node.parts.release(bad, node.now));
+        CHECK(node.decide().admission == part_admission::admitted);
+    }
+}
+
+TEST_CASE("nodes that know different things of a part agree, in whatever order they hear of it")
+{
+    quarantine_fixture first;
+    quarantine_fixture second;
+    const time_point now = first.now;
+    const auto exchange = [&] {
+        const part_record from_first = *first.parts.find(bad);
+        const part_record from_second = *second.parts.find(bad);
+        first.parts.merge(from_second, now);
+        second.parts.merge(from_first, now);
+        CHECK(*first.parts.find(bad) == *second.parts.find(bad));
+        // What comes twice changes nothing.
+        CHECK_FALSE(first.parts.merge(from_second, now));
+        CHECK_FALSE(second.parts.merge(from_first, now));
+    };
+
+    SUBCASE("each has seen another end")
+    {
+        first.end_upstream();
+        second.ended = 1;
+        second.now += 1s;
+        second.end_upstream();
+        exchange();
+        CHECK(second.decide().admission == part_admission::needs_trial);
+    }
+    SUBCASE("one has seen a response, the other a later end")
+    {
+        first.end_upstream();
+        second.parts.merge(*first.parts.find(bad), now);
+        first.respond();
+        second.ended = 1;
+        second.now += 1s;
+        second.end_upstream();
+        CHECK(second.decide().admission == part_admission::needs_trial);
+        exchange();
+        CHECK(second.decide().admission == part_admission::admitted);
+    }
+    SUBCASE("one has sent a trial")
+    {
+        for (quarantine_fixture* each : {&first, &second}) {
+            each->end_upstream();
+            each->now += 1s;
+            each->end_upstream();
+        }
+        REQUIRE(first.parts.permit_trial(bad, first.now));
+        first.parts.record_trial(bad, first.now);
+        exchange();
+        CHECK(second.decide().admission == part_admission::waits);
+    }
+}
+
+TEST_CASE("a caller that sends ever new parts releases none and fills no memory")
+{
+    quarantine_fixture node;
+    node.end_upstream();
+    node.now += 1s;
+    node.end_upstream();
+    for (std::uint64_t number = 0; number < 3 * max_tracked_parts; ++number) {
+        node.now += 1ms;
+        node.end_upstream(part_id{0x10000 + number});
+    }
+    CHECK(node.parts.size() <= max_tracked_parts);
+    CHECK(node.decide().admission == part_admission::needs_trial);
+}
+
+TEST_CASE("records without consequence are dropped after a while")
+{
+    quarantine_fixture node;
+    node.end_upstream();
+    node.end_upstream(other);
+    node.now += 11min;
+    node.parts.tick(node.now);
+    CHECK(node.parts.size() == 0);
+}
+
+} // namespace ragwortcove::core
--- a/unittests/gateway/call_fixture.hpp
+++ b/unittests/gateway/call_fixture.hpp
@@ -45,6 +45,7 @@
     /// Another node, so that tests send its directives.
     core::node_name controller{"m"};
     std::unique_ptr<placement_service> placement;
+    std::unique_ptr<part_guard> parts;
     std::unique_ptr<http::inbound_server> callers;
     std::unique_ptr<call_handler> calls;
     /// Node that accounts for the quotas; no other node than "n" answers.
@@ -93,6 +94,16 @@
         };
         this->rollouts = std::make_unique<rollout_service>(std::move(functions));
         this->rollouts->set_orders({});
+        this->parts = std::make_unique<part_guard>(
+            part_guard_dependencies{this->event_loop,
+                                    {"n"},
+                                    [](std::string_view) { return core::node_name{"n"}; },
+                                    [](const core::node_name&, wire::PeerDatagram&) {},
+                                    [](wire::PeerDatagram&) {},
+                                    [] { return core::node_name{}; },
+                                    [this](const core::upstream_name& name) {
+                                        return this->upstreams.has_connection(name.value);
+                                    }});
         this->calls = std::make_unique<call_handler>(
             call_dependencies{this->event_loop,
                               *this->callers,
@@ -105,6 +116,7 @@
                               [this](const core::upstream_name& name) { return this->find(name); },
                               [] { return 1; },
                               *this->rollouts,
+                              *this->parts,
                               [this](const core::upstream_process& process) {
                                   this->told_leaving.push_back(process.name.value);
                               }});
@@ -268,6 +280,7 @@
             this->event_loop,
             [&] {
                 this->placement->tick();
+                this->parts->tick();
                 return done();
             },
             limit);
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -234,6 +234,8 @@
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
 
+    /// Refuses every later connection, as after the end of a process.
+    void stop_listening() const { ::shutdown(this->descriptor, SHUT_RDWR); }
     [[nodiscard]] std::uint16_t port() const { return this->own_port; }
     [[nodiscard]] int accepted() const { return this->accepted_count; }
 
