[gateway] a node that stops refuses requests that it can hardly answer in time

Cause: new requests were refused from three lifetimes of an address list on, whether or not the ones before could end by then. With lifetimes of 1 s the line was at 3 s of 8, so that it seldom showed.

A node learns how long the responses of each route take (streams: until the first event, and by output token) and refuses as not run what would end after its calls are ended, by the longest output that the request allows, since hints are far off; also a request that has waited for a slot until then. One whose deadline comes first is still taken.

--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/core/caller_timeouts.hpp"
 #include "ragwortcove/core/context.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
+#include "ragwortcove/core/response_times.hpp"
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
@@ -65,6 +66,9 @@
     void on_connection_closing(const http::connection_closing& closing);
     /// Ends every open call as at its deadline, since the process is about to be killed.
     void end_all_calls();
+    /// Refuses requests from now on that cannot be answered before `end`, when all open calls are
+    /// ended.
+    void begin_shutdown(core::time_point end) { this->calls_end_at = end; }
     /// Refuses every later request, since the process is about to end.
     void refuse_new_requests() { this->refusing_new_requests = true; }
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
@@ -76,6 +80,9 @@
     }
     [[nodiscard]] open_call* find(http::inbound_exchange exchange);
     [[nodiscard]] bool admit(open_call& call);
+    /// Whether the request can hardly be answered before this process ends its calls.
+    [[nodiscard]] bool is_too_late(const open_call& call) const;
+    void refuse_for_shutdown(open_call& call);
     void choose_target(open_call& call);
     void request_quota(open_call& call);
     void on_quota_decision(http::inbound_exchange exchange, const core::quota_decision& decision);
@@ -161,6 +168,8 @@
     void observe_end(open_call& call, core::placement_outcome outcome);
 
     void release_placement(open_call& call, core::placement_outcome outcome);
+    /// Learns how long the response took.
+    void record_response_time(const open_call& call);
     void forward_response(open_call& call);
     /// What a caller is told that gets no complete response; the call's history selects one.
     struct ending {
@@ -197,6 +206,9 @@
     /// Upstreams that have told this node that they leave, each with the start of its process.
     std::map<core::upstream_name, std::int64_t> leaving;
     core::caller_timeouts timeouts;
+    core::response_times usual_times;
+    /// When all open calls are ended; `time_point::max()` until a shutdown begins.
+    core::time_point calls_end_at = core::time_point::max();
     core::random_engine random;
     bool refusing_new_requests = false;
 };
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -18,6 +18,8 @@
 static constexpr duration retry_after_no_rules = 500ms;
 /// Time after which a caller may retry at another node while this one shuts down.
 static constexpr duration retry_after_shutdown = 50ms;
+/// Time in which a response reaches its caller, before this process ends its calls.
+static constexpr duration shutdown_margin = 100ms;
 /// Number of grants for removed or leaving upstreams after which the next one counts as a denial.
 static constexpr std::uint32_t max_stale_grants = 4;
 /// Time-out for connecting to an upstream.
@@ -69,6 +71,10 @@
     const duration requested_time = call.facts.time_left.value_or(call.route->timeout);
     const duration time_left = std::min(requested_time, call.route->timeout);
     call.deadline = call.arrived_at + time_left;
+    if (this->is_too_late(call)) {
+        this->refuse_for_shutdown(call);
+        return;
+    }
     call.deadline_timer =
         this->env.event_loop.after(time_left, [this, exchange] { this->on_deadline(exchange); });
     call.earlier_attempts_time =
@@ -79,6 +85,25 @@
     this->request_quota(call);
 }
 
+// A response that has begun can only go on here. A request whose deadline comes first is ended by
+// that.
+bool call_handler::is_too_late(const open_call& call) const
+{
+    if (this->calls_end_at == time_point::max() || call.history.response_started)
+        return false;
+    const duration usual =
+        this->usual_times.usual_limit(*call.route, call.facts.max_output_tokens.value_or(0));
+    const time_point answered_at = this->now() + usual + shutdown_margin;
+    return std::min(call.deadline, answered_at) > this->calls_end_at;
+}
+
+void call_handler::refuse_for_shutdown(open_call& call)
+{
+    this->end_without_response(call, {"this node is shutting down", retry_after_shutdown,
+                                      status_bad_gateway, "this node is shutting down",
+                                      "this node is shutting down"});
+}
+
 void call_handler::end_all_calls()
 {
     std::vector<http::inbound_exchange> open;
@@ -104,7 +129,7 @@
 bool call_handler::admit(open_call& call)
 {
     if (this->refusing_new_requests) {
-        this->refuse(call, status_unavailable, "this node is shutting down", retry_after_shutdown);
+        this->refuse_for_shutdown(call);
         return false;
     }
     if (call.rules == nullptr) {
@@ -343,6 +368,11 @@
     const bool is_serving = upstream != nullptr && !upstream->leaving;
     const bool is_paused = upstream != nullptr && this->is_paused(*upstream, this->now());
     if (is_serving && !is_paused && this->env.rollouts.split().may_send(*upstream, this->now())) {
+        if (!call.active_dispatch && this->is_too_late(call)) {
+            this->env.placement.withdraw(number);
+            this->refuse_for_shutdown(call);
+            return;
+        }
         if (!this->may_send(call, number, grant))
             return;
         if (call.active_dispatch && !this->take_from_silent(call)) {
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -238,13 +238,28 @@
         this->handle_failed_dispatch(*call, core::dispatch_end::error_answer);
         return;
     }
-    if (status < first_client_error)
+    if (status < first_client_error) {
         this->report_complete_response(*call);
+        this->record_response_time(*call);
+    }
     call->history.may_have_run = true;
     this->release_placement(*call, core::placement_outcome::completed);
     this->forward_response(*call);
 }
 
+void call_handler::record_response_time(const open_call& call)
+{
+    const dispatch& responded = *call.active_dispatch;
+    // A stream that was resumed has left a part of its time elsewhere.
+    if (call.history.sent > 0)
+        return;
+    core::response_time seen;
+    seen.whole = this->now() - responded.sent_at;
+    seen.first = responded.events > 0 ? responded.first_event_at - responded.sent_at : seen.whole;
+    seen.max_output_tokens = call.facts.max_output_tokens.value_or(0);
+    this->usual_times.add(*call.route, seen);
+}
+
 void call_handler::complete_stream(open_call& call)
 {
     if (call.active_dispatch->splitter.inside_event()) {
@@ -268,6 +283,7 @@
     this->env.metrics.count("answers", "route", call.route->name.value);
     this->env.metrics.observe("whole_answer", call.route->name.value, at - call.arrived_at);
     call.history.may_have_run = true;
+    this->record_response_time(call);
     this->release_placement(call, core::placement_outcome::completed);
     this->end_call(call);
 }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -318,15 +318,17 @@
         {{"name", this->settings.name.value}, {"open", std::to_string(this->calls->open_calls())}});
     this->draining = true;
     this->drain_started_at = this->now();
+    this->calls->begin_shutdown(this->drain_started_at + this->settings.stop_limit -
+                                last_answer_margin);
     this->refresh_readiness();
     this->nodes->leave();
     this->caller_server->begin_drain();
     this->check_drain();
 }
 
-// Callers keep connecting while they may use an old address list. After that, new requests are
-// refused, and the process ends when the last byte of the last response is sent, or just before it
-// would be killed.
+// Callers keep connecting while they may use an old address list; of their requests, those are
+// taken that can be answered in time. After that, new requests are refused, and the process ends
+// when the last byte of the last response is sent, or just before it would be killed.
 void gateway::check_drain()
 {
     const core::duration elapsed = this->now() - this->drain_started_at;
