[gateway] a node that stops judges late requests by what has just become slow, and begins none of them anew

The longest of the newest responses counts now, times are from the first upstream on, a time-out counts as its time, and a silent upstream keeps its request when there is no time to begin it anew.

--- a/include/ragwortcove/core/response_times.hpp
+++ b/include/ragwortcove/core/response_times.hpp
@@ -8,10 +8,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace ragwortcove::core {
 
-/// Times of one response, from when its request was sent.
+/// Times of one response, from when its request was first sent.
 struct response_time {
     /// Until the first event of a stream; the whole time of a plain response.
     duration first{0};
@@ -20,7 +21,8 @@
     std::uint32_t max_output_tokens = 0;
 };
 
-/// Learns from the responses that this node has forwarded.
+/// Learns from the responses that this node has forwarded, and from those that did not come in
+/// time.
 class response_times {
 public:
     void add(const http_route& route, const response_time& seen);
@@ -30,11 +32,20 @@
                                        std::uint32_t max_output_tokens) const;
 
 private:
+    /// Samples of one time, in milliseconds. The newest ones tell of upstreams that have just
+    /// become slow.
+    struct learned_time {
+        usual_times usual;
+        recent_times recent;
+        void add(double sample);
+        /// Unset while there are too few samples.
+        [[nodiscard]] std::optional<double> limit() const;
+    };
     struct route_times {
-        /// In milliseconds; that of an output token is of the time after the first event.
-        usual_times first;
-        usual_times output_token;
-        usual_times whole;
+        learned_time first;
+        /// Time after the first event for each token that the output could have had.
+        learned_time output_token;
+        learned_time whole;
     };
     std::map<route_name, route_times> by_route;
 };
--- a/include/ragwortcove/core/usual_times.hpp
+++ b/include/ragwortcove/core/usual_times.hpp
@@ -34,6 +34,8 @@
     /// larger; unset without samples.
     [[nodiscard]] std::optional<double> ratio_of(double sample) const;
 
+    /// Largest of the newest samples; unset without samples.
+    [[nodiscard]] std::optional<double> largest() const;
     /// Median of the newest samples; unset without samples.
     [[nodiscard]] std::optional<double> median() const;
 
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -98,6 +98,8 @@
     /// until then, when the request was sent to it.
     core::upstream_name last_upstream;
     core::time_point last_byte_at;
+    /// When the request was first sent to an upstream.
+    core::time_point first_sent_at;
     /// How the last dispatch that failed ended.
     std::optional<core::dispatch_end> last_failure;
     std::optional<std::uint64_t> last_event_number;
--- a/lib/core/usual_times.cpp
+++ b/lib/core/usual_times.cpp
@@ -72,6 +72,13 @@
     return sorted;
 }
 
+std::optional<double> recent_times::largest() const
+{
+    if (this->count == 0)
+        return std::nullopt;
+    return this->sorted_samples().back();
+}
+
 std::optional<double> recent_times::median() const
 {
     if (this->count == 0)
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -463,6 +463,8 @@
     call.active_dispatch->address = {upstream.address.address, upstream.address.port};
     call.active_dispatch->is_warming_up = at < upstream.warm_at;
     call.active_dispatch->sent_at = at;
+    if (call.last_upstream.empty())
+        call.first_sent_at = at;
     call.last_upstream = upstream.name;
     call.last_byte_at = at;
     daemon::write_log(log_event::request_placed,
@@ -485,8 +487,11 @@
     this->arm_idle_timer(call);
 }
 
+// A request that another upstream would begin anew stays with one that may go on at any time.
 bool call_handler::may_replace(open_call& call)
 {
+    if (this->is_too_late(call))
+        return false;
     call.history.time_left = call.deadline - this->now();
     return core::may_replace_silent(*call.route, call.history);
 }
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -250,12 +250,9 @@
 void call_handler::record_response_time(const open_call& call)
 {
     const dispatch& responded = *call.active_dispatch;
-    // A stream that was resumed has left a part of its time elsewhere.
-    if (call.history.sent > 0)
-        return;
     core::response_time seen;
-    seen.whole = this->now() - responded.sent_at;
-    seen.first = responded.events > 0 ? responded.first_event_at - responded.sent_at : seen.whole;
+    seen.whole = this->now() - call.first_sent_at;
+    seen.first = responded.events > 0 ? responded.first_event_at - call.first_sent_at : seen.whole;
     seen.max_output_tokens = call.facts.max_output_tokens.value_or(0);
     this->usual_times.add(*call.route, seen);
 }
@@ -614,6 +611,8 @@
     const bool was_silent =
         was_sent && (call->active_dispatch->silent || !call->active_dispatch->head);
     if (was_sent) {
+        // The response takes at least so long.
+        this->record_response_time(*call);
         this->give_up_dispatch(*call);
         call->history.may_have_run = true;
     }
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -28,7 +28,7 @@
 seeds = {seeds}
 store = 127.0.0.1:{store}
 metrics = 127.0.0.1:{metrics}
-address_time_to_live = 1s
+address_time_to_live = {lifetime}s
 stop_limit = {stop_limit}s
 repeat_share = 0.2
 repeat_allowance = {allowance}
@@ -122,12 +122,12 @@
                                 str(self.settings_path)], Path(work) / f"{self.name}.log")
         self.store_link = None
 
-    async def prepare(self, store_port, seeds, allowance):
+    async def prepare(self, store_port, seeds, allowance, lifetime=1):
         self.store_link = Proxy(store_port)
         await self.store_link.start()
         self.settings_path.write_text(SETTINGS.format(
             name=self.name, domain=self.domain, store=self.store_link.port, seeds=seeds,
-            stop_limit=STOP_LIMIT_S, allowance=allowance, **self.ports))
+            stop_limit=STOP_LIMIT_S, allowance=allowance, lifetime=lifetime, **self.ports))
 
     @property
     def served_at(self):
--- a/unittests/core/response_times_test.cpp
+++ b/unittests/core/response_times_test.cpp
@@ -25,6 +25,14 @@
         CHECK(times.usual_limit(route, 0) >= 2s);
         CHECK(times.usual_limit(route, 0) <= 5s);
     }
+    SUBCASE("from plain ones that have just become slow")
+    {
+        for (int count = 0; count < 400; ++count)
+            times.add(route, {20ms, 20ms, 0});
+        CHECK(times.usual_limit(route, 0) <= 100ms);
+        times.add(route, {2500ms, 2500ms, 0});
+        CHECK(times.usual_limit(route, 0) >= 2500ms);
+    }
     SUBCASE("from streams, by how long they may be")
     {
         route.streams = true;
