[gateway] a stream without a length that is closed before its first event is broken, not complete

A report of other operators: heads of responses that break off became empty successes. Played through a node at each third byte of four heads (with a length, without, HTTP/1.0, after a 103), plain and stream, in one piece and byte by byte, closed and reset, first and resumed: none becomes a success. A close in order cannot be told from the end of the process there, and a stream with nothing in it is no response.

--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -259,7 +259,10 @@
 
 void call_handler::complete_stream(open_call& call)
 {
-    if (call.active_dispatch->splitter.inside_event()) {
+    const dispatch& ended = *call.active_dispatch;
+    // An upstream that ends after the head of its response closes the connection in order, too.
+    const bool is_without_event = ended.head->ends_with_connection && ended.events == 0;
+    if (ended.splitter.inside_event() || is_without_event) {
         call.active_dispatch->connection_lost = true;
         this->handle_failed_dispatch(call, core::dispatch_end::broken);
         return;
