[cli] parts lists the prompt parts that are held back, release lets one through

An operator who knows that a part is sound, or that the upstreams are mended, has had no way to say so.

--- a/tools/ragwortcove/commands.hpp
+++ b/tools/ragwortcove/commands.hpp
@@ -23,6 +23,8 @@
 cli::exit_code run_top(const words& arguments);
 cli::exit_code run_drain(const words& arguments);
 cli::exit_code run_move(const words& arguments);
+cli::exit_code run_parts(const words& arguments);
+cli::exit_code run_release(const words& arguments);
 cli::exit_code run_explain(const words& arguments);
 cli::exit_code run_call(const words& arguments);
 
--- a/tools/ragwortcove/main.cpp
+++ b/tools/ragwortcove/main.cpp
@@ -31,6 +31,8 @@
     subcommand{"top", "show queues and free permits, again and again", &run_top},
     subcommand{"drain", "shut a daemon down without cutting a request", &run_drain},
     subcommand{"move", "show a move, or wait for its end", &run_move},
+    subcommand{"parts", "list prompt parts that are held back", &run_parts},
+    subcommand{"release", "let a prompt part through again", &run_release},
     subcommand{"explain", "tell a request's decisions from the logs", &run_explain},
     subcommand{"call", "send a request as a well-behaved caller", &run_call},
 };
