[gateway] only a node that knows the fleet permits trials

Nodes that all start at once each take themselves for the owner of every part, and each would have permitted a trial of a part that the store says is held back: up to 7 at once in the new test (0 now, then 1 when they know each other).

--- a/include/ragwortcove/gateway/part_guard.hpp
+++ b/include/ragwortcove/gateway/part_guard.hpp
@@ -32,6 +32,9 @@
     http::loop& event_loop;
     core::node_name self;
     std::function<core::node_name(std::string_view key)> owner_of;
+    /// Whether this node knows the fleet as the others do. Otherwise several nodes may take
+    /// themselves for a part's owner.
+    std::function<bool()> is_settled;
     std::function<void(const core::node_name&, wire::PeerDatagram&)> send;
     std::function<void(wire::PeerDatagram&)> send_to_all;
     /// Name of another node chosen at random; empty when there is none.
@@ -138,6 +141,7 @@
     void send_news();
     void send_held_back(const core::node_name& to);
     void send_trial_request(std::uint64_t number, open_trial_request& request);
+    [[nodiscard]] bool permit_trial(core::part_id part);
     void finish_trial_request(std::uint64_t number, bool permitted);
     void retry_trial_requests();
     /// Merges a record and logs what follows from it; returns whether it was news.
--- a/lib/gateway/gateway_parts.cpp
+++ b/lib/gateway/gateway_parts.cpp
@@ -23,6 +23,7 @@
     return {this->event_loop,
             this->settings.name,
             [this](std::string_view key) { return this->nodes->owner_of(key); },
+            [this] { return this->nodes->is_settled(); },
             [this](const core::node_name& to, wire::PeerDatagram& message) {
                 this->nodes->send(to, message);
             },
--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -439,9 +439,9 @@
     request.sent_at = this->now();
     const core::part_record* const known = this->parts.find(request.part);
     const core::node_name owner = this->env.owner_of(owner_key(request.part));
-    if (known == nullptr || owner == this->env.self) {
-        const bool permitted =
-            known == nullptr || this->parts.permit_trial(request.part, this->now());
+    const bool decides_itself = known == nullptr || owner == this->env.self;
+    if (decides_itself) {
+        const bool permitted = known == nullptr || this->permit_trial(request.part);
         this->env.event_loop.post(
             [this, number, permitted] { this->finish_trial_request(number, permitted); });
         return;
@@ -453,6 +453,13 @@
     this->env.send(owner, message);
 }
 
+// A node that is not the owner any more permits nothing beside the one that is.
+bool part_guard::permit_trial(part_id part)
+{
+    return this->owns(part) && this->env.is_settled() &&
+           this->parts.permit_trial(part, this->now());
+}
+
 void part_guard::finish_trial_request(std::uint64_t number, bool permitted)
 {
     const auto found = this->trial_requests.find(number);
@@ -489,9 +496,7 @@
     wire::PeerDatagram reply;
     wire::PartTrialAnswer& body = *reply.mutable_part_trial_answer();
     body.set_sequence(message.sequence());
-    // A node that is not the owner any more permits nothing beside the one that is.
-    const bool is_owner = this->owns(stated->part);
-    body.set_permitted(is_owner && this->parts.permit_trial(stated->part, this->now()));
+    body.set_permitted(this->permit_trial(stated->part));
     if (const core::part_record* const known = this->parts.find(stated->part))
         write_part_record(*known, this->now(), *body.mutable_record());
     this->env.send(from, reply);
--- a/unittests/gateway/call_fixture.hpp
+++ b/unittests/gateway/call_fixture.hpp
@@ -98,6 +98,7 @@
             part_guard_dependencies{this->event_loop,
                                     {"n"},
                                     [](std::string_view) { return core::node_name{"n"}; },
+                                    [] { return true; },
                                     [](const core::node_name&, wire::PeerDatagram&) {},
                                     [](wire::PeerDatagram&) {},
                                     [] { return core::node_name{}; },
--- a/unittests/gateway/part_guard_test.cpp
+++ b/unittests/gateway/part_guard_test.cpp
@@ -44,6 +44,8 @@
     double loss = 0.0;
     /// Nodes that no datagram reaches or leaves.
     std::set<std::size_t> cut_off;
+    /// Nodes that do not know the fleet as the others do.
+    std::set<std::size_t> unsettled;
     http::socket_address nobody = closed_address();
     /// Upstreams that have ended so far.
     int ended = 0;
@@ -69,6 +71,7 @@
                     is_alone ? index : core::rendezvous_first(key, this->names);
                 return core::node_name{this->names[owner]};
             },
+            [this, index] { return !this->unsettled.contains(index); },
             [this, index](const core::node_name& to, wire::PeerDatagram& message) {
                 for (std::size_t receiver = 0; receiver < this->names.size(); ++receiver) {
                     if (this->names[receiver] == to.value)
@@ -297,6 +300,31 @@
     CHECK(fleet.ended <= ended + 2);
 }
 
+TEST_CASE("nodes that all start at once, and know no other, send no trials of their own")
+{
+    guard_fleet fleet(7);
+    core::part_record stored;
+    stored.part = bad_part;
+    for (int count = 0; count < 2; ++count)
+        stored.ends.push_back({{{"gone-" + std::to_string(count)}, 1},
+                               core::time_point{fleet.event_loop.now()} - 2s + count * 1s});
+    for (std::size_t node = 0; node < 7; ++node) {
+        fleet.guards[node]->on_stored_record(stored);
+        fleet.cut_off.insert(node);
+        fleet.unsettled.insert(node);
+    }
+    for (std::size_t node = 0; node < 7; ++node)
+        fleet.send_bad(node, bad_part);
+    fleet.run(500ms);
+    CHECK(fleet.ended == 0);
+    fleet.cut_off.clear();
+    fleet.unsettled.clear();
+    for (std::size_t node = 0; node < 7; ++node)
+        fleet.send_bad(node, bad_part);
+    fleet.run(500ms);
+    CHECK(fleet.ended == 1);
+}
+
 TEST_CASE("a broken connection to a process that goes on is no end of it")
 {
     guard_fleet fleet(1);
