[gateway] an end with more parts than are tracked does not end the process

Found by reading: a part's record can make room for a later one of the same end, and the line for the log then read a record that was gone. It takes over 512 parts at the same microsecond, and callers choose the parts. No test: the log's line is the only use.

--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -229,8 +229,11 @@
                        {"started_at", std::to_string(ended.process.started_at)},
                        {"requests", std::to_string(ended.waiting.size())},
                        {"parts", std::to_string(ended.parts.size())}});
-    for (const part_id part : changed)
-        this->log_held_back(*this->parts.find(part), this->env.self.value);
+    for (const part_id part : changed) {
+        // A record may have made room for a later one.
+        if (const core::part_record* const known = this->parts.find(part))
+            this->log_held_back(*known, this->env.self.value);
+    }
     this->spread(changed);
     this->tell_waiting(ended, process_fate::ended);
 }
