--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -12,7 +12,6 @@
 namespace ragwortcove::gateway {
 
 using namespace std::chrono_literals;
-using core::part_admission;
 using core::part_id;
 using core::to_text;
 using daemon::log_event;
