--- a/unittests/gateway/call_parts_test.cpp
+++ b/unittests/gateway/call_parts_test.cpp
@@ -64,7 +64,7 @@
         for (std::uint32_t count = 0; count < ends; ++count) {
             wire::PartRecord::End& end = *record.add_ends();
             end.set_upstream("gone-" + std::to_string(count));
-            end.set_age((ends - count) * 1'000'000);
+            end.set_age(std::int64_t{ends - count} * 1'000'000);
         }
         this->parts->receive_message({"m"}, message);
     }
--- a/unittests/gateway/part_guard_test.cpp
+++ b/unittests/gateway/part_guard_test.cpp
@@ -360,7 +360,7 @@
         for (int count = 0; count < 3; ++count) {
             wire::PartRecord::End& end = *record.add_ends();
             end.set_upstream("i-" + std::to_string(count));
-            end.set_age(count * 1'000'000);
+            end.set_age(std::int64_t{count} * 1'000'000);
         }
         return record;
     };
