[core] one function lists the upstreams of a part's record

It stood twice, in the guard and in the command. Run on this: the cases of core_unittest on parts, test/cli/check, formatter, and the linter on the three sources; gateway_unittest was not built again.

--- a/include/ragwortcove/core/part_quarantine.hpp
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace ragwortcove::core {
@@ -115,5 +116,7 @@
 [[nodiscard]] std::size_t count_occasions(const part_record& record);
 /// Whether requests with the part are held back.
 [[nodiscard]] bool is_held_back(const part_record& record);
+/// Names of the upstreams that have ended, separated by commas.
+[[nodiscard]] std::string list_upstreams(const part_record& record);
 
 } // namespace ragwortcove::core
--- a/lib/core/part_quarantine.cpp
+++ b/lib/core/part_quarantine.cpp
@@ -40,6 +40,14 @@
     return record.trials > 0 || count_occasions(record) >= occasions_to_hold_back;
 }
 
+std::string list_upstreams(const part_record& record)
+{
+    std::string text;
+    for (const upstream_end& end : record.ends)
+        text += (text.empty() ? "" : ",") + end.process.name.value;
+    return text;
+}
+
 static time_point next_trial_at(const part_record& record)
 {
     const time_point last_end = record.ends.empty() ? time_point{} : record.ends.back().at;
--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -48,14 +48,6 @@
     return "part/" + to_text(part);
 }
 
-static std::string join_upstreams(const core::part_record& record)
-{
-    std::string text;
-    for (const core::upstream_end& end : record.ends)
-        text += (text.empty() ? "" : ",") + end.process.name.value;
-    return text;
-}
-
 part_guard::part_guard(part_guard_dependencies&& dependencies)
     : env(std::move(dependencies)), started_at(this->now())
 {
@@ -270,7 +262,7 @@
         return;
     daemon::write_log(log_event::part_held_back, {{"part", to_text(record.part)},
                                                   {"ends", std::to_string(record.ends.size())},
-                                                  {"upstreams", join_upstreams(record)},
+                                                  {"upstreams", core::list_upstreams(record)},
                                                   {"trials", std::to_string(record.trials)},
                                                   {"from", from}});
 }
--- a/tools/ragwortcove/parts.cpp
+++ b/tools/ragwortcove/parts.cpp
@@ -10,20 +10,12 @@
 
 using cli::exit_code;
 
-static std::string join_upstreams(const core::part_record& record)
-{
-    std::string text;
-    for (const core::upstream_end& end : record.ends)
-        text += (text.empty() ? "" : ",") + end.process.name.value;
-    return text;
-}
-
 static void print_parts(const std::vector<core::part_record>& parts)
 {
     cli::table table{{"PART", "TRIALS", "ENDS", "UPSTREAMS"}, {}};
     for (const core::part_record& record : parts)
         table.rows.push_back({core::to_text(record.part), std::to_string(record.trials),
-                              std::to_string(record.ends.size()), join_upstreams(record)});
+                              std::to_string(record.ends.size()), core::list_upstreams(record)});
     cli::print(std::cout, table);
 }
 
@@ -34,7 +26,7 @@
                                          {"generation", record.generation},
                                          {"trials", record.trials},
                                          {"ends", record.ends.size()},
-                                         {"upstreams", join_upstreams(record)}}
+                                         {"upstreams", core::list_upstreams(record)}}
                   << '\n';
 }
 
