[core] a request with several held parts is the trial of one of them

A restarted node that read the part in the store first began its 30 s anew, even when others knew better.

Cause: permission was asked for each held part, and the trial recorded for each; a merge ignored the times of ends that were known already.

Now the request counts as the trial of the part with the most ends, the last of the prompt among equal ones, and the others stay due at once, so the next sound request clears them. Of two times of one end or trial the earlier one counts.

Tests: two in core_unittest and one in gateway_unittest failed on and pass now. After a restart of all nodes at once the wait still begins anew, since no clock outlasts the processes.

--- a/include/ragwortcove/core/part_quarantine.hpp
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -70,6 +70,9 @@
 /// harmless.
 class part_quarantine {
 public:
+    /// Decides by the strictest of a request's parts, which are given in the order of the prompt.
+    /// If several need a trial, the most likely cause of the ends is stated, and the request counts
+    /// as the trial of that part alone.
     [[nodiscard]] part_decision decide(std::span<const part_id> parts, time_point now) const;
     /// Records that a process ended while requests with these parts waited for its responses.
     /// Returns the parts whose records have changed.
@@ -78,7 +81,8 @@
     /// Records that an upstream has responded to a request with these parts and has not ended.
     /// Returns those of them that were held back and are not any more.
     std::vector<part_id> record_response(std::span<const part_id> parts, time_point now);
-    /// Takes what another node, or the store, knows of a part; returns whether that was news.
+    /// Takes what another node, or the store, knows of a part; returns whether that was news. A
+    /// better time of an end or trial that is known is taken, but is no news.
     bool merge(const part_record& other, time_point now);
     /// Permits one trial of a part if one is due and no other permission is open. To be called by
     /// the part's owner. A permission that is not used lapses.
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -60,11 +60,11 @@
     const core::team_rule* team = nullptr;
     /// Parts of the prompt that other requests may have, too.
     std::vector<core::part_id> shared_parts;
-    /// Those of them for which the request may be sent as a trial, until an upstream may have run
+    /// The one of them for which the request may be sent as a trial, until an upstream may have run
     /// it.
-    std::vector<core::part_id> permitted_parts;
-    /// How many of these are recorded as sent.
-    std::size_t sent_trials = 0;
+    std::optional<core::part_id> permitted_part;
+    /// Whether the trial is recorded as sent.
+    bool trial_sent = false;
     core::target_name target;
     /// Where the request is placed: the target's own pool, or that of its canaries.
     core::target_name pool;
--- a/lib/core/part_quarantine.cpp
+++ b/lib/core/part_quarantine.cpp
@@ -75,21 +75,30 @@
     return {part_admission::needs_trial, record.part, {}};
 }
 
+// If several parts need a trial, the request counts as the trial of one of them. That is the part
+// with the most ends, since it was in more of the requests that ended upstreams. Among equal ones
+// it is the last: the first parts of a prompt are those that most requests share, and others of
+// these requests soon show whether upstreams end on them.
 part_decision part_quarantine::decide(std::span<const part_id> parts, time_point now) const
 {
     part_decision strictest;
-    if (this->entries.empty())
-        return strictest;
+    std::size_t most_ends = 0;
     for (const part_id part : parts) {
         const auto found = this->entries.find(part);
         if (found == this->entries.end())
             continue;
-        const part_decision decision = decide_one(found->second.record, now);
+        const part_record& record = found->second.record;
+        const part_decision decision = decide_one(record, now);
         if (decision.admission == part_admission::admitted)
             continue;
         found->second.used_at = now;
-        if (decision.admission > strictest.admission)
-            strictest = decision;
+        const bool is_more_likely_cause = decision.admission == part_admission::needs_trial &&
+                                          strictest.admission == part_admission::needs_trial &&
+                                          record.ends.size() >= most_ends;
+        if (decision.admission <= strictest.admission && !is_more_likely_cause)
+            continue;
+        strictest = decision;
+        most_ends = record.ends.size();
     }
     return strictest;
 }
@@ -122,20 +131,25 @@
     return created;
 }
 
-/// Adds an end unless it is known; returns whether it is new.
+/// Adds an end unless it is known; returns whether it is new. A message takes time, and the store
+/// keeps no times, so of two times stated of one end the earlier one is nearer to the truth.
 static bool add_end(part_record& record, const upstream_end& added)
 {
+    std::vector<upstream_end>& ends = record.ends;
     const auto is_same = [&](const upstream_end& known) { return known.process == added.process; };
-    if (std::any_of(record.ends.begin(), record.ends.end(), is_same))
-        return false;
-    if (record.ends.size() >= max_ends_of_part)
+    const auto known = std::find_if(ends.begin(), ends.end(), is_same);
+    const bool is_new = known == ends.end();
+    if (is_new && ends.size() >= max_ends_of_part)
         return false;
-    const auto is_later = [](const upstream_end& left, const upstream_end& right) {
+    if (is_new)
+        ends.push_back(added);
+    else
+        known->at = std::min(known->at, added.at);
+    const auto is_earlier = [](const upstream_end& left, const upstream_end& right) {
         return left.at < right.at;
     };
-    record.ends.insert(std::upper_bound(record.ends.begin(), record.ends.end(), added, is_later),
-                       added);
-    return true;
+    std::stable_sort(ends.begin(), ends.end(), is_earlier);
+    return is_new;
 }
 
 std::vector<part_id> part_quarantine::record_end(const upstream_end& end,
@@ -179,6 +193,20 @@
     return cleared;
 }
 
+/// Returns whether the other record states more trials. Of two times of one trial the earlier one
+/// counts, as for ends.
+static bool merge_trials(part_record& record, const part_record& other)
+{
+    if (other.trials > record.trials) {
+        record.trials = std::min(other.trials, max_part_trials);
+        record.last_trial_at = other.last_trial_at;
+        return true;
+    }
+    if (other.trials == record.trials)
+        record.last_trial_at = std::min(record.last_trial_at, other.last_trial_at);
+    return false;
+}
+
 bool part_quarantine::merge(const part_record& other, time_point now)
 {
     const auto found = this->entries.find(other.part);
@@ -189,19 +217,15 @@
         (found == this->entries.end() && says_nothing && other.generation == 0))
         return false;
     entry& known = this->entry_of(other.part, now);
-    const part_record before = known.record;
-    if (other.generation > generation)
+    bool is_news = other.generation > generation;
+    if (is_news)
         known.record = part_record{other.part, other.generation, {}, 0, {}};
     for (const upstream_end& end : other.ends)
-        add_end(known.record, end);
-    if (other.trials > known.record.trials) {
-        known.record.trials = std::min(other.trials, max_part_trials);
-        known.record.last_trial_at = std::max(known.record.last_trial_at, other.last_trial_at);
-    }
-    if (known.record == before)
-        return false;
-    known.used_at = now;
-    return true;
+        is_news = add_end(known.record, end) || is_news;
+    is_news = merge_trials(known.record, other) || is_news;
+    if (is_news)
+        known.used_at = now;
+    return is_news;
 }
 
 bool part_quarantine::permit_trial(part_id part, time_point now)
--- a/lib/gateway/call_parts.cpp
+++ b/lib/gateway/call_parts.cpp
@@ -20,15 +20,17 @@
 core::part_decision call_handler::decide_parts(const open_call& call) const
 {
     // While an upstream has the request, its trial is not over.
-    if (call.permitted_parts.empty() || call.active_dispatch)
+    if (!call.permitted_part || call.active_dispatch)
         return this->env.parts.decide(call.shared_parts);
     std::vector<core::part_id> others;
     for (const core::part_id part : call.shared_parts) {
-        if (std::find(call.permitted_parts.begin(), call.permitted_parts.end(), part) ==
-            call.permitted_parts.end())
+        if (part != *call.permitted_part)
             others.push_back(part);
     }
-    return this->env.parts.decide(others);
+    const core::part_decision decision = this->env.parts.decide(others);
+    if (decision.admission == part_admission::needs_trial)
+        return {};
+    return decision;
 }
 
 // A request that is barred for good is not to come again; one that waits for a trial may.
@@ -57,9 +59,8 @@
     const core::part_decision decision = this->decide_parts(call);
     if (decision.admission == part_admission::admitted) {
         // An upstream that did not take the request leaves the trial to the next one.
-        for (; call.sent_trials < call.permitted_parts.size(); ++call.sent_trials)
-            this->env.parts.on_trial_sent(call.permitted_parts[call.sent_trials],
-                                          call.facts.attempt);
+        if (call.permitted_part && !std::exchange(call.trial_sent, true))
+            this->env.parts.on_trial_sent(*call.permitted_part, call.facts.attempt);
         return true;
     }
     const bool may_be_trial =
@@ -86,7 +87,7 @@
         return;
     call->placement = 0;
     if (permitted)
-        call->permitted_parts.push_back(part);
+        call->permitted_part = part;
     core::part_decision decision = this->decide_parts(*call);
     // Another request is the trial, or the owner is not reached.
     if (!permitted && decision.admission == part_admission::needs_trial)
@@ -101,8 +102,8 @@
 
 void call_handler::end_trial(open_call& call)
 {
-    call.permitted_parts.clear();
-    call.sent_trials = 0;
+    call.permitted_part.reset();
+    call.trial_sent = false;
 }
 
 bool call_handler::report_lost_connection(const open_call& call)
--- a/unittests/core/part_quarantine_test.cpp
+++ b/unittests/core/part_quarantine_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 #include <string>
 
 namespace ragwortcove::core {
@@ -155,6 +156,62 @@
     }
 }
 
+TEST_CASE("a request with several parts that are held back is the trial of one of them")
+{
+    quarantine_fixture node;
+    const std::array all{part_id{0x01}, bad, other};
+    const auto end_upstream_under = [&](std::span<const part_id> waiting) {
+        node.now += 1s;
+        node.parts.record_end(make_end("i-" + std::to_string(++node.ended), node.now), waiting,
+                              node.now);
+    };
+    end_upstream_under(all);
+    end_upstream_under(all);
+
+    SUBCASE("of the last, if all were in the same requests")
+    {
+        CHECK(node.parts.decide(all, node.now).part == other);
+    }
+    SUBCASE("of the one that was in more of the requests that ended upstreams")
+    {
+        node.end_upstream(bad);
+        const part_decision decision = node.parts.decide(all, node.now);
+        CHECK(decision.admission == part_admission::needs_trial);
+        CHECK(decision.part == bad);
+    }
+    SUBCASE("of none while one of them must wait")
+    {
+        node.fail_trial();
+        const part_decision decision = node.parts.decide(all, node.now);
+        CHECK(decision.admission == part_admission::waits);
+        CHECK(decision.part == bad);
+    }
+}
+
+TEST_CASE("a node that has read of a part in the store learns from the others how long ago it was")
+{
+    quarantine_fixture old;
+    old.end_upstream();
+    old.now += 1s;
+    old.end_upstream();
+    old.fail_trial();
+    old.now += 25s;
+
+    // The store keeps no times.
+    quarantine_fixture started;
+    started.now = old.now;
+    part_record stored = *old.parts.find(bad);
+    for (upstream_end& end : stored.ends)
+        end.at = started.now;
+    stored.last_trial_at = started.now - 1s;
+    started.parts.merge(stored, started.now);
+    CHECK(started.decide().retry_after > 20s);
+
+    CHECK_FALSE(started.parts.merge(*old.parts.find(bad), started.now));
+    CHECK(*started.parts.find(bad) == *old.parts.find(bad));
+    CHECK(started.decide().retry_after <= 5s);
+}
+
 TEST_CASE("nodes that know different things of a part agree, in whatever order they hear of it")
 {
     quarantine_fixture first;
--- a/unittests/core/response_times_test.cpp
+++ b/unittests/core/response_times_test.cpp
@@ -10,7 +10,7 @@
 {
     response_times times;
     http_route route;
-    route.name.value = "r";
+    route.name = {"r"};
     route.goal = 200ms;
     SUBCASE("from few responses: a guess from the goal")
     {
--- a/unittests/gateway/call_parts_test.cpp
+++ b/unittests/gateway/call_parts_test.cpp
@@ -54,11 +54,11 @@
         return count;
     }
     /// Lets the guard know of ends as other nodes tell of them.
-    void hear_of_ends(std::uint32_t ends, std::uint32_t trials = 0)
+    void hear_of_ends(std::uint32_t ends, std::uint32_t trials = 0, core::part_id part = bad)
     {
         wire::PeerDatagram message;
         wire::PartRecord& record = *message.mutable_part_records()->add_records();
-        record.set_part(bad.value);
+        record.set_part(part.value);
         record.set_trials(trials);
         record.set_trial_age(10'000'000);
         for (std::uint32_t count = 0; count < ends; ++count) {
@@ -142,6 +142,25 @@
     }
 }
 
+TEST_CASE("a sound part does not wait for the trial of another part")
+{
+    constexpr core::part_id rare{0xe1};
+    const std::string both = "Authorization: Bearer k\r\nX-Prefix-Hash: a1:40,bad:60,e1:60,7:9\r\n";
+    parts_fixture node;
+    node.hear_of_ends(3);
+    node.hear_of_ends(2, 0, rare);
+    node.add_ending();
+    CHECK_FALSE(contains(node.send_request("/again/", both), " 200 "));
+    CHECK(node.ended_count() == 1);
+    CHECK(node.parts->quarantine().find(bad)->trials == 1);
+    CHECK(node.parts->quarantine().find(rare)->trials == 0);
+
+    scripted_upstream upstream({make_response(200, "sound")});
+    node.add_upstream("i-1", upstream.server);
+    CHECK(contains(node.send_request("/again/", both), " 503 "));
+    CHECK(contains(node.send_request("/again/", sound_prompt), "sound"));
+}
+
 TEST_CASE("a request that is barred for good is told not to come again, if it has not run")
 {
     parts_fixture node;
