[gateway] a busy node rejects readers at once, and they read the store

Cause, from the logs: the store had been away until three seconds before. Nodes that had met its 503 took it as away until they called it again, which only audits do. When the readers announced the change, 18 such nodes asked two of them for the whole list within a few milliseconds, over links of 10 Mbit/s and more; all reads ran into their timeout of 1.5 s, then the next two tries at other nodes did, too. The readers' links were so full that they took nearly all owners for silent.

Now a node rejects reads beyond what a narrow link carries within the timeout, and what one source does not give is read from the other at once.

Tests: both failed on (5 reads served where 2 are allowed; the store not read after a busy node) and pass now.

--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace ragwortcove::gateway {
 
@@ -47,7 +48,8 @@
     void set_reading(bool reads);
     /// Checks the store once for changes that no reader has announced.
     void audit();
-    /// Handles the revision that another node reports to have.
+    /// Handles the revision that another node reports to have. What one source does not serve, be
+    /// it the store or that node, is read from the other one.
     void on_peer_position(adapter::document_kind kind, core::store_position position,
                           const http::socket_address& peer);
     /// The same, where the other node is to be read from at once: it serves few nodes.
@@ -135,11 +137,15 @@
     void catch_up(kind_state& state, core::store_position position,
                   const http::socket_address& peer);
     void finish_catch_up(kind_state& state);
+    /// Reads from the store. If it does not have `position`, `peer` is read from next.
     void fetch_from_store(kind_state& state, core::store_position position,
-                          const http::socket_address& peer);
+                          const std::optional<http::socket_address>& peer);
+    /// Reads from `peer` unless this node has `sought` by then; any position if it is not set.
     void schedule_peer_read(kind_state& state, const http::socket_address& peer,
-                            std::function<bool()>&& is_needed);
-    void fetch_from_peer(kind_state& state, const http::socket_address& peer);
+                            std::optional<core::store_position> sought);
+    /// Reads from `peer`. If it does not respond, the store is read next when `sought` is set.
+    void fetch_from_peer(kind_state& state, const http::socket_address& peer,
+                         std::optional<core::store_position> sought);
     [[nodiscard]] kind_state& state_of(adapter::document_kind kind);
     [[nodiscard]] const kind_state& state_of(adapter::document_kind kind) const;
 
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "ragwortcove/core/feed_readers.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/ruleset.hpp"
+#include "ragwortcove/core/transfer_limit.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
 #include "ragwortcove/gateway/call_handler.hpp"
 #include "ragwortcove/gateway/document_feed.hpp"
@@ -119,6 +120,7 @@
     std::unique_ptr<part_guard> parts;
     std::unique_ptr<call_handler> calls;
     std::unique_ptr<document_feed> feed;
+    core::transfer_limit peer_transfers;
     http::timer_id tick_timer = 0;
     core::time_point next_digest_at;
     core::time_point next_reader_digest_at;
--- a/lib/gateway/document_feed_peers.cpp
+++ b/lib/gateway/document_feed_peers.cpp
@@ -40,31 +40,30 @@
                                   const http::socket_address& peer)
 {
     kind_state& state = this->state_of(kind);
-    const auto is_needed = [&state, position] { return position > state.documents.position(); };
-    if (is_needed())
-        this->schedule_peer_read(state, peer, is_needed);
+    if (position > state.documents.position())
+        this->schedule_peer_read(state, peer, position);
 }
 
 void document_feed::read_kept(adapter::document_kind kind, const http::socket_address& peer)
 {
-    this->schedule_peer_read(this->state_of(kind), peer, [] { return true; });
+    this->schedule_peer_read(this->state_of(kind), peer, std::nullopt);
 }
 
 void document_feed::schedule_peer_read(kind_state& state, const http::socket_address& peer,
-                                       std::function<bool()>&& is_needed)
+                                       std::optional<core::store_position> sought)
 {
     if (state.catching_up || !state.documents.is_loaded())
         return;
     state.catching_up = true;
     const core::duration delay = std::max(
         immediate_fetch_delay, state.last_fetch_at + min_fetch_interval - this->event_loop.now());
-    this->event_loop.after(delay, [this, &state, peer, is_needed = std::move(is_needed)] {
-        if (!is_needed()) {
+    this->event_loop.after(delay, [this, &state, peer, sought] {
+        if (sought && *sought <= state.documents.position()) {
             state.catching_up = false;
             return;
         }
         state.last_fetch_at = this->event_loop.now();
-        this->fetch_from_peer(state, peer);
+        this->fetch_from_peer(state, peer, sought);
     });
 }
 
@@ -111,7 +110,7 @@
     if (state.store_available)
         this->fetch_from_store(state, position, peer);
     else
-        this->fetch_from_peer(state, peer);
+        this->fetch_from_peer(state, peer, position);
 }
 
 void document_feed::finish_catch_up(kind_state& state)
@@ -126,36 +125,46 @@
 }
 
 void document_feed::fetch_from_store(kind_state& state, core::store_position position,
-                                     const http::socket_address& peer)
+                                     const std::optional<http::socket_address>& peer)
 {
-    this->store.list(state.kind,
-                     [this, &state, position, peer, sent_at = this->event_loop.now()](
-                         const adapter::document_list* all, const adapter::store_error& error) {
-                         if (all == nullptr) {
-                             this->note_store_failure(state, error);
-                             this->fetch_from_peer(state, peer);
-                             return;
-                         }
-                         this->note_store_available(state);
-                         const bool is_taken = this->take_store_list(state, *all, sent_at, false);
-                         if (!is_taken || position > state.documents.position())
-                             this->fetch_from_peer(state, peer);
-                         else
-                             this->finish_catch_up(state);
-                     });
+    this->store.list(
+        state.kind, [this, &state, position, peer, sent_at = this->event_loop.now()](
+                        const adapter::document_list* all, const adapter::store_error& error) {
+            bool is_read = false;
+            if (all == nullptr) {
+                this->note_store_failure(state, error);
+            }
+            else {
+                this->note_store_available(state);
+                const bool is_taken = this->take_store_list(state, *all, sent_at, false);
+                is_read = is_taken && position <= state.documents.position();
+            }
+            if (!is_read && peer)
+                this->fetch_from_peer(state, *peer, std::nullopt);
+            else
+                this->finish_catch_up(state);
+        });
 }
 
-void document_feed::fetch_from_peer(kind_state& state, const http::socket_address& peer)
+// A node may be too busy to serve its documents, or end. That the store did not respond to this
+// node is known from its last call, which may have been long ago.
+void document_feed::fetch_from_peer(kind_state& state, const http::socket_address& peer,
+                                    std::optional<core::store_position> sought)
 {
     this->store.list_from_peer(
         peer, state.kind,
-        [this, &state, peer](const adapter::document_list* all, const adapter::store_error&) {
-            this->finish_catch_up(state);
+        [this, &state, peer, sought](const adapter::document_list* all,
+                                     const adapter::store_error&) {
             if (all == nullptr) {
                 daemon::write_log(log_event::peer_documents_failed,
                                   {{"documents", to_text(state.kind)}, {"peer", peer.address}});
+                if (sought)
+                    this->fetch_from_store(state, *sought, std::nullopt);
+                else
+                    this->finish_catch_up(state);
                 return;
             }
+            this->finish_catch_up(state);
             const core::revision before = state.documents.position().revision;
             this->take_peer_list(state, *all);
             daemon::write_log(
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -251,9 +251,14 @@
             return;
         }
         const adapter::document_list all = this->feed->all_documents(*kind);
+        const std::string page = adapter::write_page(all);
+        if (!this->peer_transfers.admit(page.size(), this->now())) {
+            respond(503, "text/plain", "too many nodes read from this one");
+            return;
+        }
         server.respond(exchange, 200,
                        {{"Content-Type", "application/json"}, adapter::make_era_header(all.era)},
-                       adapter::write_page(all));
+                       page);
         return;
     }
     if (path == "/metrics") {
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -566,12 +566,42 @@
         fixture.store.put("servers", "i-2");
         fixture.feed->on_peer_offer(document_kind::upstreams, {fixture.store.revision_now()},
                                     address);
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 11; }));
+    }
+    SUBCASE("an offer that neither the other node nor the store serves leaves it free to try again")
+    {
+        other.error_status = 503;
+        fixture.store.error_status = 503;
+        fixture.feed->on_peer_offer(document_kind::upstreams, {{20}}, address);
         fixture.pass(100ms);
         CHECK(fixture.feed->revision_of(document_kind::upstreams).value == 4);
+        other.error_status = 0;
+        other.documents["servers"]["i-9"] = 20;
+        other.revision = 20;
+        fixture.feed->on_peer_position(document_kind::upstreams, {{20}}, address);
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 20; }));
+    }
+    SUBCASE("a busy node is followed by the store, also if the store has failed before")
+    {
+        fixture.store.error_status = 503;
+        other.documents["servers"]["i-9"] = 9;
+        other.revision = 9;
+        fixture.feed->on_peer_position(document_kind::upstreams, {{9}}, address);
+        REQUIRE(fixture.run_until_true(
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 9; }));
+        CHECK_FALSE(fixture.feed->is_store_available());
+
+        fixture.store.error_status = 0;
+        fixture.store.put("servers", "i-2");
+        other.error_status = 503;
         fixture.feed->on_peer_position(document_kind::upstreams, {fixture.store.revision_now()},
                                        address);
-        REQUIRE(fixture.run_until_true(
-            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 11; }));
+        CHECK(run_until(
+            fixture.event_loop,
+            [&] { return fixture.feed->revision_of(document_kind::upstreams).value == 11; }, 1s));
+        CHECK(fixture.feed->is_store_available());
     }
     SUBCASE("frequent changes need few calls")
     {
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -1,4 +1,6 @@
 #include "../http/loopback.hpp"
+#include "platform/store_client.hpp"
+#include "platform/store_document.hpp"
 #include "ragwortcove/gateway/gateway.hpp"
 
 #include <doctest/doctest.h>
@@ -36,8 +38,87 @@
     return settings;
 }
 
+/// A store whose rules, which nobody can read, are large; it lists nothing else.
+struct large_store {
+    static constexpr std::size_t document_bytes = 600'000;
+    raw_server server{[](raw_connection& connection) {
+        for (;;) {
+            const std::string request = connection.receive_until("\r\n\r\n");
+            if (request.empty())
+                return;
+            connection.send(request.find("watch=") != std::string::npos
+                                ? make_response(503, "")
+                                : make_response(200, list(request)));
+        }
+    }};
+
+    static std::string make_response(int status, const std::string& body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) +
+               " Any\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    static std::string list(const std::string& request)
+    {
+        const bool is_rules = request.find(rules_path()) != std::string::npos;
+        const std::string rules = R"({"meta":{"name":"main","revision":2},"spec":{"text":")" +
+                                  std::string(document_bytes, 'x') + R"("}})";
+        return R"({"entries":[)" + (is_rules ? rules : "") +
+               R"(],"has_more":false,"current_rev":3})";
+    }
+    static std::string path_of(adapter::document_kind kind)
+    {
+        return adapter::write_store_call(
+                   adapter::list_documents{std::string(adapter::store_name(kind))})
+            .target;
+    }
+    static std::string rules_path() { return path_of(adapter::document_kind::rules); }
+};
+
+/// The status with which a node responds to another one that reads documents from it.
+std::string read_documents(http::loop& event_loop, std::uint16_t port, const std::string& path)
+{
+    std::string response;
+    std::atomic<bool> is_read{false};
+    const raw_client reader(port, [&](raw_connection& connection) {
+        connection.send("GET " + path + " HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n");
+        response = connection.receive_all();
+        is_read = true;
+    });
+    static_cast<void>(run_until(
+        event_loop, [&] { return is_read.load(); }, 5s));
+    return response.substr(0, std::string("HTTP/1.1 200").size());
+}
+
 } // namespace
 
+TEST_CASE("a node rejects at once the reads of others that its link does not carry in time")
+{
+    const large_store store;
+    gateway_settings settings = make_settings();
+    settings.store.port = store.server.port();
+    http::loop event_loop;
+    gateway node{event_loop, settings, core::incarnation{1}, [] {}};
+    REQUIRE(node.listening());
+    const std::string small = large_store::path_of(adapter::document_kind::upstreams);
+    std::string first_status;
+    for (int count = 0; count < 50 && first_status != "HTTP/1.1 200"; ++count) {
+        static_cast<void>(run_until(
+            event_loop, [] { return false; }, 50ms));
+        first_status = read_documents(event_loop, settings.peers.port, small);
+    }
+    REQUIRE(first_status == "HTTP/1.1 200");
+
+    int served = 0;
+    for (int count = 0; count < 5; ++count) {
+        const std::string status =
+            read_documents(event_loop, settings.peers.port, large_store::rules_path());
+        CHECK((status == "HTTP/1.1 200" || status == "HTTP/1.1 503"));
+        served += status == "HTTP/1.1 200" ? 1 : 0;
+    }
+    CHECK(served == 2);
+    CHECK(read_documents(event_loop, settings.peers.port, small) == "HTTP/1.1 200");
+}
+
 TEST_CASE("a request whose last part comes after a planned stop began is refused, not lost")
 {
     const gateway_settings settings = make_settings();
