[gateway] one function spreads the retry times of refused requests

The random part stood twice, for pauses of upstreams and for parts of prompts, with the same constant. No behaviour changes; the tests of both pass.

--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -146,6 +146,9 @@
     /// Time after which a request to a target whose upstreams pause may come again; unset when none
     /// pauses. Spread, so that the requests do not all come at once.
     [[nodiscard]] std::optional<core::duration> retry_after_pause(const core::target_name& target);
+    /// The time `after` plus a random part, so that requests refused together do not come again at
+    /// the same moment.
+    [[nodiscard]] core::duration spread_retry(core::duration after);
     void on_response_body(http::inbound_exchange exchange, std::string_view bytes);
     void forward_events(open_call& call);
     void end_too_long_responses(open_call& received);
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -24,7 +24,7 @@
 static constexpr std::uint32_t max_stale_grants = 4;
 /// Time-out for connecting to an upstream.
 static constexpr std::chrono::milliseconds connect_timeout{250};
-/// Within this time after the end of a pause, requests that were refused come again.
+/// Within this time after a common reason to wait has ended, requests that were refused come again.
 static constexpr duration return_spread = 400ms;
 /// Assumed ratio of the output length to its maximum when the caller gives no hint.
 static constexpr double typical_length_ratio = 0.6;
@@ -299,8 +299,13 @@
     }
     if (!shortest)
         return std::nullopt;
+    return this->spread_retry(*shortest);
+}
+
+duration call_handler::spread_retry(duration after)
+{
     const auto spread = static_cast<double>(return_spread.count()) * core::uniform(this->random);
-    return *shortest + duration{static_cast<duration::rep>(spread)};
+    return after + duration{static_cast<duration::rep>(spread)};
 }
 
 // A request can be placed on another upstream instead of a canary, until all of them are to go to
--- a/lib/gateway/call_parts.cpp
+++ b/lib/gateway/call_parts.cpp
@@ -12,8 +12,6 @@
 using core::duration;
 using core::part_admission;
 
-/// Within this time after a part may be sent again, requests that were refused come again.
-static constexpr duration held_back_spread = 400ms;
 /// Time after which a request may come again that was not permitted as a trial.
 static constexpr duration retry_after_trial = 500ms;
 
@@ -47,9 +45,7 @@
         this->fail(call, status_bad_request, reason);
         return;
     }
-    const auto spread = static_cast<double>(held_back_spread.count()) * core::uniform(this->random);
-    const duration retry_after =
-        decision.retry_after + duration{static_cast<duration::rep>(spread)};
+    const duration retry_after = this->spread_retry(decision.retry_after);
     this->end_without_response(call, {reason, retry_after, status_bad_gateway, reason, reason});
 }
 
