[gateway] a datagram with times or units that cannot be meant is dropped

A time near the ends of its type in another node's datagram overflowed when it was added to the clock, and units of a quota that are no number made the team's balance no number either, from then on: whether its requests were served was chance.

The fleet now checks the ranges before any service sees the datagram; paces and shares of a roll-out's report are checked item by item, since the others of a report are sound.

--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/gateway/fleet.hpp"
 
 #include "../../lib/peer/datagram_socket.hpp"
+#include "datagram_bounds.hpp"
 #include "gateway.pb.h"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/peer/codec.hpp"
@@ -101,7 +102,8 @@
     wire::PeerDatagram message;
     const bool readable =
         bytes.front() == message_tag &&
-        message.ParseFromArray(bytes.data() + 1, static_cast<int>(bytes.size() - 1));
+        message.ParseFromArray(bytes.data() + 1, static_cast<int>(bytes.size() - 1)) &&
+        is_within_bounds(message);
     if (!readable) {
         daemon::write_log(daemon::log_event::peer_message_unreadable,
                           {{"bytes", std::to_string(bytes.size())}});
--- a/lib/gateway/rollout_messages.cpp
+++ b/lib/gateway/rollout_messages.cpp
@@ -1,7 +1,14 @@
 #include "rollout_messages.hpp"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
 namespace ragwortcove::gateway {
 
+/// A share of all requests.
+static constexpr std::uint32_t max_share_permille = 1000;
+
 static void write_counts(const core::version_counts& from, wire::RolloutCounts& to)
 {
     to.set_sent(from.sent);
@@ -53,13 +60,16 @@
     result.version.value = from.version();
     result.order_age = core::duration{from.order_age()};
     result.counted_for = core::duration{from.counted_for()};
-    result.share_permille = from.share_permille();
+    result.share_permille = std::min(from.share_permille(), max_share_permille);
     result.old_in_flight = from.old_in_flight();
     for (const wire::RolloutReport::Route& each : from.routes())
         result.routes.push_back(
             {{each.route()}, read_counts(each.old_version()), read_counts(each.new_version())});
-    for (const wire::RolloutPace& each : from.paces())
-        result.paces.push_back({{each.upstream()}, each.new_version(), each.time_ms()});
+    for (const wire::RolloutPace& each : from.paces()) {
+        const bool is_time = std::isfinite(each.time_ms()) && each.time_ms() >= 0.0F;
+        if (is_time)
+            result.paces.push_back({{each.upstream()}, each.new_version(), each.time_ms()});
+    }
     return result;
 }
 
@@ -73,7 +83,10 @@
 
 core::rollout_directive read_rollout_directive(const wire::RolloutDirective& from)
 {
-    return {{from.target()}, {from.version()}, from.share_permille(), from.halted()};
+    return {{from.target()},
+            {from.version()},
+            std::min(from.share_permille(), max_share_permille),
+            from.halted()};
 }
 
 } // namespace ragwortcove::gateway
