--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -3,7 +3,9 @@
 #include "ragwortcove/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
+#include <vector>
 
 namespace ragwortcove::core {
 
@@ -36,6 +38,16 @@
     return claim.state == member_state::live || claim.state == member_state::suspect;
 }
 
+/// Removes elements at random until `count` are left.
+template <class Element>
+static void keep_random(std::vector<Element>& all, std::size_t count, random_engine& random)
+{
+    while (all.size() > count) {
+        const auto removed = static_cast<std::ptrdiff_t>(uniform_below(random, all.size()));
+        all.erase(all.begin() + removed);
+    }
+}
+
 fleet_view::fleet_view(const node_settings& settings, time_point now)
     : self{settings}, members{settings}, last_tick_at{now}, settling_since{now}
 {
@@ -91,9 +103,7 @@
         if (claim.state == member_state::dead)
             candidates.push_back(claim.peers);
     }
-    while (candidates.size() > max_greeted)
-        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(uniform_below(
-                                                  context.random, candidates.size())));
+    keep_random(candidates, max_greeted, context.random);
     for (const endpoint& candidate : candidates)
         this->send_heartbeat({}, candidate, true, context);
 }
@@ -240,9 +250,7 @@
 void fleet_view::broadcast_heartbeat(step_context& context)
 {
     std::vector<const member*> others = this->members.others();
-    while (others.size() > max_broadcast)
-        others.erase(others.begin() +
-                     static_cast<std::ptrdiff_t>(uniform_below(context.random, others.size())));
+    keep_random(others, max_broadcast, context.random);
     for (const member* other : others)
         this->send_heartbeat(other->claim.name, other->claim.peers, false, context);
 }
