[daemon, tests] the catalogue says what the pages say of events 402 and 405

The catalogue test failed in the sanitizers' run of all tests: docs/EVENTS.md had been changed by hand. The test of rejected readers failed there, too: its store served one connection at a time and kept each, so lists waited for one another; it closes them now.

--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -191,7 +191,9 @@
                     "a stream to another instance broke; it is opened again when needed",
                     "look at the network when it repeats"},
     log_event_entry{log_event::peer_message_unreadable, "peer_message_unreadable",
-                    log_level::warning, "a datagram from another instance cannot be read",
+                    log_level::warning,
+                    "a datagram from another instance, or an item of it, cannot be read, or states "
+                    "a time or a number that cannot be meant; it is dropped",
                     "check that all instances run the same release"},
     log_event_entry{
         log_event::owner_silent, "owner_silent", log_level::warning,
@@ -201,7 +203,8 @@
                     "newer documents came from another instance before the platform brought them",
                     "none; many of them mean that this instance cannot reach the platform"},
     log_event_entry{log_event::peer_documents_failed, "peer_documents_failed", log_level::warning,
-                    "another instance that has newer documents did not give them",
+                    "another instance that has newer documents did not give them in time, or has "
+                    "too many readers; the platform is asked next",
                     "look at the network when it repeats"},
     log_event_entry{log_event::reading_changed, "reading_changed", log_level::info,
                     "this instance begins to read documents from the platform for the others, or "
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -42,20 +42,16 @@
 struct large_store {
     static constexpr std::size_t document_bytes = 600'000;
     raw_server server{[](raw_connection& connection) {
-        for (;;) {
-            const std::string request = connection.receive_until("\r\n\r\n");
-            if (request.empty())
-                return;
-            connection.send(request.find("watch=") != std::string::npos
-                                ? make_response(503, "")
-                                : make_response(200, list(request)));
-        }
+        const std::string request = connection.receive_until("\r\n\r\n");
+        const bool is_watch = request.find("watch=") != std::string::npos;
+        connection.send(is_watch ? make_response(503, "") : make_response(200, list(request)));
     }};
 
     static std::string make_response(int status, const std::string& body)
     {
         return "HTTP/1.1 " + std::to_string(status) +
-               " Any\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+               " Any\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
     }
     static std::string list(const std::string& request)
     {
