--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -89,7 +89,8 @@
     /// Chooses the version that may get the request, and places it there.
     void place(open_call& call);
     void place_in_pool(open_call& call, core::target_name&& pool);
-    /// The strictest admission of the parts for which the request has no permission.
+    /// The strictest admission of the request's parts. One that may be sent as the trial of a part
+    /// needs no permission for others that need a trial, too.
     [[nodiscard]] core::part_decision decide_parts(const open_call& call) const;
     /// Keeps a request from all upstreams for now, for a part of its prompt.
     void hold_back(open_call& call, const core::part_decision& decision);
@@ -99,7 +100,7 @@
                                 const core::placement_grant& grant);
     void on_trial_decision(http::inbound_exchange exchange, placement_number number,
                            const core::placement_grant& grant, core::part_id part, bool permitted);
-    /// Takes the permissions for trials from a request that an upstream may have run.
+    /// Takes the permission for a trial from a request that an upstream may have run.
     static void end_trial(open_call& call);
     /// Tells the guard of parts that the connection was lost while the request waited on it. If so,
     /// `on_fate_known` is called later.
