--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -355,10 +355,10 @@
     raise CannotRun("no free loopback addresses")
 
 
-def make_config(version, service, tenants, routes, idle_ms=15000):
+def make_config(version, service, tenants, routes, idle_ms=15000, body_bytes=4194304):
     return {"version": version, "routes": routes, "tenants": tenants,
             "services": [{"name": service}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": body_bytes,
                        "header_timeout_ms": 5000, "idle_timeout_ms": idle_ms}}
 
 
