--- a/review/3/case.py
+++ b/review/3/case.py
@@ -91,4 +91,4 @@
     return len(late) > 0
 
 
-play(FOLDER, case)
+play(FOLDER / "record.txt", case)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -32,9 +32,9 @@
 class Record:
     """What was sent, answered and run, with the time since the start of the script."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.began
@@ -368,12 +368,12 @@
             "prio": 0, "public": False}
 
 
-def play(folder, case, limit_s=110):
+def play(path, case, limit_s=110):
     """Runs `case(record, prefix, work, machines)`; it gives True when the rule was broken."""
     if not DAEMON.exists():
         print("target/ragwortcoved is not built")
         sys.exit(2)
-    record = Record(folder)
+    record = Record(path)
     machines = []
 
     async def run():
