--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -115,6 +115,14 @@
         self.note(kind, stored, False)
         return stored
 
+    def beat(self, name, spec):
+        """A server's heartbeat: the entry changes when more than `seq` does."""
+        known = self.kinds.get("servers", {}).get(name)
+        if known and known["spec"] | {"seq": 0} == spec | {"seq": 0}:
+            known["spec"]["seq"] = spec["seq"]
+        else:
+            self.put("servers", name, spec)
+
     def remove(self, kind, name):
         stored = self.kinds.get(kind, {}).pop(name, None)
         if stored:
@@ -215,7 +223,8 @@
         count = 0
         while True:
             count += 1
-            self.store.put("servers", self.name, {
+            self.beaten_at = time.monotonic()
+            self.store.beat(self.name, {
                 "service": self.service, "addr": f"{self.host}:{self.port}", "zone": self.zone,
                 "version": "v1", "slots": self.slots, "state": "ready", "cold_left_ms": 0,
                 "seq": count, "born": self.born})
@@ -261,6 +270,57 @@
                                           "Content-Length": len(text)}, text)
 
 
+FAILURES = (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError)
+
+
+class DirectoryClient:
+    """Keeps the directory's answer for its lifetime, or three times as long, and longer without a new
+    one; picks an address at random for each new connection, but none that has failed it."""
+
+    def __init__(self, machines, zone, lifetimes, record):
+        self.nearest = sorted(machines, key=lambda each: (each.zone != zone, random.random()))
+        self.zone, self.lifetimes, self.record = zone, lifetimes, record
+        self.addresses, self.failed, self.known_until = [], set(), 0.0
+
+    async def address(self, host):
+        """An address to connect to, or None."""
+        left = [each for each in self.addresses if each not in self.failed]
+        if self.record.now() >= self.known_until or not left:
+            await self.resolve(host)
+            left = [each for each in self.addresses if each not in self.failed]
+        return random.choice(left) if left else None
+
+    async def resolve(self, host):
+        query = f"/resolve?name={host}&region=ch-north&zone={self.zone}"
+        for machine in self.nearest[:3]:
+            try:
+                status, _, body = await call(machine.host, PORTS["directory"], "GET", query,
+                                             limit=1.0)
+                answer = json.loads(body) if status == 200 else {}
+            except FAILURES:
+                continue
+            if answer.get("addrs"):
+                self.addresses, self.failed = answer["addrs"], set()
+                self.known_until = self.record.now() + self.lifetimes * min(answer["ttl_s"], 5)
+                return
+
+    async def get(self, host, target, headers, sent, attempt):
+        """Sends one request on a new connection; records it in `sent` once it is sent."""
+        address = await self.address(host)
+        if address is None:
+            self.record.write(f"{attempt} found no address")
+            return
+        ip, port = address.split(":")
+        sent[attempt] = self.record.now()
+        self.record.write(f"sent {attempt} to {ip}")
+        try:
+            status, _, _ = await call(ip, int(port), "GET", target, headers, limit=2.0)
+        except FAILURES as error:
+            status = type(error).__name__
+            self.failed.add(address)
+        self.record.write(f"answered {attempt} {status}")
+
+
 class Machine:
     """One machine of the system: the daemon as the deploy file starts it, at an address of its own."""
 
@@ -316,11 +376,6 @@
                 raise CannotRun(f"{self.name} did not become ready")
             await asyncio.sleep(0.05)
 
-    async def resolve(self, host, zone):
-        query = f"/resolve?name={host}&region=ch-north&zone={zone}"
-        status, _, body = await call(self.host, PORTS["directory"], "GET", query, limit=1.0)
-        return json.loads(body)["addrs"] if status == 200 else []
-
 
 async def call(host, port, method, target, headers=None, body=b"", limit=5.0):
     """One request on a connection of its own: status, headers and body of the answer."""
