[standin, soak] watches that wait are cut off

The store's page says that a waiting watch may be cut off, and no test played it. The stand-in store has the fault `cut_watches`; the soak draws it beside the others, and checks in the calm after the faults that an upstream whose entry has gone without a word gets nothing two seconds later while watches are cut.

--- a/lib/standin/platform_server.cpp
+++ b/lib/standin/platform_server.cpp
@@ -207,6 +207,14 @@
             watch.silent = true;
         return true;
     }
+    if (kind == "cut_watches") {
+        const auto waiting = std::exchange(this->watches, {});
+        for (const auto& [exchange, watch] : waiting) {
+            this->loop.cancel(watch.limit);
+            this->server.abort(exchange);
+        }
+        return true;
+    }
     if (kind == "compact") {
         this->store.compact();
         return true;
@@ -237,8 +245,8 @@
     if (!this->order_fault(body)) {
         respond_error(
             this->server, exchange, 400,
-            "kind: expected down, slow, lost_answers, refuse, silent_watches, compact, copy, "
-            "restore, odd_entry or none");
+            "kind: expected down, slow, lost_answers, refuse, silent_watches, cut_watches, "
+            "compact, copy, restore, odd_entry or none");
         return;
     }
     this->store.set_faults(this->faults);
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -134,6 +134,8 @@
         self.pause_s = 0.0
         # Whether all answers say that the instance leaves.
         self.says_it_leaves = False
+        # Whether the entry has gone although the instance serves on.
+        self.is_unlisted = False
         # The parts of prompts that end upstreams, and what then ends this one.
         self.parts = None
         self.end = None
@@ -149,11 +151,19 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         return self.server.sockets[0].getsockname()[1]
 
+    async def leave_unannounced(self):
+        """The entry goes without a word before; the instance serves on."""
+        self.is_unlisted = True
+        self.stored = None
+        await self.store.remove("servers", self.instance)
+
     async def announce(self, address):
         """Writes the instance's entry if it has changed or is not there.
 
         A store that is away is tried again by the heartbeat.
         """
+        if self.is_unlisted:
+            return
         spec = {"service": self.target, "addr": f"{address[0]}:{address[1]}", "zone": "a",
                 "version": self.version, "slots": self.slots, "state": self.state, "cold_left_ms": 0,
                 "born": self.starts}
