[http] changed limits reach connections that are open

Cause: a reader gets the limits at the end of the request before, and judges the next one by them however much later it comes.

The test "changed limits hold for the next request on a connection that is open" fails without the change in both of its parts.

--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -488,10 +488,14 @@
         own.earlier_idle_time = before;
         own.earlier_until = now + limits.idle_notice_time;
     }
-    // A caller may count on a raised limit at once, and it may be lowered again meanwhile.
-    for (const auto& [id, each] : own.connections)
-        each->idle_time = std::max<microseconds>(each->idle_time, limits.idle_time);
     own.limits = limits;
+    for (const auto& [id, each] : own.connections) {
+        // A caller may count on a raised limit at once, and it may be lowered again meanwhile.
+        each->idle_time = std::max<microseconds>(each->idle_time, limits.idle_time);
+        // The reader of a connection that is in use gets them before its next request.
+        if (each->phase == connection_phase::idle && !each->resuming)
+            each->reader->set_limits(limits.message);
+    }
 }
 
 void inbound_server::start_response(inbound_exchange exchange, inbound_response&& head)
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -305,6 +305,49 @@
 
 } // namespace
 
+// Guards against a raised limit that does not reach connections which were open before: each
+// request was judged by the limits at the end of the one before it.
+TEST_CASE("changed limits hold for the next request on a connection that is open")
+{
+    inbound_limits limits;
+    limits.message.body_bytes = 8;
+    listening_server serving(limits);
+    std::string first;
+    std::string second;
+    std::atomic<int> step{0};
+    std::size_t length = 100;
+    raw_client caller(serving.server->port(), [&](raw_connection& connection) {
+        connection.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+        first = connection.receive_until("ab");
+        step = 1;
+        while (step != 2)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        connection.send("POST /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+                        std::to_string(length) + "\r\n\r\n" + std::string(length, 'x'));
+        second = connection.receive_all();
+    });
+    REQUIRE(run_until(serving.on, [&] { return step == 1; }));
+    // The turn in which the first response was sent is over.
+    static_cast<void>(run_until(
+        serving.on, [] { return false; }, std::chrono::milliseconds(50)));
+    std::string status = "HTTP/1.1 200";
+    SUBCASE("a raised one")
+    {
+        limits.message.body_bytes = 100;
+    }
+    SUBCASE("a lowered one")
+    {
+        limits.message.body_bytes = 1;
+        length = 2;
+        status = "HTTP/1.1 413";
+    }
+    serving.server->set_limits(limits);
+    step = 2;
+    REQUIRE(run_until(serving.on, [&] { return caller.done(); }));
+    CHECK(first.find("HTTP/1.1 200") == 0);
+    CHECK(second.find(status) == 0);
+}
+
 TEST_CASE("a lowered idle limit closes no connection sooner than its caller could know")
 {
     using std::chrono::milliseconds;
