[http, gateway] bytes without end cost little and take bounded memory together

Causes: each chunk was handed on by itself, with a lookup and a timer; one connection could bring 256 KB of them in a turn of the loop; events that had not ended were bounded for each stream alone; the sum of the bodies counted their lengths, not the memory of strings that double, and each connection kept the memory of its largest read. By reading: what waits for a slow caller was moved as a whole for each part that was sent, so that its cost grew with what waits; and the bodies of callers had no common bound.

Now a response's body bytes are handed on once for each read, a read takes 16 KB and one a turn, framing may take 256 KiB and twice the body, bodies and unfinished events share 64 MiB of memory, callers' bodies share another 64 MiB (the longest that is being read gets 503: it has not run), sent bytes are dropped when they are the larger part, and spare memory is given back.

New gauge `held_response_bytes`.

--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -72,6 +72,8 @@
     /// Refuses every later request, since the process is about to end.
     void refuse_new_requests() { this->refusing_new_requests = true; }
     [[nodiscard]] std::size_t open_calls() const { return this->calls.size(); }
+    /// Memory of the parts of responses that wait for their end, in bytes.
+    [[nodiscard]] std::size_t response_memory() const { return this->held_response_bytes; }
 
 private:
     [[nodiscard]] core::time_point now() const
@@ -196,6 +198,8 @@
     [[nodiscard]] bool is_streaming(const open_call& call) const;
 
     call_dependencies env;
+    /// Memory of the parts of responses that wait for their end, of all requests.
+    std::size_t held_response_bytes = 0;
     std::map<http::inbound_exchange, open_call> calls;
     /// Upstreams that this node recently failed to connect to, and when each may be tried again.
     std::map<core::upstream_name, core::time_point> unreachable_until;
--- a/include/ragwortcove/gateway/event_splitter.hpp
+++ b/include/ragwortcove/gateway/event_splitter.hpp
@@ -22,6 +22,8 @@
     [[nodiscard]] bool overflowed() const { return this->partial_event.size() > max_event_bytes; }
     /// Length of the event that has not ended, in bytes.
     [[nodiscard]] std::size_t held_bytes() const { return this->partial_event.size(); }
+    /// Memory that the splitter takes, in bytes.
+    [[nodiscard]] std::size_t memory() const { return this->partial_event.capacity(); }
 
 private:
     std::string partial_event;
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -9,6 +9,7 @@
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/gateway/event_splitter.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
+#include "ragwortcove/http/byte_share.hpp"
 #include "ragwortcove/http/inbound.hpp"
 #include "ragwortcove/http/loop.hpp"
 #include "ragwortcove/http/outbound.hpp"
@@ -40,6 +41,8 @@
     adapter::response_facts facts;
     std::string body;
     event_splitter splitter;
+    /// Memory of both, among that of all requests.
+    http::byte_share held;
     /// Whether the upstream has been silent for the time-out of the route.
     bool silent = false;
     /// Whether the end has been counted for or against the version.
--- a/lib/gateway/event_splitter.cpp
+++ b/lib/gateway/event_splitter.cpp
@@ -4,6 +4,9 @@
 
 namespace ragwortcove::gateway {
 
+/// Memory that is kept for events that come later.
+static constexpr std::size_t max_spare_bytes = 4U << 10U;
+
 /// Position after the first blank line at or after `from`, or npos.
 static std::size_t end_of_event(std::string_view text, std::size_t from)
 {
@@ -35,6 +38,8 @@
         from = end;
     }
     this->partial_event.erase(0, begin);
+    if (this->partial_event.empty() && this->partial_event.capacity() > max_spare_bytes)
+        this->partial_event = {};
     return events;
 }
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -272,6 +272,8 @@
     const auto to_value = [](std::size_t value) { return static_cast<double>(value); };
     return this->metrics.render(
         {{"open_calls", "requests that this node holds", to_value(this->calls->open_calls())},
+         {"held_response_bytes", "memory of the parts of responses that wait for their end",
+          to_value(this->calls->response_memory())},
          {"owned_waiting", "requests that wait for a place at this owner",
           to_value(scheduler.waiting())},
          {"owned_in_flight", "requests placed by this owner", to_value(scheduler.in_flight())},
--- a/lib/gateway/response_bounds.cpp
+++ b/lib/gateway/response_bounds.cpp
@@ -11,39 +11,34 @@
 
 /// Maximum length of a response's body that is not a stream, in bytes.
 static constexpr std::size_t max_body_bytes = 16U << 20U;
-/// Maximum length of all such bodies that a node holds at a time, in bytes.
+/// Maximum memory of all such bodies, and of events that have not ended, on a node, in bytes.
 static constexpr std::size_t max_held_bytes = 64U << 20U;
-/// Bodies up to this length, in bytes, are never given up for what the others take.
-static constexpr std::size_t small_body_bytes = 1U << 20U;
-
-static std::size_t held_bytes(const open_call& call)
-{
-    return call.active_dispatch ? call.active_dispatch->body.size() : 0;
-}
 
 void call_handler::end_too_long_responses(open_call& received)
 {
-    const event_splitter& splitter = received.active_dispatch->splitter;
+    dispatch& active_dispatch = *received.active_dispatch;
+    const event_splitter& splitter = active_dispatch.splitter;
     if (splitter.overflowed()) {
         this->end_too_long_response(received, "event", splitter.held_bytes());
         return;
     }
-    const std::size_t bytes = held_bytes(received);
-    if (bytes <= small_body_bytes)
-        return;
+    const std::size_t bytes = active_dispatch.body.size();
     if (bytes > max_body_bytes) {
         this->end_too_long_response(received, "body", bytes);
         return;
     }
-    std::size_t total = 0;
+    // A string that grows takes up to twice its length.
+    active_dispatch.held.set(this->held_response_bytes,
+                             active_dispatch.body.capacity() + splitter.memory());
+    if (this->held_response_bytes <= max_held_bytes)
+        return;
     open_call* longest = &received;
     for (auto& [exchange, call] : this->calls) {
-        total += held_bytes(call);
-        if (held_bytes(call) > held_bytes(*longest))
+        if (call.active_dispatch &&
+            call.active_dispatch->held.size() > longest->active_dispatch->held.size())
             longest = &call;
     }
-    if (total > max_held_bytes)
-        this->end_too_long_response(*longest, "all_bodies", total);
+    this->end_too_long_response(*longest, "all_bodies", this->held_response_bytes);
 }
 
 void call_handler::end_too_long_response(open_call& call, std::string_view bound, std::size_t bytes)
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/http/inbound.hpp"
 
 #include "loop_state.hpp"
+#include "ragwortcove/http/byte_share.hpp"
 
 #include <boost/beast/http/status.hpp>
 
@@ -18,6 +19,7 @@
 static constexpr std::chrono::milliseconds sweep_interval{250};
 /// Reserve for a head, in bytes.
 static constexpr std::size_t usual_head_bytes = 512;
+static constexpr int status_unavailable = 503;
 
 namespace {
 
@@ -35,6 +37,8 @@
     /// Whether the bytes that follow the last request are still to be looked at.
     bool resuming = false;
     inbound_request request;
+    /// Memory of the body of the request that is being read or answered.
+    byte_share held;
     inbound_exchange exchange = 0;
     bool keep_alive = true;
     bool version_1_1 = true;
@@ -59,6 +63,8 @@
     microseconds earlier_until{0};
     inbound_handlers handlers;
     std::unique_ptr<tcp_listener> listener;
+    /// Memory of the bodies of all requests that are being read or answered.
+    std::size_t held_request_bytes = 0;
     std::map<std::uint64_t, std::shared_ptr<connection>> connections;
     std::map<inbound_exchange, std::uint64_t> by_exchange;
     /// Connections that are closed once their last bytes are sent.
@@ -74,6 +80,8 @@
     void received(connection& from, std::string_view bytes);
     void ended(connection& from);
     void check(connection& from, message_fault fault);
+    /// Counts a body that is being read, and refuses the longest one if all take too much.
+    void bound_requests(connection& from);
     void head_came(connection& from, request_line_and_headers&& head);
     void complete(connection& from);
     void reject(connection& from, int status);
@@ -157,6 +165,7 @@
     if (from.dead)
         return;
     from.dead = true;
+    from.held = {};
     if (from.exchange != 0)
         this->by_exchange.erase(from.exchange);
     const auto found = this->connections.find(from.id);
@@ -202,6 +211,22 @@
     }
     from.body_at = this->on.now();
     this->check(from, from.reader->take(bytes));
+    this->bound_requests(from);
+}
+
+void inbound_server::state::bound_requests(connection& from)
+{
+    if (from.dead || from.phase != connection_phase::reading)
+        return;
+    from.held.set(this->held_request_bytes, from.request.body.capacity());
+    if (this->held_request_bytes <= this->limits.max_all_request_bytes)
+        return;
+    connection* longest = &from;
+    for (const auto& [id, each] : this->connections) {
+        if (each->phase == connection_phase::reading && each->held.size() > longest->held.size())
+            longest = each.get();
+    }
+    this->reject(*longest, status_unavailable);
 }
 
 static int status_of(message_fault fault)
@@ -277,6 +302,7 @@
     from.head_sent = false;
     from.chunked = false;
     this->by_exchange[from.exchange] = from.id;
+    from.held.set(this->held_request_bytes, from.request.body.capacity());
     this->handlers.requested(from.exchange, std::move(from.request));
 }
 
@@ -336,6 +362,7 @@
         of.stream->write("0\r\n\r\n");
     this->by_exchange.erase(of.exchange);
     of.exchange = 0;
+    of.held = {};
     if (of.closes) {
         of.stream->close_after_writes();
         this->bury(of);
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -24,6 +24,13 @@
 static constexpr int first_final_status = 200;
 /// Header bytes of a response that is still taken, with those of the announcements before it.
 static constexpr std::uint32_t most_response_header_bytes = 64U << 10U;
+/// Bytes that frame a response's body in chunks, for those up to its length: a sound upstream needs
+/// few, and one that sends chunks of a byte without end costs much time for little.
+static constexpr std::uint64_t min_framing_limit = 256U << 10U;
+/// Framing bytes that are allowed for each byte of a body, beyond that.
+static constexpr std::uint64_t framing_per_body_byte = 2;
+/// Memory that a reader keeps for bytes that come later.
+static constexpr std::size_t max_spare_bytes = 4U << 10U;
 /// Responses that are dropped before the awaited one.
 static constexpr int max_skipped_responses = 4;
 
@@ -132,6 +139,8 @@
             break;
     }
     kept.erase(0, used);
+    if (kept.empty() && kept.capacity() > max_spare_bytes)
+        kept = {};
     wants_more = !kept.empty() && !parser.is_done();
     return fault_of(error);
 }
@@ -241,9 +250,17 @@
     std::uint64_t announced_bytes = 0;
     bool skipping = false;
     int skipped_responses = 0;
+    /// Body bytes that are not handed on yet: all that came together are handed on at once, since
+    /// a response may come in very many chunks.
+    std::string body;
+    /// Bytes of the body, and of what frames it, so far.
+    std::uint64_t body_bytes = 0;
+    std::uint64_t framing_bytes = 0;
 
     void begin()
     {
+        this->body_bytes = 0;
+        this->framing_bytes = 0;
         this->parser = std::make_unique<event_parser<false>>();
         this->parser->eager(true);
         this->parser->skip(this->no_body);
@@ -267,18 +284,40 @@
         };
         this->parser->on_body = [this](std::string_view bytes) {
             if (!this->skipping)
-                this->given.body(bytes);
+                this->body.append(bytes);
+            this->body_bytes += bytes.size();
         };
     }
 
+    /// Feeds the parser, and hands on the body bytes that this brings.
+    message_fault feed_parser()
+    {
+        const std::size_t before = this->kept.size();
+        const std::uint64_t body_before = this->body_bytes;
+        const message_fault fault = feed(*this->parser, this->kept, this->wants_more);
+        if (this->parser->chunked())
+            this->framing_bytes += before - this->kept.size() - (this->body_bytes - body_before);
+        const std::string bytes = std::exchange(this->body, {});
+        if (!bytes.empty())
+            this->given.body(bytes);
+        return fault;
+    }
+
+    [[nodiscard]] bool is_framing_too_long() const
+    {
+        return this->framing_bytes > min_framing_limit + framing_per_body_byte * this->body_bytes;
+    }
+
     message_fault run()
     {
         while (!this->complete && !this->kept.empty()) {
             this->started = true;
             const std::size_t before = this->kept.size();
-            const message_fault fault = feed(*this->parser, this->kept, this->wants_more);
+            const message_fault fault = this->feed_parser();
             if (fault != message_fault::none)
                 return fault;
+            if (this->is_framing_too_long())
+                return message_fault::malformed;
             if (!this->parser->is_done())
                 return is_part_too_long(this->kept, most_response_header_bytes)
                            ? message_fault::header_too_long
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -13,9 +13,12 @@
 namespace ragwortcove::http {
 
 /// Bytes taken from a socket in one call.
-static constexpr std::size_t read_size = 64U << 10U;
-/// Reads from one connection before the loop turns to the others.
-static constexpr int max_reads_per_turn = 4;
+static constexpr std::size_t read_size = 16U << 10U;
+/// Reads from one connection before the loop turns to the others: many connections may bring bytes
+/// without end at the same time.
+static constexpr int max_reads_per_turn = 1;
+/// Memory that a stream keeps for bytes that it sends later.
+static constexpr std::size_t max_spare_bytes = 4U << 10U;
 /// Connections that may wait to be accepted.
 static constexpr int accept_backlog = 1024;
 /// Silence before the kernel probes a connection, and time between its probes.
@@ -30,7 +33,9 @@
     int descriptor = -1;
     descriptor_id watched = 0;
     tcp_stream_handlers handlers;
+    /// Bytes to send, after those that are sent already.
     std::string unsent;
+    std::size_t unsent_from = 0;
     std::uint64_t sent = 0;
     bool opening = false;
     bool closing = false;
@@ -66,10 +71,37 @@
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
 }
 
+static std::size_t count_unsent(const tcp_stream::state& self)
+{
+    return self.unsent.size() - self.unsent_from;
+}
+
+static void clear_unsent(tcp_stream::state& self)
+{
+    if (self.unsent.capacity() > max_spare_bytes)
+        self.unsent = {};
+    self.unsent.clear();
+    self.unsent_from = 0;
+}
+
+/// Drops bytes that are sent. The rest is moved only when it is the smaller part, so that the cost
+/// of a byte does not grow with what waits.
+static void drop_sent(tcp_stream::state& self)
+{
+    if (count_unsent(self) == 0) {
+        clear_unsent(self);
+        return;
+    }
+    if (self.unsent_from < self.unsent.size() / 2)
+        return;
+    self.unsent.erase(0, self.unsent_from);
+    self.unsent_from = 0;
+}
+
 static void release(tcp_stream::state& self)
 {
     self.open = false;
-    self.unsent.clear();
+    clear_unsent(self);
     self.on->unwatch(self.watched);
     self.watched = 0;
     self.descriptor = -1;
@@ -113,24 +145,23 @@
 
 static void send_unsent(const state_pointer& self)
 {
-    std::size_t sent = 0;
-    while (sent < self->unsent.size()) {
-        const ssize_t count = ::send(self->descriptor, self->unsent.data() + sent,
-                                     self->unsent.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+    while (count_unsent(*self) > 0) {
+        const ssize_t count = ::send(self->descriptor, self->unsent.data() + self->unsent_from,
+                                     count_unsent(*self), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count < 0 && errno == EINTR)
             continue;
         if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
             // What the other end sent before it closed may still be there to read.
-            self->unsent.clear();
+            clear_unsent(*self);
             return;
         }
         if (count < 0)
             break;
-        sent += static_cast<std::size_t>(count);
+        self->unsent_from += static_cast<std::size_t>(count);
         self->sent += static_cast<std::uint64_t>(count);
     }
-    self->unsent.erase(0, sent);
-    if (!self->unsent.empty())
+    drop_sent(*self);
+    if (count_unsent(*self) > 0)
         self->on->want_writable(self->watched);
 }
 
@@ -278,7 +309,7 @@
 
 std::size_t tcp_stream::unsent_bytes() const
 {
-    return this->self->unsent.size();
+    return count_unsent(*this->self);
 }
 
 std::uint64_t tcp_stream::sent_bytes() const
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -348,6 +348,33 @@
     CHECK(second.find(status) == 0);
 }
 
+// Guards against callers that fill the memory together, each within its own limit.
+TEST_CASE("the longest request that is being read is refused when all take too much memory")
+{
+    inbound_limits limits;
+    limits.max_all_request_bytes = 64U << 10U;
+    listening_server serving(limits);
+    // The memory of a body is up to twice its length.
+    const std::vector<std::size_t> sizes{10000, 20000, 60000};
+    std::vector<std::string> answers(sizes.size());
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        callers.push_back(std::make_unique<raw_client>(
+            serving.server->port(), [&answers, &sizes, index](raw_connection& connection) {
+                connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+                                std::string(sizes[index], 'x'));
+                answers[index] = connection.receive_until("\r\n\r\n");
+            }));
+    }
+    REQUIRE(run_until(serving.on, [&] { return callers[2]->done(); }));
+    CHECK(answers[2].find("HTTP/1.1 503") == 0);
+    CHECK(serving.rejected == std::vector<int>{503});
+    CHECK(serving.ask("GET /ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+              .find("HTTP/1.1 200") == 0);
+    serving.server->close_all();
+    REQUIRE(run_until(serving.on, [&] { return callers[0]->done() && callers[1]->done(); }));
+}
+
 TEST_CASE("a lowered idle limit closes no connection sooner than its caller could know")
 {
     using std::chrono::milliseconds;
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -83,6 +83,42 @@
     }
 }
 
+// Guards against a machine that is busy with one upstream alone: each chunk of a byte was handed on
+// by itself, with a timer for each.
+TEST_CASE("a body in chunks of one byte costs little")
+{
+    std::string body;
+    std::size_t handed_on = 0;
+    response_reader::handlers handlers;
+    handlers.head = [](status_line_and_headers&&) {};
+    handlers.body = [&](std::string_view bytes) {
+        body.append(bytes);
+        ++handed_on;
+    };
+    handlers.complete = [] {};
+    response_reader reader(false, std::move(handlers));
+    const std::string chunk = "1\r\nx\r\n";
+    SUBCASE("the bytes that come together are handed on together")
+    {
+        std::string response = chunked_response;
+        for (int count = 0; count < 1000; ++count)
+            response += chunk;
+        REQUIRE(reader.take(response + "0\r\n\r\n") == message_fault::none);
+        CHECK(reader.is_complete());
+        CHECK(body == std::string(1000, 'x'));
+        CHECK(handed_on == 1);
+    }
+    SUBCASE("one without end is refused")
+    {
+        CHECK(bytes_until_fault(reader, chunked_response, chunk) <= (1U << 20U));
+    }
+    SUBCASE("chunks as a stream has them are taken without end")
+    {
+        const std::string event = "13\r\nid: 7\ndata: token\n\n\r\n";
+        CHECK(bytes_until_fault(reader, chunked_response, event) == enough_bytes);
+    }
+}
+
 TEST_CASE("announcements within the limit come before a response and are none")
 {
     response_reader reader = make_response_reader();
