[core] nodes that all leave choose one of them to account for a quota

Cause: a node that leaves is not among the serving ones, and when none was serving each put itself there, so each took itself for the one that accounts.

Without serving nodes the exclusive owner is now chosen among those that leave; they take requests for some seconds more and know each other. One that has ended does not answer, and the others then grant their shares of the rate, as ever.

The test "a team's quota holds in every window whatever becomes of the nodes / when all leave, and take requests a while longer" fails without the change (14,286 of 10,200 units).

--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -197,16 +197,23 @@
     std::sort(owners_now.begin(), owners_now.end());
     std::vector<std::string> serving_now;
     std::vector<std::string> present_now;
+    std::vector<std::string> leaving_now;
     const std::vector<member_claim> claims = this->members.all();
     for (const member_claim& claim : claims) {
         if (is_serving(claim))
             serving_now.push_back(claim.name.value);
+        if (claim.state == member_state::leaving)
+            leaving_now.push_back(claim.name.value);
         if (is_serving(claim) || claim.state == member_state::joining)
             present_now.push_back(claim.name.value);
     }
     std::sort(present_now.begin(), present_now.end());
     this->present = std::move(present_now);
     this->known_nodes = this->count_known(claims);
+    // While all nodes leave, each still takes requests for a moment. They must not all account for
+    // the same quota.
+    if (serving_now.empty())
+        serving_now = std::move(leaving_now);
     if (serving_now.empty())
         serving_now.push_back(this->self.name.value);
     std::sort(serving_now.begin(), serving_now.end());
--- a/unittests/gateway/quota_fleet_test.cpp
+++ b/unittests/gateway/quota_fleet_test.cpp
@@ -341,6 +341,22 @@
             fleet.pass(250ms);
         }
     }
+    // Guards against nodes that all account for the quota, since none of them serves any more.
+    SUBCASE("when all leave, and take requests a while longer")
+    {
+        for (quota_fleet::node& each : fleet.nodes) {
+            fleet.update_view(each, [](core::fleet_view& view, core::step_context& context) {
+                view.leave(context);
+            });
+            fleet.pass(10ms);
+        }
+        fleet.pass(3s);
+        for (std::size_t index = 0; index < count; ++index)
+            fleet.kill(index);
+        fleet.pass(100ms);
+        fleet.start_all();
+        recovery = 1500ms;
+    }
     SUBCASE("when the owner is killed and starts again")
     {
         fleet.kill(owner_index);
