[core] a part that had responses is not held back for ends that another explains

Cause: all parts of a request that ended an upstream count as suspects alike. The part that all requests share was held back with the bad one, the trial of a request with both counted as the shared part's (the last of equal ones), and it was spent before it was sent, here on an upstream that had just ended. Then the shared part waited 30 s for the next.

An upstream ends on every request with the part at fault, so a part that had responses lately is not the cause as long as another one that had none was in the requests of all the same processes and is held back. Such a part is no reason to hold a request back, and not the one that is tried. If it is the cause after all, the next upstream ends without the other part, and it is held back at once: one end more. A node that has seen no response holds all back, as before.

The test "a part that had responses is not held back for ends that another part explains" fails without the change.

--- a/include/ragwortcove/core/part_quarantine.hpp
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -65,6 +66,9 @@
 /// Number of trials of a part that are permitted in one generation.
 inline constexpr std::uint32_t max_part_trials = 3;
 
+/// Number of parts that are known to have had responses, at the most and for each of two spans.
+inline constexpr std::size_t max_sound_parts = 4096;
+
 /// Evidence against prompt parts, merged from all nodes. A merge takes the later generation, or the
 /// union within a generation, so the order of messages does not matter and repeated ones are
 /// harmless.
@@ -109,10 +113,19 @@
         time_point permitted_until;
     };
     entry& entry_of(part_id part, time_point now);
+    /// Whether requests with the part had responses on this node in the last while.
+    [[nodiscard]] bool is_known_sound(part_id part) const;
+    void note_sound(part_id part);
+    /// Whether another part that is held back is the likelier cause of all ends of a part.
+    [[nodiscard]] bool is_explained(const part_record& record) const;
     void make_room();
     void clear(entry& cleared, time_point now);
 
     std::map<part_id, entry> entries;
+    /// Parts with responses in this span of time and in the one before.
+    std::set<part_id> sound_now;
+    std::set<part_id> sound_before;
+    time_point sound_span_ends_at;
 };
 
 /// Number of separate occasions on which upstreams ended. Ends at nearly the same time have one
--- a/lib/core/part_quarantine.cpp
+++ b/lib/core/part_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace ragwortcove::core {
 
@@ -21,6 +22,9 @@
 static constexpr duration permission_lifetime = 1s;
 /// How long a record is kept that holds nothing back.
 static constexpr duration idle_record_lifetime = 10min;
+/// Time after which a part that has had no response since is not known to be sound any more: one to
+/// two of these. What upstreams end on may change with their version.
+static constexpr duration sound_span = 10min;
 
 std::size_t count_occasions(const part_record& record)
 {
@@ -75,6 +79,43 @@
     return {part_admission::needs_trial, record.part, {}};
 }
 
+void part_quarantine::note_sound(part_id part)
+{
+    this->sound_now.insert(part);
+    if (this->sound_now.size() >= max_sound_parts)
+        this->sound_before = std::exchange(this->sound_now, {});
+}
+
+bool part_quarantine::is_known_sound(part_id part) const
+{
+    return this->sound_now.contains(part) || this->sound_before.contains(part);
+}
+
+/// Whether a process that ended under one part ended under the other, too, for each of them.
+static bool includes_ends(const part_record& all, const part_record& some)
+{
+    return std::all_of(some.ends.begin(), some.ends.end(), [&all](const upstream_end& end) {
+        return std::any_of(all.ends.begin(), all.ends.end(), [&end](const upstream_end& other) {
+            return other.process == end.process;
+        });
+    });
+}
+
+// Most requests share their first parts with those that end upstreams. An upstream ends on every
+// request with the part that is the cause, so a part that had responses before is none, as long as
+// another one that had none was in the same requests. If it is one after all, the next upstream
+// that ends on it does so without the other part.
+bool part_quarantine::is_explained(const part_record& record) const
+{
+    if (record.trials > 0 || !this->is_known_sound(record.part))
+        return false;
+    return std::any_of(this->entries.begin(), this->entries.end(), [&](const auto& each) {
+        const part_record& other = each.second.record;
+        return other.part != record.part && is_held_back(other) &&
+               !this->is_known_sound(other.part) && includes_ends(other, record);
+    });
+}
+
 // If several parts need a trial, the request counts as the trial of one of them. That is the part
 // with the most ends, since it was in more of the requests that ended upstreams. Among equal ones
 // it is the last: the first parts of a prompt are those that most requests share, and others of
@@ -89,7 +130,7 @@
             continue;
         const part_record& record = found->second.record;
         const part_decision decision = decide_one(record, now);
-        if (decision.admission == part_admission::admitted)
+        if (decision.admission == part_admission::admitted || this->is_explained(record))
             continue;
         found->second.used_at = now;
         const bool is_more_likely_cause = decision.admission == part_admission::needs_trial &&
@@ -179,6 +220,8 @@
                                                       time_point now)
 {
     std::vector<part_id> cleared;
+    for (const part_id part : parts)
+        this->note_sound(part);
     if (this->entries.empty())
         return cleared;
     for (const part_id part : parts) {
@@ -260,6 +303,10 @@
 
 void part_quarantine::tick(time_point now)
 {
+    if (now >= this->sound_span_ends_at) {
+        this->sound_span_ends_at = now + sound_span;
+        this->sound_before = std::exchange(this->sound_now, {});
+    }
     std::erase_if(this->entries, [now](const auto& each) {
         return !is_held_back(each.second.record) &&
                now - each.second.used_at > idle_record_lifetime;
--- a/unittests/core/part_quarantine_test.cpp
+++ b/unittests/core/part_quarantine_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace ragwortcove::core {
 
@@ -263,6 +264,66 @@
     }
 }
 
+// Guards against sound requests that are held back since they share a part with those that end
+// upstreams: the shared part was in all of these, and its trial could be spent on an upstream that
+// had ended, or on a request with the bad part.
+TEST_CASE("a part that had responses is not held back for ends that another part explains")
+{
+    constexpr part_id shared{0x0f};
+    part_quarantine parts;
+    time_point now{1h};
+    int ended = 0;
+    const auto end_upstream = [&](std::vector<part_id> waiting) {
+        now += 1s;
+        parts.record_end(make_end("i-" + std::to_string(++ended), now), waiting, now);
+    };
+    const auto decide = [&](std::vector<part_id> all) { return parts.decide(all, now); };
+    const std::vector<part_id> sound_request{part_id{0x0a}, shared};
+    const std::vector<part_id> bad_request{part_id{0x0a}, bad, shared};
+
+    SUBCASE("the one that had none is held back, and is the one that is tried")
+    {
+        parts.record_response(sound_request, now);
+        for (int count = 0; count < 3; ++count)
+            end_upstream(bad_request);
+        CHECK(decide(sound_request).admission == part_admission::admitted);
+        REQUIRE(decide(bad_request).admission == part_admission::needs_trial);
+        CHECK(decide(bad_request).part == bad);
+        REQUIRE(parts.permit_trial(bad, now));
+        parts.record_trial(bad, now);
+        end_upstream(bad_request);
+        CHECK(decide(bad_request).admission == part_admission::waits);
+        CHECK(decide(sound_request).admission == part_admission::admitted);
+
+        SUBCASE("until an upstream ends without it")
+        {
+            end_upstream(sound_request);
+            CHECK(decide(sound_request).admission > part_admission::admitted);
+        }
+        SUBCASE("for as long as the responses are known")
+        {
+            for (int count = 0; count < 2; ++count) {
+                now += 11min;
+                parts.tick(now);
+            }
+            CHECK(decide(sound_request).admission > part_admission::admitted);
+        }
+    }
+    SUBCASE("without a response before, every part of the requests is held back")
+    {
+        for (int count = 0; count < 2; ++count)
+            end_upstream(bad_request);
+        CHECK(decide(sound_request).admission == part_admission::needs_trial);
+    }
+    SUBCASE("parts that all had responses are held back, too")
+    {
+        parts.record_response(bad_request, now);
+        for (int count = 0; count < 2; ++count)
+            end_upstream(bad_request);
+        CHECK(decide(sound_request).admission == part_admission::needs_trial);
+    }
+}
+
 TEST_CASE("a caller that sends ever new parts releases none and fills no memory")
 {
     quarantine_fixture node;
