[gateway, core, platform] nodes whose seeds are away find each other in the store

Cause: members are found from the seeds on only, and a node that has heard of nobody for 0.4 s took itself for the only one.

A node that has seeds and hears of no other writes an entry to the store, lists the entries of others after that, and contacts them; of two such nodes at least the later one finds the other. Until it has found some, or the store has shown that there are none, its view does not count as settled, so that it accounts for no quota. Other nodes make no call for this.

Events 414 and 415; the fuzz target of the store's lists reads these entries, too (not run).

--- a/fuzz/store_list_fuzzer.cpp
+++ b/fuzz/store_list_fuzzer.cpp
@@ -2,6 +2,7 @@
 // entry beside any other text must come out as it went in.
 #include "platform/announcement.hpp"
 #include "platform/json_items.hpp"
+#include "platform/node_document.hpp"
 #include "platform/rules.hpp"
 #include "platform/store_document.hpp"
 
@@ -10,6 +11,7 @@
 #include <cstdlib>
 #include <string>
 #include <string_view>
+#include <variant>
 
 using namespace ragwortcove;
 
@@ -30,6 +32,9 @@
     static_cast<void>(adapter::order_of(adapter::document_kind::rules, document));
     static_cast<void>(adapter::read_ruleset(document.content));
     static_cast<void>(adapter::read_rollout_order(document));
+    const auto entry = adapter::read_node_document(document);
+    if (const auto* node = std::get_if<adapter::node_entry>(&entry))
+        require(adapter::read_node_document(adapter::write_node_document(*node)) == entry);
     document.name = "lm";
     static_cast<void>(adapter::read_rollout_order(document));
     // What one node sends on, another one reads.
--- a/include/ragwortcove/core/fleet_view.hpp
+++ b/include/ragwortcove/core/fleet_view.hpp
@@ -31,6 +31,12 @@
     void become_live(step_context& context);
     /// Announces that this node is leaving, so that other nodes no longer choose it.
     void leave(step_context& context);
+    /// Whether this node has heard of no other node although it has seeds.
+    [[nodiscard]] bool is_isolated() const { return this->known_nodes == 0; }
+    /// Adds addresses of nodes that may be running, and contacts them with the next tick.
+    void add_seeds(std::span<const endpoint> addresses);
+    /// Takes note that no other node is running, as far as one can know.
+    void confirm_isolation() { this->isolation_confirmed = true; }
     /// Excludes a node that did not respond from the owners that this node chooses, for a short
     /// time.
     void mark_unreachable(const node_name& name, time_point now);
@@ -93,6 +99,7 @@
     std::vector<std::string> serving;
     std::vector<std::string> present;
     std::size_t known_nodes = 0;
+    bool isolation_confirmed = false;
     std::map<node_name, time_point> unreachable_until;
 };
 
--- a/include/ragwortcove/core/node.hpp
+++ b/include/ragwortcove/core/node.hpp
@@ -24,6 +24,9 @@
     failure_domain_name failure_domain;
     /// Peers to contact first; the membership protocol discovers the others.
     std::vector<endpoint> seeds;
+    /// Whether something else tells a node that hears of no other whether there are any. Until then
+    /// it does not take itself for the only one.
+    bool confirms_isolation = false;
     /// How long callers may keep an address response.
     duration address_time_to_live = std::chrono::seconds{5};
     /// Longest time without data from an upstream during a response.
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -87,6 +87,8 @@
     documents_left_out = 411,
     watch_cut = 412,
     removals_delayed = 413,
+    nodes_sought = 414,
+    node_entry_unreadable = 415,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -9,6 +9,7 @@
 #include "ragwortcove/http/loop.hpp"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,9 @@
     void become_live();
     void leave();
     void mark_unreachable(const core::node_name& name);
+    void add_seeds(std::span<const core::endpoint> addresses);
+    void confirm_isolation();
+    [[nodiscard]] bool is_isolated() const { return this->view.is_isolated(); }
 
     [[nodiscard]] core::node_name owner_of(std::string_view key) const
     {
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "ragwortcove/gateway/fleet.hpp"
 #include "ragwortcove/gateway/gateway_metrics.hpp"
 #include "ragwortcove/gateway/gateway_settings.hpp"
+#include "ragwortcove/gateway/node_registry.hpp"
 #include "ragwortcove/gateway/part_guard.hpp"
 #include "ragwortcove/gateway/placement_service.hpp"
 #include "ragwortcove/gateway/rollout_service.hpp"
@@ -118,6 +119,7 @@
     std::unique_ptr<http::inbound_server> peer_server;
     std::unique_ptr<http::inbound_server> metrics_server;
     std::unique_ptr<fleet> nodes;
+    std::unique_ptr<node_registry> registry;
     std::unique_ptr<placement_service> placement;
     std::unique_ptr<rollout_service> rollouts;
     std::unique_ptr<part_guard> parts;
--- a/lib/core/fleet_view.cpp
+++ b/lib/core/fleet_view.cpp
@@ -15,6 +15,7 @@
 /// nothing else would let the two sides discover each other.
 static constexpr duration greet_period = 1s;
 static constexpr std::size_t max_greeted = 3;
+static constexpr std::size_t max_seeds = 64;
 /// How long a node that did not respond is excluded from the owners.
 static constexpr duration unreachable_duration = 1s;
 /// A view that no settled node confirms counts as settled after this time. Nodes that all start at
@@ -80,10 +81,26 @@
         this->settled = false;
         this->settling_since = now;
     }
+    const bool is_uncertain =
+        this->self.confirms_isolation && this->is_isolated() && !this->isolation_confirmed;
+    // The view of a node that has found others late is as new as that of one that starts.
+    if (is_uncertain && !this->settled)
+        this->settling_since = now;
     if (now - this->settling_since >= settle_timeout)
         this->settled = true;
 }
 
+void fleet_view::add_seeds(std::span<const endpoint> addresses)
+{
+    for (const endpoint& address : addresses) {
+        std::vector<endpoint>& known = this->self.seeds;
+        const bool is_known = std::find(known.begin(), known.end(), address) != known.end();
+        if (!is_known && known.size() < max_seeds)
+            known.push_back(address);
+    }
+    this->next_greeting_at = time_point{};
+}
+
 bool fleet_view::is_settled(time_point now) const
 {
     return this->settled && now - this->last_tick_at <= max_tick_gap;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -243,6 +243,15 @@
                     "is back",
                     "none"},
 
+    log_event_entry{log_event::nodes_sought, "nodes_sought", log_level::info,
+                    "no seed responds to this instance; it has looked for others in the store, and "
+                    "contacts those that it has `found`",
+                    "see that the seeds in the settings are those of instances that run"},
+    log_event_entry{log_event::node_entry_unreadable, "node_entry_unreadable", log_level::warning,
+                    "an entry of the store for an instance that looks for others cannot be read; "
+                    "it is ignored",
+                    "correct or remove the entry at `place`"},
+
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
     log_event_entry{log_event::platform_lost, "platform_lost", log_level::warning,
--- a/lib/gateway/document_set.cpp
+++ b/lib/gateway/document_set.cpp
@@ -30,6 +30,8 @@
         return "objects";
     case adapter::document_kind::own_claims:
         return "claims";
+    case adapter::document_kind::own_nodes:
+        return "nodes";
     }
     return "unknown";
 }
@@ -97,6 +99,7 @@
     case adapter::document_kind::held_parts:
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
+    case adapter::document_kind::own_nodes:
         return false;
     }
     return false;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -25,6 +25,7 @@
     result.region = from.region;
     result.failure_domain = from.failure_domain;
     result.seeds = from.seeds;
+    result.confirms_isolation = true;
     return result;
 }
 
@@ -168,6 +169,16 @@
     this->update_view([this](core::step_context& context) { this->view.leave(context); });
 }
 
+void fleet::add_seeds(std::span<const core::endpoint> addresses)
+{
+    this->view.add_seeds(addresses);
+}
+
+void fleet::confirm_isolation()
+{
+    this->view.confirm_isolation();
+}
+
 void fleet::mark_unreachable(const core::node_name& name)
 {
     this->update_view(
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -92,6 +92,15 @@
     };
     this->nodes = std::make_unique<fleet>(loop, given, run, std::move(node_handlers));
 
+    this->registry = std::make_unique<node_registry>(node_registry_dependencies{
+        loop, this->store, given.name, given.peers, [this] { return this->nodes->is_isolated(); },
+        [this](std::span<const core::endpoint> found) { this->nodes->add_seeds(found); },
+        [this] { this->nodes->confirm_isolation(); },
+        [] {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch());
+        }});
+
     placement_dependencies placement_functions;
     placement_functions.self = given.name;
     placement_functions.run = run;
@@ -175,6 +184,7 @@
 void gateway::tick()
 {
     daemon::flush_log();
+    this->registry->tick();
     this->placement->tick();
     this->rollouts->tick();
     this->parts->tick();
@@ -327,6 +337,7 @@
                                 last_answer_margin);
     this->refresh_readiness();
     this->nodes->leave();
+    this->registry->leave();
     this->caller_server->begin_drain();
     this->check_drain();
 }
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -223,6 +223,7 @@
         break;
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
+    case adapter::document_kind::own_nodes:
         break; // A gateway does not store these documents.
     }
 }
