--- a/fuzz/part_record_fuzzer.cpp
+++ b/fuzz/part_record_fuzzer.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace ragwortcove;
 using namespace std::chrono_literals;
@@ -34,9 +35,11 @@
 {
     parts.merge(record, now);
     require(!parts.merge(record, now));
+    const std::vector<core::part_id> wanted{record.part, {0x50}};
+    static_cast<void>(parts.decide(wanted, now));
     const core::part_record* const known = parts.find(record.part);
     require(known == nullptr || known->ends.size() <= core::max_ends_of_part);
-    require(known == nullptr || known->trials <= core::max_part_trials);
+    require(known == nullptr || known->trials_sent <= core::max_trial_number);
 }
 
 static void read_message(std::string_view bytes)
--- a/include/ragwortcove/core/part_quarantine.hpp
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -21,6 +21,8 @@
 struct upstream_end {
     upstream_process process;
     time_point at;
+    /// Whether a request waited there that had been sent as a trial.
+    bool during_trial = false;
     bool operator==(const upstream_end&) const = default;
 };
 
@@ -31,12 +33,32 @@
     std::uint32_t generation = 0;
     /// Ends in this generation, oldest first; each process once.
     std::vector<upstream_end> ends;
-    /// Number of trials in this generation, and when the last one was sent.
-    std::uint32_t trials = 0;
+    /// Number of the last trial that was sent in this generation, and when. That it was sent says
+    /// nothing of the part.
+    std::uint32_t trials_sent = 0;
     time_point last_trial_at;
+    /// Number of the last trial that is over, whatever has come of it.
+    std::uint32_t trials_over = 0;
     bool operator==(const part_record&) const = default;
 };
 
+/// A request that is sent to find out whether upstreams still end on a part.
+struct part_trial {
+    part_id part;
+    std::uint32_t generation = 0;
+    /// Among the trials of its generation, from 1 on.
+    std::uint32_t number = 0;
+    bool operator==(const part_trial&) const = default;
+};
+
+/// The request that was given a permission for a trial.
+struct trial_holder {
+    node_name node;
+    /// Number that the node has given to its question.
+    std::uint64_t number = 0;
+    bool operator==(const trial_holder&) const = default;
+};
+
 /// Whether a request may be sent, by its parts. Later values are stricter.
 enum class part_admission {
     admitted,
@@ -63,7 +85,9 @@
 inline constexpr std::size_t max_tracked_parts = 512;
 /// Highest generation that a record states; a part is hardly cleared that often.
 inline constexpr std::uint32_t max_part_generation = 1'000'000;
-/// Number of trials of a part that are permitted in one generation.
+/// Highest number of a trial that a record states.
+inline constexpr std::uint32_t max_trial_number = 1'000'000;
+/// Number of trials that end an upstream, after which a request gets no further one.
 inline constexpr std::uint32_t max_part_trials = 3;
 
 /// Number of parts that are known to have had responses, at the most and for each of two spans.
@@ -76,10 +100,11 @@
 public:
     /// Decides by the strictest of a request's parts, which are given in the order of the prompt.
     /// If several need a trial, the most likely cause of the ends is stated, and the request counts
-    /// as the trial of that part alone.
-    [[nodiscard]] part_decision decide(std::span<const part_id> parts, time_point now) const;
-    /// Records that a process ended while requests with these parts waited for its responses.
-    /// Returns the parts whose records have changed.
+    /// as the trial of that part alone. A trial of its own keeps no request waiting.
+    [[nodiscard]] part_decision decide(std::span<const part_id> parts, time_point now,
+                                       const std::optional<part_trial>& own = std::nullopt) const;
+    /// Records that a process ended while requests with these parts waited for its responses. After
+    /// a trial the parts are those of its request. Returns the parts whose records have changed.
     std::vector<part_id> record_end(const upstream_end& end, std::span<const part_id> parts,
                                     time_point now);
     /// Records that an upstream has responded to a request with these parts and has not ended.
@@ -88,11 +113,18 @@
     /// Takes what another node, or the store, knows of a part; returns whether that was news. A
     /// better time of an end or trial that is known is taken, but is no news.
     bool merge(const part_record& other, time_point now);
-    /// Permits one trial of a part if one is due and no other permission is open. To be called by
-    /// the part's owner. A permission that is not used lapses.
-    [[nodiscard]] bool permit_trial(part_id part, time_point now);
-    /// Records that a request is sent as a trial.
-    void record_trial(part_id part, time_point now);
+    /// Permits a request with these parts as a trial of one of them if one is due and no other
+    /// permission is open. To be called by the part's owner. A permission that is not used lapses;
+    /// one that is asked for again stands.
+    [[nodiscard]] bool permit_trial(part_id part, std::span<const part_id> parts,
+                                    const trial_holder& holder, time_point now);
+    /// Records that a request is sent as a trial; unset when nothing holds the part back any more.
+    std::optional<part_trial> record_trial(part_id part, time_point now);
+    /// Records that a trial is over. An end that it has caused is recorded apart from this. Returns
+    /// whether that was news.
+    bool record_trial_over(const part_trial& trial);
+    /// Whether the outcome of a trial is still awaited.
+    [[nodiscard]] bool is_open(const part_trial& trial, time_point now) const;
     /// Clears a part although it may still end upstreams; returns false when nothing held it back.
     bool release(part_id part, time_point now);
     /// Drops records that have not mattered for a while.
@@ -100,8 +132,8 @@
 
     /// Null when nothing is known of the part.
     [[nodiscard]] const part_record* find(part_id part) const;
-    /// Records of the parts that are held back and not explained by others, in the order of their
-    /// ids.
+    /// Records of the parts that are held back and not explained by others, and of those that were
+    /// in a trial that ended an upstream, in the order of their ids.
     [[nodiscard]] std::vector<part_record> held_back() const;
     [[nodiscard]] std::size_t size() const { return this->entries.size(); }
 
@@ -110,8 +142,14 @@
         part_record record;
         /// When the part last mattered: an end, a response, or a request that was held back.
         mutable time_point used_at;
-        /// Until when a permission for a trial is open that this node has given.
-        time_point permitted_until;
+        /// The last permission for a trial that this node has given, and when.
+        trial_holder permitted_to;
+        time_point permitted_at{time_point::min()};
+    };
+    /// What the trials have shown of a request.
+    struct trial_result {
+        std::uint32_t failed = 0;
+        time_point last_failed_at;
     };
     entry& entry_of(part_id part, time_point now);
     /// Whether requests with the part had responses on this node in the last while.
@@ -120,6 +158,15 @@
     /// Whether each end under a part has a likelier cause, another part that is held back.
     [[nodiscard]] bool is_explained(const part_record& record) const;
     [[nodiscard]] bool is_likelier_cause(const part_record& one, const part_record& other) const;
+    /// Whether all parts are among these that may have ended a process during a trial.
+    [[nodiscard]] bool has_cause_among(std::span<const part_id> parts,
+                                       const upstream_process& process) const;
+    /// The trials that ended upstreams, for a request with these parts, by the record of one.
+    [[nodiscard]] trial_result result_of_trials(const part_record& record,
+                                                std::span<const part_id> parts) const;
+    [[nodiscard]] part_decision decide_one(const part_record& record,
+                                           std::span<const part_id> parts, time_point now,
+                                           const std::optional<part_trial>& own) const;
     void make_room();
     void clear(entry& cleared, time_point now);
 
@@ -133,7 +180,9 @@
 /// Number of separate occasions on which upstreams ended. Ends at nearly the same time have one
 /// cause more often than not, such as a rack that loses power.
 [[nodiscard]] std::size_t count_occasions(const part_record& record);
-/// Whether requests with the part are held back.
+/// Number of trials that have ended an upstream.
+[[nodiscard]] std::uint32_t count_failed_trials(const part_record& record);
+/// Whether requests with the part are held back, unless it becomes clear that others are the cause.
 [[nodiscard]] bool is_held_back(const part_record& record);
 /// Names of the upstreams that have ended, separated by commas.
 [[nodiscard]] std::string list_upstreams(const part_record& record);
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -72,6 +72,7 @@
     part_cleared = 316,
     part_unreadable = 317,
     part_not_stored = 318,
+    part_trial_returned = 319,
 
     member_changed = 400,
     peer_disconnected = 401,
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -102,11 +102,14 @@
                                 const core::placement_grant& grant);
     void on_trial_decision(http::inbound_exchange exchange, placement_number number,
                            const core::placement_grant& grant, core::part_id part, bool permitted);
-    /// Takes the permission for a trial from a request that an upstream may have run.
-    static void end_trial(open_call& call);
+    /// Takes the permission for a trial from a request, and gives back a trial that has shown
+    /// nothing.
+    void end_trial(open_call& call, std::string_view reason);
+    /// Gives up a trial that an upstream may have begun: it may still end on the request.
+    void give_up_trial(open_call& call);
     /// Tells the guard of parts that the connection was lost while the request waited on it. If so,
     /// `on_fate_known` is called later.
-    bool report_lost_connection(const open_call& call);
+    bool report_lost_connection(open_call& call);
     /// Whether the request is placed only once it is known if another one's upstream has ended.
     [[nodiscard]] bool must_wait_for_fate(open_call& call);
     void on_fate_known(http::inbound_exchange exchange);
@@ -140,7 +143,7 @@
     /// Records that the upstream of the active dispatch wants nothing from this node for a while.
     void on_upstream_pauses(const open_call& call, core::duration stated);
     /// Cancels the active dispatch, and keeps the pause that an unread refusal asks for.
-    void give_up_dispatch(const open_call& call);
+    void give_up_dispatch(open_call& call);
     /// Sends nothing to an upstream for a moment that nobody can connect to.
     void avoid_unreachable(const core::upstream_name& upstream);
     /// Drops a response to another request, and waits for the one to this request.
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -4,7 +4,7 @@
 
 #include "platform/headers.hpp"
 #include "ragwortcove/core/call_policy.hpp"
-#include "ragwortcove/core/part_id.hpp"
+#include "ragwortcove/core/part_quarantine.hpp"
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/gateway/event_splitter.hpp"
@@ -66,8 +66,8 @@
     /// The one of them for which the request may be sent as a trial, until an upstream may have run
     /// it.
     std::optional<core::part_id> permitted_part;
-    /// Whether the trial is recorded as sent.
-    bool trial_sent = false;
+    /// The trial as which it was sent. One that no upstream has taken goes on at the next one.
+    std::optional<core::part_trial> trial;
     core::target_name target;
     /// Where the request is placed: the target's own pool, or that of its canaries.
     core::target_name pool;
--- a/include/ragwortcove/gateway/part_guard.hpp
+++ b/include/ragwortcove/gateway/part_guard.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,6 +50,8 @@
     http::socket_address address;
     /// Parts of the request that other requests may share.
     std::vector<core::part_id> parts;
+    /// Set if the request was sent as a trial.
+    std::optional<core::part_trial> trial = std::nullopt;
 };
 
 /// What is known of an upstream's process after a connection to it was lost.
@@ -69,9 +72,13 @@
     part_guard(const part_guard&) = delete;
     part_guard& operator=(const part_guard&) = delete;
 
-    [[nodiscard]] core::part_decision decide(std::span<const core::part_id> parts) const;
+    /// Decides on a request with these parts. A trial of its own keeps it not waiting.
+    [[nodiscard]] core::part_decision
+    decide(std::span<const core::part_id> parts,
+           const std::optional<core::part_trial>& own = std::nullopt) const;
     /// Finds out whether the upstream's process has ended, and records it if so. `done` is called
-    /// once, within a fraction of a second and not from inside this call.
+    /// once, within a fraction of a second and not from inside this call. A trial is over once the
+    /// process is known to have ended or to go on.
     void on_connection_lost(lost_connection&& lost, fate_handler&& done);
     /// If it is just being found out whether a process has ended, and a request with these parts
     /// would then be held back, calls `done` once that is known. Returns false otherwise.
@@ -85,11 +92,17 @@
     /// Whether upstreams have ended under any of the parts since they were last cleared.
     [[nodiscard]] bool has_evidence(std::span<const core::part_id> parts) const;
 
-    /// Asks the part's owner for permission to send one request with it. `done` is called once, and
-    /// not from inside this call.
-    void request_trial(core::part_id part, trial_handler&& done);
-    /// Records that a request is sent as a trial of a part.
-    void on_trial_sent(core::part_id part, std::string_view request);
+    /// Asks the owner of one of a request's parts for permission to send the request. `done` is
+    /// called once, and not from inside this call.
+    void request_trial(core::part_id part, std::span<const core::part_id> parts,
+                       trial_handler&& done);
+    /// Records that a request is sent as a trial of a part; unset when nothing holds the part back
+    /// any more.
+    std::optional<core::part_trial> on_trial_sent(core::part_id part, std::string_view request);
+    /// Records that a trial has shown nothing, for a reason: no upstream has taken the request, or
+    /// it ended before a response began. Another request may be tried.
+    void return_trial(const core::part_trial& trial, std::string_view reason);
+    [[nodiscard]] bool is_open(const core::part_trial& trial) const;
 
     void receive_message(const core::node_name& from, const wire::PeerDatagram& message);
     /// Takes what the store keeps of a part.
@@ -110,6 +123,9 @@
         http::socket_address address;
         core::time_point lost_at;
         std::vector<core::part_id> parts;
+        /// The trials that waited there, and the parts of their requests.
+        std::vector<core::part_trial> trials;
+        std::vector<core::part_id> tried_parts;
         std::vector<fate_handler> waiting;
         std::unique_ptr<http::tcp_stream> probe;
         /// Whether the result of `probe` is still awaited.
@@ -120,6 +136,7 @@
     };
     struct open_trial_request {
         core::part_id part;
+        std::vector<core::part_id> parts;
         trial_handler done;
         core::time_point first_sent_at;
         core::time_point sent_at;
@@ -134,6 +151,7 @@
     void probe(suspicion& examined);
     void on_probe_result(const core::upstream_name& name, process_fate fate);
     void conclude_not_ended(suspicion& examined, process_fate fate);
+    void return_trials(suspicion& examined);
     void tell_waiting(suspicion& examined, process_fate fate);
     void conclude_ended(const core::upstream_name& name);
 
@@ -141,7 +159,8 @@
     void send_news();
     void send_held_back(const core::node_name& to);
     void send_trial_request(std::uint64_t number, open_trial_request& request);
-    [[nodiscard]] bool permit_trial(core::part_id part);
+    [[nodiscard]] bool permit_trial(core::part_id part, std::span<const core::part_id> parts,
+                                    const core::trial_holder& holder);
     void finish_trial_request(std::uint64_t number, bool permitted);
     void retry_trial_requests();
     /// Merges a record and logs what follows from it; returns whether it was news.
--- a/lib/core/part_quarantine.cpp
+++ b/lib/core/part_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace ragwortcove::core {
@@ -13,13 +14,15 @@
 /// Occasions, with no response between them, from which on a part is held back. The first one may
 /// be the end of any upstream; a second one happens to few parts by chance.
 static constexpr std::size_t occasions_to_hold_back = 2;
-/// Time from the last end or trial to the next trial, by the number of trials so far.
+/// Time from the last trial that ended an upstream to the next one, by the number of such trials.
 static constexpr std::array<duration, max_part_trials> trial_delays{0ms, 30s, 30min};
 /// Time within which a trial shows whether the upstream ends, and the retry time meanwhile.
 static constexpr duration trial_time = 5s;
 static constexpr duration retry_during_trial = 500ms;
 /// Time within which a permitted trial is sent, or else its permission lapses.
 static constexpr duration permission_lifetime = 1s;
+/// Time between permissions. A trial that shows nothing is told to all nodes, and so is the next.
+static constexpr duration min_permission_interval = 250ms;
 /// How long a record is kept that holds nothing back.
 static constexpr duration idle_record_lifetime = 10min;
 /// Time after which a part that has had no response since is not known to be sound any more: one to
@@ -39,9 +42,16 @@
     return count;
 }
 
+std::uint32_t count_failed_trials(const part_record& record)
+{
+    const auto is_failed = [](const upstream_end& end) { return end.during_trial; };
+    return static_cast<std::uint32_t>(
+        std::count_if(record.ends.begin(), record.ends.end(), is_failed));
+}
+
 bool is_held_back(const part_record& record)
 {
-    return record.trials > 0 || count_occasions(record) >= occasions_to_hold_back;
+    return count_failed_trials(record) > 0 || count_occasions(record) >= occasions_to_hold_back;
 }
 
 std::string list_upstreams(const part_record& record)
@@ -52,31 +62,15 @@
     return text;
 }
 
-static time_point next_trial_at(const part_record& record)
-{
-    const time_point last_end = record.ends.empty() ? time_point{} : record.ends.back().at;
-    return std::max(last_end, record.last_trial_at) + trial_delays.at(record.trials);
-}
-
-/// Whether the outcome of the last trial is not known yet.
+/// Whether the outcome of the last trial is not known yet. The node that sent it may be gone.
 static bool is_trial_open(const part_record& record, time_point now)
 {
-    const bool has_ended = !record.ends.empty() && record.ends.back().at > record.last_trial_at;
-    return record.trials > 0 && !has_ended && now - record.last_trial_at < trial_time;
+    return record.trials_sent > record.trials_over && now - record.last_trial_at < trial_time;
 }
 
-static part_decision decide_one(const part_record& record, time_point now)
+static bool is_last_trial(const part_record& record, const part_trial& trial)
 {
-    if (!is_held_back(record))
-        return {};
-    if (is_trial_open(record, now))
-        return {part_admission::waits, record.part, retry_during_trial};
-    if (record.trials >= max_part_trials)
-        return {part_admission::barred, record.part, {}};
-    const time_point due_at = next_trial_at(record);
-    if (now < due_at)
-        return {part_admission::waits, record.part, due_at - now};
-    return {part_admission::needs_trial, record.part, {}};
+    return record.generation == trial.generation && record.trials_sent == trial.number;
 }
 
 void part_quarantine::note_sound(part_id part)
@@ -113,8 +107,6 @@
 // without the others.
 bool part_quarantine::is_explained(const part_record& record) const
 {
-    if (record.trials > 0)
-        return false;
     return std::all_of(record.ends.begin(), record.ends.end(), [&](const upstream_end& end) {
         return std::any_of(this->entries.begin(), this->entries.end(), [&](const auto& each) {
             const part_record& other = each.second.record;
@@ -124,11 +116,59 @@
     });
 }
 
+// The cause of an end is one of the parts that waited there. Those that had a response since have
+// no end any more, and a part that has ended no other upstream is hardly it.
+bool part_quarantine::has_cause_among(std::span<const part_id> parts,
+                                      const upstream_process& process) const
+{
+    return std::all_of(this->entries.begin(), this->entries.end(), [&](const auto& each) {
+        const part_record& record = each.second.record;
+        const bool may_be_cause = has_end(record, process) && is_held_back(record);
+        return !may_be_cause || std::find(parts.begin(), parts.end(), each.first) != parts.end();
+    });
+}
+
+// A trial whose request had other parts too says nothing of a request without one of these: that
+// one may be the cause.
+part_quarantine::trial_result
+part_quarantine::result_of_trials(const part_record& record, std::span<const part_id> parts) const
+{
+    trial_result result;
+    for (const upstream_end& end : record.ends) {
+        if (!end.during_trial || !this->has_cause_among(parts, end.process))
+            continue;
+        ++result.failed;
+        result.last_failed_at = std::max(result.last_failed_at, end.at);
+    }
+    return result;
+}
+
+part_decision part_quarantine::decide_one(const part_record& record, std::span<const part_id> parts,
+                                          time_point now,
+                                          const std::optional<part_trial>& own) const
+{
+    const trial_result trials = this->result_of_trials(record, parts);
+    const bool is_suspect =
+        count_occasions(record) >= occasions_to_hold_back && !this->is_explained(record);
+    if (trials.failed == 0 && !is_suspect)
+        return {};
+    const bool is_own_trial = own && own->part == record.part && is_last_trial(record, *own);
+    if (is_trial_open(record, now) && !is_own_trial)
+        return {part_admission::waits, record.part, retry_during_trial};
+    if (trials.failed >= max_part_trials)
+        return {part_admission::barred, record.part, {}};
+    const time_point due_at = trials.last_failed_at + trial_delays.at(trials.failed);
+    if (now < due_at)
+        return {part_admission::waits, record.part, due_at - now};
+    return {part_admission::needs_trial, record.part, {}};
+}
+
 // If several parts need a trial, the request counts as the trial of one of them. That is the part
 // with the most ends, since it was in more of the requests that ended upstreams. Among equal ones
 // it is the last: the first parts of a prompt are those that most requests share, and others of
 // these requests soon show whether upstreams end on them.
-part_decision part_quarantine::decide(std::span<const part_id> parts, time_point now) const
+part_decision part_quarantine::decide(std::span<const part_id> parts, time_point now,
+                                      const std::optional<part_trial>& own) const
 {
     part_decision strictest;
     std::size_t most_ends = 0;
@@ -137,8 +177,8 @@
         if (found == this->entries.end())
             continue;
         const part_record& record = found->second.record;
-        const part_decision decision = decide_one(record, now);
-        if (decision.admission == part_admission::admitted || this->is_explained(record))
+        const part_decision decision = this->decide_one(record, parts, now, own);
+        if (decision.admission == part_admission::admitted)
             continue;
         found->second.used_at = now;
         const bool is_more_likely_cause = decision.admission == part_admission::needs_trial &&
@@ -180,25 +220,44 @@
     return created;
 }
 
-/// Adds an end unless it is known; returns whether it is new. A message takes time, and the store
-/// keeps no times, so of two times stated of one end the earlier one is nearer to the truth.
+/// Makes room for an end, if it says more than one that is known; returns whether there is room.
+static bool make_room_for(std::vector<upstream_end>& ends, const upstream_end& added)
+{
+    if (ends.size() < max_ends_of_part)
+        return true;
+    if (!added.during_trial)
+        return false;
+    const auto says_less = std::find_if(
+        ends.rbegin(), ends.rend(), [](const upstream_end& each) { return !each.during_trial; });
+    if (says_less == ends.rend())
+        return false;
+    ends.erase(std::next(says_less).base());
+    return true;
+}
+
+/// Adds an end; returns whether it says anything new. A message takes time, and the store keeps no
+/// times, so of two times stated of one end the earlier one is nearer to the truth.
 static bool add_end(part_record& record, const upstream_end& added)
 {
     std::vector<upstream_end>& ends = record.ends;
     const auto is_same = [&](const upstream_end& known) { return known.process == added.process; };
     const auto known = std::find_if(ends.begin(), ends.end(), is_same);
-    const bool is_new = known == ends.end();
-    if (is_new && ends.size() >= max_ends_of_part)
+    bool is_news = known == ends.end();
+    if (is_news && !make_room_for(ends, added))
         return false;
-    if (is_new)
+    if (is_news) {
         ends.push_back(added);
-    else
+    }
+    else {
         known->at = std::min(known->at, added.at);
+        is_news = added.during_trial && !known->during_trial;
+        known->during_trial = known->during_trial || added.during_trial;
+    }
     const auto is_earlier = [](const upstream_end& left, const upstream_end& right) {
         return left.at < right.at;
     };
     std::stable_sort(ends.begin(), ends.end(), is_earlier);
-    return is_new;
+    return is_news;
 }
 
 std::vector<part_id> part_quarantine::record_end(const upstream_end& end,
@@ -218,7 +277,7 @@
 {
     const part_id part = cleared.record.part;
     const std::uint32_t generation = cleared.record.generation + 1;
-    cleared.record = part_record{part, generation, {}, 0, {}};
+    cleared.record = part_record{part, generation, {}, 0, {}, 0};
     cleared.used_at = now;
 }
 
@@ -234,8 +293,7 @@
         return cleared;
     for (const part_id part : parts) {
         const auto found = this->entries.find(part);
-        if (found == this->entries.end() ||
-            (found->second.record.ends.empty() && found->second.record.trials == 0))
+        if (found == this->entries.end() || found->second.record.ends.empty())
             continue;
         if (is_held_back(found->second.record))
             cleared.push_back(part);
@@ -244,18 +302,21 @@
     return cleared;
 }
 
-/// Returns whether the other record states more trials. Of two times of one trial the earlier one
+/// Returns whether the other record states later trials. Of two times of one trial the earlier one
 /// counts, as for ends.
 static bool merge_trials(part_record& record, const part_record& other)
 {
-    if (other.trials > record.trials) {
-        record.trials = std::min(other.trials, max_part_trials);
+    const bool is_news =
+        other.trials_sent > record.trials_sent || other.trials_over > record.trials_over;
+    if (other.trials_sent > record.trials_sent) {
+        record.trials_sent = other.trials_sent;
         record.last_trial_at = other.last_trial_at;
-        return true;
     }
-    if (other.trials == record.trials)
+    else if (other.trials_sent == record.trials_sent) {
         record.last_trial_at = std::min(record.last_trial_at, other.last_trial_at);
-    return false;
+    }
+    record.trials_over = std::max(record.trials_over, other.trials_over);
+    return is_news;
 }
 
 bool part_quarantine::merge(const part_record& other, time_point now)
@@ -263,14 +324,14 @@
     const auto found = this->entries.find(other.part);
     const std::uint32_t generation =
         found == this->entries.end() ? 0 : found->second.record.generation;
-    const bool says_nothing = other.ends.empty() && other.trials == 0;
+    const bool says_nothing = other.ends.empty() && other.trials_sent == 0;
     if (other.generation < generation ||
         (found == this->entries.end() && says_nothing && other.generation == 0))
         return false;
     entry& known = this->entry_of(other.part, now);
     bool is_news = other.generation > generation;
     if (is_news)
-        known.record = part_record{other.part, other.generation, {}, 0, {}};
+        known.record = part_record{other.part, other.generation, {}, 0, {}, 0};
     for (const upstream_end& end : other.ends)
         is_news = add_end(known.record, end) || is_news;
     is_news = merge_trials(known.record, other) || is_news;
@@ -279,25 +340,56 @@
     return is_news;
 }
 
-bool part_quarantine::permit_trial(part_id part, time_point now)
+bool part_quarantine::permit_trial(part_id part, std::span<const part_id> parts,
+                                   const trial_holder& holder, time_point now)
 {
     const auto found = this->entries.find(part);
-    if (found == this->entries.end() || now < found->second.permitted_until)
+    if (found == this->entries.end())
+        return false;
+    entry& known = found->second;
+    const part_admission admission = this->decide(parts, now).admission;
+    if (admission == part_admission::admitted)
+        return true;
+    if (admission != part_admission::needs_trial)
         return false;
-    if (decide_one(found->second.record, now).admission != part_admission::needs_trial)
+    // A permission is over with the trial that was sent with it.
+    const bool is_used = known.record.last_trial_at >= known.permitted_at;
+    const time_point closed_until =
+        known.permitted_at + (is_used ? min_permission_interval : permission_lifetime);
+    const bool is_again = !is_used && known.permitted_to == holder;
+    if (now < closed_until && !is_again)
         return false;
-    found->second.permitted_until = now + permission_lifetime;
+    known.permitted_to = holder;
+    known.permitted_at = now;
     return true;
 }
 
-void part_quarantine::record_trial(part_id part, time_point now)
+std::optional<part_trial> part_quarantine::record_trial(part_id part, time_point now)
 {
     const auto found = this->entries.find(part);
-    if (found == this->entries.end())
-        return;
+    if (found == this->entries.end() || !is_held_back(found->second.record))
+        return std::nullopt;
     part_record& record = found->second.record;
-    record.trials = std::min(record.trials + 1, max_part_trials);
+    record.trials_sent =
+        std::min(std::max(record.trials_sent, record.trials_over) + 1, max_trial_number);
     record.last_trial_at = now;
+    return part_trial{part, record.generation, record.trials_sent};
+}
+
+bool part_quarantine::record_trial_over(const part_trial& trial)
+{
+    const auto found = this->entries.find(trial.part);
+    if (found == this->entries.end() || found->second.record.generation != trial.generation ||
+        found->second.record.trials_over >= trial.number)
+        return false;
+    found->second.record.trials_over = trial.number;
+    return true;
+}
+
+bool part_quarantine::is_open(const part_trial& trial, time_point now) const
+{
+    const part_record* const known = this->find(trial.part);
+    return known != nullptr && is_last_trial(*known, trial) && is_trial_open(*known, now);
 }
 
 bool part_quarantine::release(part_id part, time_point now)
@@ -327,11 +419,14 @@
     return found == this->entries.end() ? nullptr : &found->second.record;
 }
 
+// What a trial has shown is read from the records of all parts that its request had, so a node that
+// starts needs them all.
 std::vector<part_record> part_quarantine::held_back() const
 {
     std::vector<part_record> result;
     for (const auto& [part, each] : this->entries) {
-        if (is_held_back(each.record) && !this->is_explained(each.record))
+        const bool was_tried = count_failed_trials(each.record) > 0;
+        if (was_tried || (is_held_back(each.record) && !this->is_explained(each.record)))
             result.push_back(each.record);
     }
     return result;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -164,8 +164,8 @@
     log_event_entry{log_event::part_held_back, "part_held_back", log_level::warning,
                     "upstreams have ended under this part of prompts, `upstreams` of them, "
                     "with no response between; requests with it are sent as trials only, one "
-                    "at a time, `trials` of 3 so far; `from` is this instance, another one or "
-                    "the store",
+                    "at a time; `trials` of 3 have ended an upstream so far; `from` is this "
+                    "instance, another one or the store",
                     "look at what the part is; `ragwortcove release` lets it through again"},
     log_event_entry{log_event::part_trial_sent, "part_trial_sent", log_level::info,
                     "a request with a part that is held back is sent, to find out whether "
@@ -183,6 +183,10 @@
                     "what is known of a part that is held back could not be stored; it is "
                     "retried, and the instances tell each other meanwhile",
                     "look at the platform when it repeats"},
+    log_event_entry{log_event::part_trial_returned, "part_trial_returned", log_level::info,
+                    "a trial has shown nothing of its part, for the `reason`, and does not count; "
+                    "another request may be tried",
+                    "none"},
 
     log_event_entry{log_event::member_changed, "member_changed", log_level::info,
                     "another instance joined, left, is suspected or is dead",
--- a/lib/gateway/call_endings.cpp
+++ b/lib/gateway/call_endings.cpp
@@ -174,7 +174,7 @@
     this->log_failure(call, end, budget_left, step == core::next_step::place_again);
     const bool awaits_fate = this->report_lost_connection(call);
     if (!core::proves_not_run(end))
-        end_trial(call);
+        this->end_trial(call, describe(end));
     switch (step) {
     case core::next_step::place_again:
         if (core::proves_not_run(end))
@@ -385,6 +385,7 @@
     this->env.event_loop.cancel(call.deadline_timer);
     this->env.event_loop.cancel(call.idle_timer);
     this->withdraw_waiting(call);
+    this->end_trial(call, "no upstream has taken the request");
     if (call.placement != 0)
         this->env.placement.withdraw(std::exchange(call.placement, 0));
     if (call.quota_charged && !call.history.may_have_run)
--- a/lib/gateway/call_parts.cpp
+++ b/lib/gateway/call_parts.cpp
@@ -20,12 +20,7 @@
     // While an upstream has the request, its trial is not over.
     if (!call.permitted_part || call.active_dispatch)
         return this->env.parts.decide(call.shared_parts);
-    std::vector<core::part_id> others;
-    for (const core::part_id part : call.shared_parts) {
-        if (part != *call.permitted_part)
-            others.push_back(part);
-    }
-    const core::part_decision decision = this->env.parts.decide(others);
+    const core::part_decision decision = this->env.parts.decide(call.shared_parts, call.trial);
     if (decision.admission == part_admission::needs_trial)
         return {};
     return decision;
@@ -52,11 +47,14 @@
 bool call_handler::may_send(open_call& call, placement_number number,
                             const core::placement_grant& grant)
 {
+    // The request has waited for a place for so long that another one may be the trial now.
+    if (call.trial && !call.active_dispatch && !this->env.parts.is_open(*call.trial))
+        this->end_trial(call, "the trial was not sent on in time");
     const core::part_decision decision = this->decide_parts(call);
     if (decision.admission == part_admission::admitted) {
         // An upstream that did not take the request leaves the trial to the next one.
-        if (call.permitted_part && !std::exchange(call.trial_sent, true))
-            this->env.parts.on_trial_sent(*call.permitted_part, call.facts.attempt);
+        if (call.permitted_part && !call.trial)
+            call.trial = this->env.parts.on_trial_sent(*call.permitted_part, call.facts.attempt);
         return true;
     }
     const bool may_be_trial =
@@ -67,10 +65,11 @@
         return false;
     }
     call.placement = number;
-    this->env.parts.request_trial(decision.part, [this, exchange = call.exchange, number, grant,
-                                                  part = decision.part](bool permitted) {
-        this->on_trial_decision(exchange, number, grant, part, permitted);
-    });
+    this->env.parts.request_trial(
+        decision.part, call.shared_parts,
+        [this, exchange = call.exchange, number, grant, part = decision.part](bool permitted) {
+            this->on_trial_decision(exchange, number, grant, part, permitted);
+        });
     return false;
 }
 
@@ -96,19 +95,37 @@
     this->on_granted(*call, number, grant);
 }
 
-void call_handler::end_trial(open_call& call)
+void call_handler::end_trial(open_call& call, std::string_view reason)
 {
     call.permitted_part.reset();
-    call.trial_sent = false;
+    if (!call.trial)
+        return;
+    this->env.parts.return_trial(*call.trial, reason);
+    call.trial.reset();
+}
+
+void call_handler::give_up_trial(open_call& call)
+{
+    if (!call.trial || !call.active_dispatch || call.active_dispatch->has_responded)
+        return;
+    const dispatch& given_up = *call.active_dispatch;
+    this->env.parts.on_connection_lost({{given_up.upstream, given_up.upstream_started_at},
+                                        given_up.address,
+                                        call.shared_parts,
+                                        std::exchange(call.trial, std::nullopt)},
+                                       [](process_fate) {});
 }
 
-bool call_handler::report_lost_connection(const open_call& call)
+bool call_handler::report_lost_connection(open_call& call)
 {
     const dispatch& lost = *call.active_dispatch;
     if (!lost.connection_lost || lost.has_responded || call.shared_parts.empty())
         return false;
     this->env.parts.on_connection_lost(
-        {{lost.upstream, lost.upstream_started_at}, lost.address, call.shared_parts},
+        {{lost.upstream, lost.upstream_started_at},
+         lost.address,
+         call.shared_parts,
+         std::exchange(call.trial, std::nullopt)},
         [this, exchange = call.exchange, upstream = lost.upstream](process_fate fate) {
             if (fate == process_fate::ended)
                 this->avoid_unreachable(upstream);
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -129,11 +129,12 @@
 }
 
 // A refusal that has come already may ask for a pause, which holds for all requests.
-void call_handler::give_up_dispatch(const open_call& call)
+void call_handler::give_up_dispatch(open_call& call)
 {
     const http::outbound_exchange exchange = call.active_dispatch->exchange;
     const auto unread = this->env.upstreams.peek_head(exchange);
     this->env.upstreams.cancel(exchange);
+    this->give_up_trial(call);
     if (!unread)
         return;
     const adapter::response_facts facts =
--- a/lib/gateway/gateway_parts.cpp
+++ b/lib/gateway/gateway_parts.cpp
@@ -56,7 +56,8 @@
 /// Whether a stored document says what its owner knows, apart from the times.
 static bool is_stored(const core::part_record& record, const core::part_record& stored)
 {
-    return stored.generation == record.generation && stored.trials == record.trials &&
+    return stored.generation == record.generation &&
+           core::count_failed_trials(stored) == core::count_failed_trials(record) &&
            stored.ends.size() >= record.ends.size();
 }
 
--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -27,6 +27,8 @@
 static constexpr core::duration suspicion_lifetime = 5s;
 /// Number of processes that are examined at a time.
 static constexpr std::size_t max_suspicions = 256;
+/// Parts of one request that the owner of one of them takes.
+static constexpr int max_parts_of_request = 1024;
 /// Parts of the requests that waited at one process, beyond which further ones are left out.
 static constexpr std::size_t max_parts_of_process = 128;
 /// A datagram may be lost, so each change is sent so often, this far apart.
@@ -59,9 +61,10 @@
         this->env.event_loop.cancel(each.timer);
 }
 
-core::part_decision part_guard::decide(std::span<const part_id> all) const
+core::part_decision part_guard::decide(std::span<const part_id> all,
+                                       const std::optional<core::part_trial>& own) const
 {
-    return this->parts.decide(all, this->now());
+    return this->parts.decide(all, this->now(), own);
 }
 
 bool part_guard::owns(part_id part) const
@@ -73,7 +76,7 @@
 {
     return std::any_of(all.begin(), all.end(), [this](part_id part) {
         const core::part_record* const known = this->parts.find(part);
-        return known != nullptr && (!known->ends.empty() || known->trials > 0);
+        return known != nullptr && !known->ends.empty();
     });
 }
 
@@ -85,10 +88,21 @@
     return found == this->suspicions.end() ? nullptr : &found->second;
 }
 
+/// Adds parts that are not listed yet, up to a number that is kept.
+static void add_parts(std::vector<part_id>& listed, std::span<const part_id> added)
+{
+    for (const part_id part : added) {
+        const bool is_listed = std::find(listed.begin(), listed.end(), part) != listed.end();
+        if (!is_listed && listed.size() < max_parts_of_process)
+            listed.push_back(part);
+    }
+}
+
 void part_guard::on_connection_lost(lost_connection&& lost, fate_handler&& done)
 {
     suspicion* known = this->find_suspicion(lost.process.name);
     if (known != nullptr && known->process != lost.process) {
+        this->return_trials(*known);
         this->tell_waiting(*known, process_fate::ended);
         this->env.event_loop.cancel(known->timer);
         this->suspicions.erase(lost.process.name);
@@ -96,6 +110,8 @@
     }
     const bool is_new = known == nullptr;
     if (is_new && this->suspicions.size() >= max_suspicions) {
+        if (lost.trial)
+            this->return_trial(*lost.trial, "too many processes are examined");
         this->env.event_loop.post([done = std::move(done)] { done(process_fate::unknown); });
         return;
     }
@@ -107,11 +123,10 @@
     examined.process = lost.process;
     examined.address = std::move(lost.address);
     examined.lost_at = this->now();
-    for (const part_id part : lost.parts) {
-        const bool is_listed =
-            std::find(examined.parts.begin(), examined.parts.end(), part) != examined.parts.end();
-        if (!is_listed && examined.parts.size() < max_parts_of_process)
-            examined.parts.push_back(part);
+    add_parts(examined.parts, lost.parts);
+    if (lost.trial) {
+        examined.trials.push_back(*lost.trial);
+        add_parts(examined.tried_parts, lost.parts);
     }
     examined.waiting.push_back(std::move(done));
     if (is_under_way)
@@ -197,9 +212,19 @@
         examined.timer =
             this->env.event_loop.after(second_probe_delay, [this, name] { this->examine(name); });
     }
+    else {
+        this->return_trials(examined);
+    }
     this->tell_waiting(examined, fate);
 }
 
+// The process may still turn out to have ended, when its announcement is gone.
+void part_guard::return_trials(suspicion& examined)
+{
+    for (const core::part_trial& each : std::exchange(examined.trials, {}))
+        this->return_trial(each, "the upstream is not known to have ended");
+}
+
 // A handler may send the request again, and so lose another connection.
 void part_guard::tell_waiting(suspicion& examined, process_fate fate)
 {
@@ -213,8 +238,17 @@
     suspicion ended = std::move(found->second);
     this->suspicions.erase(found);
     this->env.event_loop.cancel(ended.timer);
-    const std::vector<part_id> changed =
-        this->parts.record_end({ended.process, ended.lost_at}, ended.parts, this->now());
+    std::vector<part_id> changed =
+        this->parts.record_end({ended.process, ended.lost_at, false}, ended.parts, this->now());
+    for (const part_id part : this->parts.record_end({ended.process, ended.lost_at, true},
+                                                     ended.tried_parts, this->now()))
+        changed.push_back(part);
+    for (const core::part_trial& each : ended.trials) {
+        if (this->parts.record_trial_over(each))
+            changed.push_back(each.part);
+    }
+    std::sort(changed.begin(), changed.end());
+    changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
     daemon::write_log(log_event::upstream_ended,
                       {{"upstream", name.value},
                        {"started_at", std::to_string(ended.process.started_at)},
@@ -260,11 +294,12 @@
 {
     if (!core::is_held_back(record))
         return;
-    daemon::write_log(log_event::part_held_back, {{"part", to_text(record.part)},
-                                                  {"ends", std::to_string(record.ends.size())},
-                                                  {"upstreams", core::list_upstreams(record)},
-                                                  {"trials", std::to_string(record.trials)},
-                                                  {"from", from}});
+    daemon::write_log(log_event::part_held_back,
+                      {{"part", to_text(record.part)},
+                       {"ends", std::to_string(record.ends.size())},
+                       {"upstreams", core::list_upstreams(record)},
+                       {"trials", std::to_string(core::count_failed_trials(record))},
+                       {"from", from}});
 }
 
 void part_guard::on_stored_record(const core::part_record& stored)
@@ -418,11 +453,12 @@
 
 // Trials.
 
-void part_guard::request_trial(part_id part, trial_handler&& done)
+void part_guard::request_trial(part_id part, std::span<const part_id> all, trial_handler&& done)
 {
     const std::uint64_t number = ++this->last_trial_number;
     open_trial_request& request = this->trial_requests[number];
     request.part = part;
+    request.parts.assign(all.begin(), all.end());
     request.done = std::move(done);
     request.first_sent_at = this->now();
     this->send_trial_request(number, request);
@@ -435,7 +471,8 @@
     const core::node_name owner = this->env.owner_of(owner_key(request.part));
     const bool decides_itself = known == nullptr || owner == this->env.self;
     if (decides_itself) {
-        const bool permitted = known == nullptr || this->permit_trial(request.part);
+        const bool permitted = known == nullptr || this->permit_trial(request.part, request.parts,
+                                                                      {this->env.self, number});
         this->env.event_loop.post(
             [this, number, permitted] { this->finish_trial_request(number, permitted); });
         return;
@@ -444,14 +481,17 @@
     wire::PartTrialAsk& body = *message.mutable_part_trial_ask();
     body.set_sequence(number);
     write_part_record(*known, this->now(), *body.mutable_record());
+    for (const part_id part : request.parts)
+        body.add_parts(part.value);
     this->env.send(owner, message);
 }
 
 // A node that is not the owner any more permits nothing beside the one that is.
-bool part_guard::permit_trial(part_id part)
+bool part_guard::permit_trial(part_id part, std::span<const part_id> all,
+                              const core::trial_holder& holder)
 {
     return this->owns(part) && this->env.is_settled() &&
-           this->parts.permit_trial(part, this->now());
+           this->parts.permit_trial(part, all, holder, this->now());
 }
 
 void part_guard::finish_trial_request(std::uint64_t number, bool permitted)
@@ -481,16 +521,19 @@
 void part_guard::on_trial_ask(const core::node_name& from, const wire::PartTrialAsk& message)
 {
     const std::optional<core::part_record> stated = read_part_record(message.record(), this->now());
-    if (!stated) {
+    if (!stated || message.parts_size() > max_parts_of_request) {
         daemon::write_log(log_event::peer_message_unreadable,
                           {{"bytes", std::to_string(message.ByteSizeLong())}});
         return;
     }
     static_cast<void>(this->take_record(*stated, from.value));
+    std::vector<part_id> all{stated->part};
+    for (const std::uint64_t part : message.parts())
+        all.push_back({part});
     wire::PeerDatagram reply;
     wire::PartTrialAnswer& body = *reply.mutable_part_trial_answer();
     body.set_sequence(message.sequence());
-    body.set_permitted(this->permit_trial(stated->part));
+    body.set_permitted(this->permit_trial(stated->part, all, {from, message.sequence()}));
     if (const core::part_record* const known = this->parts.find(stated->part))
         write_part_record(*known, this->now(), *body.mutable_record());
     this->env.send(from, reply);
@@ -504,17 +547,35 @@
     this->finish_trial_request(message.sequence(), message.permitted());
 }
 
-void part_guard::on_trial_sent(part_id part, std::string_view request)
+std::optional<core::part_trial> part_guard::on_trial_sent(part_id part, std::string_view request)
 {
-    this->parts.record_trial(part, this->now());
-    const core::part_record* const known = this->parts.find(part);
+    const std::optional<core::part_trial> trial = this->parts.record_trial(part, this->now());
+    if (!trial)
+        return std::nullopt;
     daemon::write_log(log_event::part_trial_sent,
                       {{"request", request},
                        {"part", to_text(part)},
-                       {"trial", std::to_string(known == nullptr ? 0 : known->trials)},
-                       {"ends", std::to_string(known == nullptr ? 0 : known->ends.size())}});
+                       {"trial", std::to_string(trial->number)},
+                       {"ends", std::to_string(this->parts.find(part)->ends.size())}});
     const std::array changed{part};
     this->spread(changed);
+    return trial;
+}
+
+void part_guard::return_trial(const core::part_trial& trial, std::string_view reason)
+{
+    if (!this->parts.record_trial_over(trial))
+        return;
+    daemon::write_log(log_event::part_trial_returned, {{"part", to_text(trial.part)},
+                                                       {"trial", std::to_string(trial.number)},
+                                                       {"reason", reason}});
+    const std::array changed{trial.part};
+    this->spread(changed);
+}
+
+bool part_guard::is_open(const core::part_trial& trial) const
+{
+    return this->parts.is_open(trial, this->now());
 }
 
 } // namespace ragwortcove::gateway
--- a/lib/gateway/part_messages.cpp
+++ b/lib/gateway/part_messages.cpp
@@ -34,9 +34,11 @@
         added.set_upstream(end.process.name.value);
         added.set_started_at(end.process.started_at);
         added.set_age(age_of(end.at, now));
+        added.set_during_trial(end.during_trial);
     }
-    to.set_trials(from.trials);
-    if (from.trials > 0)
+    to.set_trials_sent(from.trials_sent);
+    to.set_trials_over(from.trials_over);
+    if (from.trials_sent > 0)
         to.set_trial_age(age_of(from.last_trial_at, now));
 }
 
@@ -46,18 +48,20 @@
     core::part_record result;
     result.part.value = from.part();
     result.generation = from.generation();
-    result.trials = from.trials();
+    result.trials_sent = from.trials_sent();
+    result.trials_over = from.trials_over();
     const auto end_count = static_cast<std::size_t>(from.ends_size());
-    if (result.generation > core::max_part_generation || result.trials > core::max_part_trials ||
-        end_count > core::max_ends_of_part)
+    if (result.generation > core::max_part_generation ||
+        result.trials_sent > core::max_trial_number ||
+        result.trials_over > core::max_trial_number || end_count > core::max_ends_of_part)
         return std::nullopt;
     for (const wire::PartRecord::End& each : from.ends()) {
         const std::optional<core::time_point> at = read_age(each.age(), now);
         if (!at || each.upstream().empty() || each.upstream().size() > max_name_bytes)
             return std::nullopt;
-        result.ends.push_back({{{each.upstream()}, each.started_at()}, *at});
+        result.ends.push_back({{{each.upstream()}, each.started_at()}, *at, each.during_trial()});
     }
-    if (result.trials == 0)
+    if (result.trials_sent == 0)
         return result;
     const std::optional<core::time_point> last_trial_at = read_age(from.trial_age(), now);
     if (!last_trial_at)
--- a/tools/ragwortcove/parts.cpp
+++ b/tools/ragwortcove/parts.cpp
@@ -14,7 +14,8 @@
 {
     cli::table table{{"PART", "TRIALS", "ENDS", "UPSTREAMS"}, {}};
     for (const core::part_record& record : parts)
-        table.rows.push_back({core::to_text(record.part), std::to_string(record.trials),
+        table.rows.push_back({core::to_text(record.part),
+                              std::to_string(core::count_failed_trials(record)),
                               std::to_string(record.ends.size()), core::list_upstreams(record)});
     cli::print(std::cout, table);
 }
@@ -24,7 +25,7 @@
     for (const core::part_record& record : parts)
         std::cout << boost::json::object{{"part", core::to_text(record.part)},
                                          {"generation", record.generation},
-                                         {"trials", record.trials},
+                                         {"trials", core::count_failed_trials(record)},
                                          {"ends", record.ends.size()},
                                          {"upstreams", core::list_upstreams(record)}}
                   << '\n';
--- a/unittests/adapter/part_document_test.cpp
+++ b/unittests/adapter/part_document_test.cpp
@@ -15,9 +15,8 @@
     core::part_record record;
     record.part.value = 0xbad0;
     record.generation = 3;
-    record.trials = 2;
     for (int count = 1; count <= 3; ++count)
-        record.ends.push_back({{{"i-" + std::to_string(count)}, 17}, {}});
+        record.ends.push_back({{{"i-" + std::to_string(count)}, 17}, {}, count > 1});
     return record;
 }
 
@@ -31,7 +30,7 @@
     const auto& record = std::get<core::part_record>(parsed);
     CHECK(record.part == make_record().part);
     CHECK(record.generation == 3);
-    CHECK(record.trials == 2);
+    CHECK(core::count_failed_trials(record) == 2);
     REQUIRE(record.ends.size() == 3);
     CHECK(record.ends[2].process == make_record().ends[2].process);
     SUBCASE("and is held back at once, until its next trial is due")
@@ -47,6 +46,20 @@
     }
 }
 
+TEST_CASE("a document that does not say which ends were those of trials is read as well")
+{
+    store_document document = write_part_document(make_record());
+    for (boost::json::value& end : document.content.as_object()["ends"].as_array())
+        end.as_object().erase("during_trial");
+    const auto parsed = read_part_document(document, core::time_point{1h});
+    REQUIRE(std::holds_alternative<core::part_record>(parsed));
+    const auto& ends = std::get<core::part_record>(parsed).ends;
+    REQUIRE(ends.size() == 3);
+    CHECK_FALSE(ends[0].during_trial);
+    CHECK(ends[1].during_trial);
+    CHECK(ends[2].during_trial);
+}
+
 TEST_CASE("a document of a part that another writer has spoilt is rejected")
 {
     store_document document = write_part_document(make_record());
--- a/unittests/core/part_quarantine_test.cpp
+++ b/unittests/core/part_quarantine_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -17,22 +19,41 @@
 constexpr part_id bad{0xbad};
 constexpr part_id other{0x07};
 
-upstream_end make_end(const std::string& name, time_point at)
+upstream_end make_end(const std::string& name, time_point at, bool during_trial = false)
 {
-    return {{{name}, 1}, at};
+    return {{{name}, 1}, at, during_trial};
 }
 
+/// The request that asks for a trial in most cases.
+const trial_holder holder{{"m"}, 1};
+
 /// One node's quarantine on virtual time.
 struct quarantine_fixture {
     part_quarantine parts;
     time_point now{1h};
     int ended = 0;
+    std::uint64_t asked = 0;
 
-    void end_upstream(part_id part = bad)
+    void end_upstream(part_id part = bad, bool during_trial = false)
     {
         const std::array waiting{part};
-        this->parts.record_end(make_end("i-" + std::to_string(++this->ended), this->now), waiting,
-                               this->now);
+        this->parts.record_end(
+            make_end("i-" + std::to_string(++this->ended), this->now, during_trial), waiting,
+            this->now);
+    }
+    /// Another request asks for each permission, unless it is said which one.
+    [[nodiscard]] bool permit(const trial_holder& wanted)
+    {
+        const std::array parts_of_request{bad};
+        return this->parts.permit_trial(bad, parts_of_request, wanted, this->now);
+    }
+    [[nodiscard]] bool permit() { return this->permit({{"n"}, ++this->asked}); }
+    part_trial send_trial()
+    {
+        REQUIRE(this->permit());
+        const std::optional<part_trial> trial = this->parts.record_trial(bad, this->now);
+        REQUIRE(trial.has_value());
+        return *trial;
     }
     [[nodiscard]] part_decision decide(part_id part = bad) const
     {
@@ -47,10 +68,10 @@
     /// Sends a trial that ends one more upstream.
     void fail_trial()
     {
-        REQUIRE(this->parts.permit_trial(bad, this->now));
-        this->parts.record_trial(bad, this->now);
+        const part_trial trial = this->send_trial();
         this->now += 200ms;
-        this->end_upstream();
+        this->end_upstream(bad, true);
+        this->parts.record_trial_over(trial);
     }
 };
 
@@ -112,24 +133,30 @@
 
     SUBCASE("a second trial is not permitted beside the first")
     {
-        CHECK(node.parts.permit_trial(bad, node.now));
-        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+        CHECK(node.permit());
+        CHECK_FALSE(node.permit());
         node.parts.record_trial(bad, node.now);
         CHECK(node.decide().admission == part_admission::waits);
         CHECK(node.decide().retry_after <= 1s);
         node.now += 2s;
-        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+        CHECK_FALSE(node.permit());
     }
     SUBCASE("a permission that is not used lapses")
     {
-        CHECK(node.parts.permit_trial(bad, node.now));
+        CHECK(node.permit());
         node.now += 1500ms;
-        CHECK(node.parts.permit_trial(bad, node.now));
+        CHECK(node.permit());
+    }
+    SUBCASE("a permission whose message was lost is given to the same request again")
+    {
+        CHECK(node.permit(holder));
+        node.now += 40ms;
+        CHECK(node.permit(holder));
+        CHECK_FALSE(node.permit());
     }
     SUBCASE("a response to the trial lets all requests through")
     {
-        REQUIRE(node.parts.permit_trial(bad, node.now));
-        node.parts.record_trial(bad, node.now);
+        node.send_trial();
         node.now += 300ms;
         node.respond();
         CHECK(node.decide().admission == part_admission::admitted);
@@ -151,7 +178,7 @@
         node.now += 24h * 30;
         node.parts.tick(node.now);
         CHECK(node.decide().admission == part_admission::barred);
-        CHECK_FALSE(node.parts.permit_trial(bad, node.now));
+        CHECK_FALSE(node.permit());
         CHECK(node.parts.release(bad, node.now));
         CHECK(node.decide().admission == part_admission::admitted);
     }
@@ -204,10 +231,14 @@
     part_record stored = *old.parts.find(bad);
     for (upstream_end& end : stored.ends)
         end.at = started.now;
-    stored.last_trial_at = started.now - 1s;
+    stored.trials_sent = 0;
+    stored.trials_over = 0;
+    stored.last_trial_at = {};
     started.parts.merge(stored, started.now);
     CHECK(started.decide().retry_after > 20s);
 
+    // Of the ends there is no news, only of the trial that is over.
+    static_cast<void>(started.parts.merge(*old.parts.find(bad), started.now));
     CHECK_FALSE(started.parts.merge(*old.parts.find(bad), started.now));
     CHECK(*started.parts.find(bad) == *old.parts.find(bad));
     CHECK(started.decide().retry_after <= 5s);
@@ -257,10 +288,29 @@
             each->now += 1s;
             each->end_upstream();
         }
-        REQUIRE(first.parts.permit_trial(bad, first.now));
-        first.parts.record_trial(bad, first.now);
+        const part_trial trial = first.send_trial();
         exchange();
         CHECK(second.decide().admission == part_admission::waits);
+        SUBCASE("and gives it back")
+        {
+            CHECK(first.parts.record_trial_over(trial));
+            CHECK_FALSE(first.parts.record_trial_over(trial));
+            exchange();
+            CHECK(second.decide().admission == part_admission::needs_trial);
+        }
+        SUBCASE("and is not heard of any more")
+        {
+            second.now += 6s;
+            CHECK(second.decide().admission == part_admission::needs_trial);
+        }
+        SUBCASE("that the other has heard to be over before it hears that it was sent")
+        {
+            quarantine_fixture third;
+            CHECK(first.parts.record_trial_over(trial));
+            third.parts.merge(*first.parts.find(bad), now);
+            third.parts.merge(*second.parts.find(bad), now);
+            CHECK(third.decide().admission == part_admission::needs_trial);
+        }
     }
 }
 
@@ -273,9 +323,9 @@
     part_quarantine parts;
     time_point now{1h};
     int ended = 0;
-    const auto end_upstream = [&](std::vector<part_id> waiting) {
+    const auto end_upstream = [&](std::vector<part_id> waiting, bool during_trial = false) {
         now += 1s;
-        parts.record_end(make_end("i-" + std::to_string(++ended), now), waiting, now);
+        parts.record_end(make_end("i-" + std::to_string(++ended), now, during_trial), waiting, now);
     };
     const auto decide = [&](std::vector<part_id> all) { return parts.decide(all, now); };
     const std::vector<part_id> sound_request{part_id{0x0a}, shared};
@@ -289,9 +339,9 @@
         CHECK(decide(sound_request).admission == part_admission::admitted);
         REQUIRE(decide(bad_request).admission == part_admission::needs_trial);
         CHECK(decide(bad_request).part == bad);
-        REQUIRE(parts.permit_trial(bad, now));
+        REQUIRE(parts.permit_trial(bad, bad_request, holder, now));
         parts.record_trial(bad, now);
-        end_upstream(bad_request);
+        end_upstream(bad_request, true);
         CHECK(decide(bad_request).admission == part_admission::waits);
         CHECK(decide(sound_request).admission == part_admission::admitted);
 
@@ -350,6 +400,117 @@
     }
 }
 
+// Guards against a trial that counts before an upstream has begun it: the part then waited 30 s for
+// the next one, and with it all sound requests that had it.
+TEST_CASE("a trial that shows nothing does not count")
+{
+    quarantine_fixture node;
+    node.end_upstream();
+    node.now += 1s;
+    node.end_upstream();
+    for (int count = 0; count < 10; ++count) {
+        const part_trial trial = node.send_trial();
+        CHECK(node.parts.is_open(trial, node.now));
+        SUBCASE("it is given back")
+        {
+            node.now += 300ms;
+            node.parts.record_trial_over(trial);
+        }
+        SUBCASE("the node that sent it is gone")
+        {
+            node.now += 6s;
+        }
+        CHECK_FALSE(node.parts.is_open(trial, node.now));
+        CHECK(node.decide().admission == part_admission::needs_trial);
+    }
+    node.fail_trial();
+    CHECK(node.decide().retry_after >= 20s);
+}
+
+TEST_CASE("a trial that is over in an earlier generation says nothing of a later one")
+{
+    quarantine_fixture node;
+    const auto hold_back = [&] {
+        for (int count = 0; count < 2; ++count) {
+            node.now += 1s;
+            node.end_upstream();
+        }
+    };
+    hold_back();
+    const part_trial earlier = node.send_trial();
+    node.respond();
+    hold_back();
+    const part_trial later = node.send_trial();
+    CHECK_FALSE(node.parts.record_trial_over(earlier));
+    CHECK(node.parts.is_open(later, node.now));
+}
+
+// Guards against a sound part that waits since it was in a trial's request together with a bad one.
+TEST_CASE("a trial says nothing of requests without one of the parts that it had")
+{
+    constexpr part_id first{0x0a};
+    constexpr part_id shared{0x0f};
+    const std::vector<part_id> sound_request{first, shared};
+    const std::vector<part_id> bad_request{first, bad, shared};
+    part_quarantine parts;
+    time_point now{1h};
+    int ended = 0;
+    const auto end_upstream = [&](std::span<const part_id> waiting, bool during_trial) {
+        now += 1s;
+        parts.record_end(make_end("i-" + std::to_string(++ended), now, during_trial), waiting, now);
+    };
+    end_upstream(bad_request, false);
+    end_upstream(bad_request, false);
+    end_upstream(bad_request, true);
+    CHECK(parts.decide(bad_request, now).admission == part_admission::waits);
+    CHECK(parts.decide(bad_request, now).retry_after >= 20s);
+    REQUIRE(parts.decide(sound_request, now).admission == part_admission::needs_trial);
+
+    SUBCASE("on a node that starts anew as well, though the shared part has more ends")
+    {
+        end_upstream(sound_request, false);
+        part_quarantine started;
+        for (const part_record& each : parts.held_back())
+            started.merge(each, now);
+        CHECK(started.decide(sound_request, now).admission == part_admission::needs_trial);
+        CHECK(started.decide(bad_request, now).admission == part_admission::waits);
+    }
+    SUBCASE("their response shows that the others were not the cause")
+    {
+        parts.record_response(sound_request, now);
+        CHECK(parts.decide(sound_request, now).admission == part_admission::admitted);
+        const std::vector<part_id> alone{bad};
+        CHECK(parts.decide(alone, now).admission == part_admission::waits);
+        CHECK(parts.decide(alone, now).retry_after >= 20s);
+    }
+    SUBCASE("an upstream that ends on these alone holds them back as well")
+    {
+        end_upstream(sound_request, true);
+        CHECK(parts.decide(sound_request, now).admission == part_admission::waits);
+        CHECK(parts.decide(sound_request, now).retry_after >= 20s);
+    }
+    SUBCASE("unless a request with a bad part waited there, too")
+    {
+        end_upstream(sound_request, true);
+        parts.record_end(make_end("i-" + std::to_string(ended), now), bad_request, now);
+        CHECK(parts.decide(sound_request, now).admission == part_admission::needs_trial);
+    }
+}
+
+TEST_CASE("an end during a trial is kept, however many others are known")
+{
+    quarantine_fixture node;
+    for (std::size_t count = 0; count < 2 * max_ends_of_part; ++count) {
+        node.now += 1s;
+        node.end_upstream();
+    }
+    for (std::uint32_t count = 0; count < max_part_trials; ++count)
+        node.end_upstream(bad, true);
+    CHECK(node.parts.find(bad)->ends.size() == max_ends_of_part);
+    CHECK(count_failed_trials(*node.parts.find(bad)) == max_part_trials);
+    CHECK(node.decide().admission == part_admission::barred);
+}
+
 TEST_CASE("a caller that sends ever new parts releases none and fills no memory")
 {
     quarantine_fixture node;
--- a/unittests/gateway/call_parts_test.cpp
+++ b/unittests/gateway/call_parts_test.cpp
@@ -46,6 +46,11 @@
         this->add_upstream("e-" + std::to_string(this->ending.size()),
                            *this->ending.back()->server);
     }
+    void remove_upstreams()
+    {
+        this->announced.clear();
+        this->rollouts->set_upstreams({});
+    }
     [[nodiscard]] int ended_count() const
     {
         int count = 0;
@@ -53,18 +58,17 @@
             count += each->request_count;
         return count;
     }
-    /// Lets the guard know of ends as other nodes tell of them.
+    /// Lets the guard know of ends as other nodes tell of them; the last ones were those of trials.
     void hear_of_ends(std::uint32_t ends, std::uint32_t trials = 0, core::part_id part = bad)
     {
         wire::PeerDatagram message;
         wire::PartRecord& record = *message.mutable_part_records()->add_records();
         record.set_part(part.value);
-        record.set_trials(trials);
-        record.set_trial_age(10'000'000);
         for (std::uint32_t count = 0; count < ends; ++count) {
             wire::PartRecord::End& end = *record.add_ends();
             end.set_upstream("gone-" + std::to_string(count));
             end.set_age(std::int64_t{ends - count} * 1'000'000);
+            end.set_during_trial(count + trials >= ends);
         }
         this->parts->receive_message({"m"}, message);
     }
@@ -152,8 +156,8 @@
     node.add_ending();
     CHECK_FALSE(contains(node.send_request("/again/", both), " 200 "));
     CHECK(node.ended_count() == 1);
-    CHECK(node.parts->quarantine().find(bad)->trials == 1);
-    CHECK(node.parts->quarantine().find(rare)->trials == 0);
+    CHECK(node.parts->quarantine().find(bad)->trials_sent == 1);
+    CHECK(node.parts->quarantine().find(rare)->trials_sent == 0);
 
     scripted_upstream upstream({make_response(200, "sound")});
     node.add_upstream("i-1", upstream.server);
@@ -161,6 +165,62 @@
     CHECK(contains(node.send_request("/again/", sound_prompt), "sound"));
 }
 
+// Guards against a trial that counts although no upstream has begun it: the part waited 30 s for
+// the next one, and all sound requests with it were refused.
+TEST_CASE("a trial that no upstream has taken leaves the next one to another request")
+{
+    constexpr core::part_id rare{0xe1};
+    const std::string both = "Authorization: Bearer k\r\nX-Prefix-Hash: a1:40,bad:60,e1:60,7:9\r\n";
+    parts_fixture node;
+    for (const core::part_id part : {core::part_id{0xa1}, bad, rare})
+        node.hear_of_ends(3, 0, part);
+    SUBCASE("since nobody can connect to it any more")
+    {
+        node.add_ending();
+        node.ending.back()->server->stop_listening();
+        CHECK(contains(node.send_request("/again/", both), " 503 "));
+        node.remove_upstreams();
+    }
+    SUBCASE("since it turns requests away")
+    {
+        scripted_upstream full({make_response(503, "", "X-Not-Executed: 1\r\n")});
+        node.add_upstream("i-0", full.server);
+        CHECK(contains(node.send_request("/again/", both), " 503 "));
+        CHECK(full.request_count == 1);
+        node.remove_upstreams();
+    }
+    scripted_upstream upstream({make_response(200, "sound"), make_response(200, "sound")});
+    node.add_upstream("i-1", upstream.server);
+    node.run([] { return false; }, 300ms);
+    CHECK(contains(node.send_request("/again/", sound_prompt), "sound"));
+    CHECK(node.is_empty());
+}
+
+// The upstream may still end on a request that is given up.
+TEST_CASE("a trial that is given up counts only if its upstream ends")
+{
+    parts_fixture node;
+    node.hear_of_ends(2);
+    const std::string short_prompt = "X-Deadline-Ms: 60\r\n" + bad_prompt;
+    paced_upstream silent({});
+    std::uint32_t counted = 0;
+    SUBCASE("it ends after that")
+    {
+        node.add_ending("");
+        counted = 1;
+    }
+    SUBCASE("it goes on")
+    {
+        node.add_upstream("i-1", silent.server);
+    }
+    CHECK_FALSE(contains(node.send_request("/again/", short_prompt), " 200 "));
+    node.run([] { return false; }, 600ms);
+    const core::part_record& record = *node.parts->quarantine().find(bad);
+    CHECK(core::count_failed_trials(record) == counted);
+    CHECK(record.trials_sent == 1);
+    CHECK(record.trials_over == 1);
+}
+
 TEST_CASE("a request that is barred for good is told not to come again, if it has not run")
 {
     parts_fixture node;
--- a/unittests/gateway/part_guard_test.cpp
+++ b/unittests/gateway/part_guard_test.cpp
@@ -120,10 +120,11 @@
     }
 
     /// An upstream ends while a request waits at it that a node has sent.
-    void end_upstream(std::size_t node, std::vector<part_id> parts)
+    void end_upstream(std::size_t node, std::vector<part_id> parts,
+                      const std::optional<core::part_trial>& trial = std::nullopt)
     {
         core::upstream_process process{{"i-" + std::to_string(++this->ended)}, 1};
-        this->guards[node]->on_connection_lost({process, this->nobody, std::move(parts)},
+        this->guards[node]->on_connection_lost({process, this->nobody, std::move(parts), trial},
                                                [](process_fate) {});
     }
 
@@ -141,11 +142,11 @@
             this->end_upstream(node, {shared_part, part});
         if (decision.admission != part_admission::needs_trial)
             return;
-        this->guards[node]->request_trial(part, [this, node, part](bool permitted) {
+        this->guards[node]->request_trial(part, parts, [this, node, part](bool permitted) {
             if (!permitted)
                 return;
-            this->guards[node]->on_trial_sent(part, "trial");
-            this->end_upstream(node, {shared_part, part});
+            const auto trial = this->guards[node]->on_trial_sent(part, "trial");
+            this->end_upstream(node, {shared_part, part}, trial);
         });
     }
 
@@ -216,6 +217,75 @@
     CHECK(fleet.count_holding(shared_part) == 0);
 }
 
+// Guards against a trial that counts before an upstream has begun it: no other request was tried
+// for 30 s, on any node.
+TEST_CASE("a trial that shows nothing is given back on all nodes")
+{
+    guard_fleet fleet(7);
+    SUBCASE("of nodes that reach each other") {}
+    SUBCASE("of nodes that lose a quarter of their datagrams")
+    {
+        fleet.loss = 0.25;
+    }
+    for (std::size_t node = 1; node < 3; ++node) {
+        fleet.end_upstream(node, {bad_part});
+        fleet.run(300ms);
+    }
+    REQUIRE(fleet.count_holding(bad_part) == 7);
+    const std::array parts{bad_part};
+    const auto count_waiting = [&] {
+        std::size_t count = 0;
+        for (const auto& each : fleet.guards)
+            count += each->decide(parts).admission == part_admission::waits ? 1 : 0;
+        return count;
+    };
+    for (std::size_t node = 0; node < 4; ++node) {
+        std::optional<core::part_trial> trial;
+        for (int count = 0; count < 10 && !trial; ++count) {
+            fleet.guards[node]->request_trial(bad_part, parts, [&](bool permitted) {
+                if (permitted && !trial)
+                    trial = fleet.guards[node]->on_trial_sent(bad_part, "trial");
+            });
+            fleet.run(300ms);
+        }
+        REQUIRE(trial.has_value());
+        CHECK(count_waiting() >= 6);
+        fleet.guards[node]->return_trial(*trial, "not_sent");
+        fleet.run(500ms);
+        CHECK(count_waiting() == 0);
+    }
+}
+
+// The caller may be gone before it is known whether the upstream ends on its request.
+TEST_CASE("a trial is over once it is known whether its upstream has ended")
+{
+    guard_fleet fleet(1);
+    for (int count = 0; count < 2; ++count) {
+        fleet.end_upstream(0, {bad_part});
+        fleet.run(300ms);
+    }
+    const auto trial = fleet.guards[0]->on_trial_sent(bad_part, "trial");
+    REQUIRE(trial.has_value());
+    SUBCASE("it has ended, and the trial counts")
+    {
+        fleet.end_upstream(0, {bad_part}, trial);
+        fleet.run(100ms);
+        CHECK(core::count_failed_trials(*fleet.guards[0]->quarantine().find(bad_part)) == 1);
+    }
+    SUBCASE("it goes on, and the trial does not count")
+    {
+        const raw_server upstream(
+            [](raw_connection& connection) { static_cast<void>(connection.receive_all()); });
+        fleet.guards[0]->on_connection_lost(
+            {{{"i-9"}, 1}, {"127.0.0.1", upstream.port()}, {bad_part}, trial}, [](process_fate) {});
+        fleet.run(100ms);
+        CHECK(fleet.guards[0]->is_open(*trial));
+        fleet.run(500ms);
+        CHECK(core::count_failed_trials(*fleet.guards[0]->quarantine().find(bad_part)) == 0);
+    }
+    CHECK_FALSE(fleet.guards[0]->is_open(*trial));
+}
+
 TEST_CASE("a node that starts knows the parts that are held back before it says that it is ready")
 {
     guard_fleet fleet(7);
@@ -269,7 +339,8 @@
         fleet.run(300ms);
         REQUIRE(fleet.count_holding(bad_part) == 7);
         std::optional<bool> permitted;
-        fleet.guards[4]->request_trial(bad_part, [&](bool answer) { permitted = answer; });
+        const std::array parts{bad_part};
+        fleet.guards[4]->request_trial(bad_part, parts, [&](bool answer) { permitted = answer; });
         fleet.run(200ms);
         REQUIRE(permitted == true);
         fleet.guards[4]->on_trial_sent(bad_part, "trial");
@@ -368,7 +439,8 @@
     add(2).mutable_ends(0)->set_age(-1);
     add(3).mutable_ends(0)->set_age(std::numeric_limits<std::int64_t>::max());
     add(4).mutable_ends(0)->set_upstream(std::string(5000, 'x'));
-    add(5).set_trials(4'000'000'000U);
+    add(5).set_trials_sent(4'000'000'000U);
+    add(7).set_trials_over(4'000'000'000U);
     wire::PartRecord& long_record = add(6);
     for (int count = 0; count < 50; ++count)
         long_record.add_ends()->set_upstream("i");
