[gateway] a request with a suspected part is not placed on a process that has ended

Cause: the announcement of a process that has ended stays for seconds. Only a node that had failed to connect avoided it, for 1 s; the record that held the request back named the process, and was not asked.

The processes that ended under a request's parts within the last 10 s are avoided now while their announcement states the same start. Other requests are placed as before: a wrong conclusion costs few requests, and not for long.

"requests with a part are not placed on an upstream that has ended under it" fails before (the request reached the upstream).

--- a/include/ragwortcove/gateway/part_guard.hpp
+++ b/include/ragwortcove/gateway/part_guard.hpp
@@ -92,6 +92,10 @@
     /// Whether upstreams have ended under any of the parts since they were last cleared.
     [[nodiscard]] bool has_evidence(std::span<const core::part_id> parts) const;
 
+    /// Processes that have ended of late under any of the parts, and may still be announced.
+    [[nodiscard]] std::vector<core::upstream_process>
+    recently_ended(std::span<const core::part_id> parts) const;
+
     /// Asks the owner of one of a request's parts for permission to send the request. `done` is
     /// called once, and not from inside this call.
     void request_trial(core::part_id part, std::span<const core::part_id> parts,
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -255,6 +255,12 @@
         this->limit_to_canaries(request, call);
     for (core::upstream_name& name : this->avoided_upstreams(at))
         request.avoid.push_back(std::move(name));
+    // They stay announced for seconds, and a trial there would show nothing.
+    for (core::upstream_process& ended : this->env.parts.recently_ended(call.shared_parts)) {
+        const core::announced_upstream* const known = this->env.find_upstream(ended.name);
+        if (known != nullptr && known->started_at == ended.started_at)
+            request.avoid.push_back(std::move(ended.name));
+    }
     return request;
 }
 
--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -25,6 +25,8 @@
 static constexpr core::duration probe_timeout = 100ms;
 /// How long a change of an upstream's announcement still tells why a connection was lost.
 static constexpr core::duration suspicion_lifetime = 5s;
+/// How long the announcement of a process that has ended stays at most.
+static constexpr core::duration announcement_lifetime = 10s;
 /// Number of processes that are examined at a time.
 static constexpr std::size_t max_suspicions = 256;
 /// Parts of one request that the owner of one of them takes.
@@ -80,6 +82,21 @@
     });
 }
 
+std::vector<core::upstream_process> part_guard::recently_ended(std::span<const part_id> all) const
+{
+    std::vector<core::upstream_process> result;
+    for (const part_id part : all) {
+        const core::part_record* const known = this->parts.find(part);
+        if (known == nullptr)
+            continue;
+        for (const core::upstream_end& end : known->ends) {
+            if (this->now() - end.at < announcement_lifetime)
+                result.push_back(end.process);
+        }
+    }
+    return result;
+}
+
 // Whether an upstream has ended.
 
 part_guard::suspicion* part_guard::find_suspicion(const core::upstream_name& name)
--- a/unittests/gateway/call_parts_test.cpp
+++ b/unittests/gateway/call_parts_test.cpp
@@ -196,6 +196,29 @@
     CHECK(node.is_empty());
 }
 
+TEST_CASE("requests with a part are not placed on an upstream that has ended under it")
+{
+    parts_fixture node;
+    node.add_ending();
+    node.remove_upstreams();
+    scripted_upstream upstream({make_response(200, "sound")});
+    for (const char* const name : {"gone-0", "gone-1", "gone-2"})
+        node.add_upstream(name, *node.ending.back()->server);
+    node.hear_of_ends(3);
+    CHECK(contains(node.send_request("/again/", bad_prompt), " 503 "));
+    CHECK(node.ended_count() == 0);
+    SUBCASE("while another one can take them")
+    {
+        node.add_upstream("i-1", upstream.server);
+        CHECK(contains(node.send_request("/again/", bad_prompt), "sound"));
+    }
+    SUBCASE("and other requests are")
+    {
+        CHECK_FALSE(contains(node.send_request("/again/", sound_prompt), " 503 "));
+        CHECK(node.ended_count() >= 1);
+    }
+}
+
 // The upstream may still end on a request that is given up.
 TEST_CASE("a trial that is given up counts only if its upstream ends")
 {
