[core, gateway] the budget of repeats is spent only on repeats that reach an upstream

Callers saw: while upstreams break and others are full or gone, requests that might be sent again get 502 although few repeats have reached an upstream.

Cause: the budget was spent when a repeat was decided. If no upstream had a slot in time, or nobody could connect to the one that was granted, nothing had been repeated, and the node had one repeat less for 10 s. Found while looking for what else counts before it has happened, by reading.

A call remembers when the budget was spent on a dispatch that is still to come, and gives that back when it ends without one. A dispatch that was written counts as before, whatever comes of it, so repeats that arrive stay within the budget.

"the budget of repeats is spent only on those that reach an upstream" fails in two of three forms without giving back.

--- a/include/ragwortcove/core/repeat_budget.hpp
+++ b/include/ragwortcove/core/repeat_budget.hpp
@@ -36,6 +36,8 @@
     /// Spends one repeat; false when the budget is used up. `nodes` is the number of nodes that
     /// share the allowance, reachable or not; zero when it is unknown, and the node has no part.
     [[nodiscard]] bool spend(const target_name& target, std::size_t nodes, time_point now);
+    /// Takes back what was spent at a time on a repeat that has reached no upstream.
+    void give_back(const target_name& target, time_point spent_at);
 
 private:
     struct window_counts {
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -166,6 +166,9 @@
     void on_idle_timeout(http::inbound_exchange exchange);
     void on_deadline(http::inbound_exchange exchange);
     void handle_failed_dispatch(open_call& call, core::dispatch_end end);
+    /// Spends the budget of repeats on the next dispatch; false when it is used up. What is spent
+    /// on one that reaches no upstream is given back when the call ends.
+    [[nodiscard]] bool spend_repeat(open_call& call);
     /// Records that the active dispatch has failed, and releases its slot.
     void record_failure(open_call& call, core::dispatch_end end);
     void log_failure(const open_call& call, core::dispatch_end end, bool budget_left, bool again);
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -51,6 +51,8 @@
     bool connection_lost = false;
     /// Whether the upstream has responded for long enough to show that it does not end on it.
     bool has_responded = false;
+    /// When the budget of repeats was spent on this one, if it was.
+    std::optional<core::time_point> repeat_spent_at;
 };
 
 struct open_call {
@@ -95,6 +97,8 @@
     /// Those of `avoid` that the request was taken from since they were silent.
     std::vector<core::upstream_name> left_silent;
     std::optional<dispatch> active_dispatch;
+    /// When the budget of repeats was spent on a dispatch that is still to come.
+    std::optional<core::time_point> repeat_spent_at;
     /// Whether the request waits to hear if its last upstream has ended, before it is placed again.
     bool awaits_fate = false;
     /// The upstream of the last dispatch, empty before the first one, and when it last sent a byte;
--- a/lib/core/repeat_budget.cpp
+++ b/lib/core/repeat_budget.cpp
@@ -1,5 +1,7 @@
 #include "ragwortcove/core/repeat_budget.hpp"
 
+#include <algorithm>
+
 namespace ragwortcove::core {
 
 /// Share of the budget that is used, less than 1 because requests and their repeats may fall into
@@ -47,4 +49,12 @@
     return true;
 }
 
+void repeat_budget::give_back(const target_name& target, time_point spent_at)
+{
+    std::deque<time_point>& repeats = this->by_target[target].repeats;
+    const auto spent = std::find(repeats.begin(), repeats.end(), spent_at);
+    if (spent != repeats.end())
+        repeats.erase(spent);
+}
+
 } // namespace ragwortcove::core
--- a/lib/gateway/call_endings.cpp
+++ b/lib/gateway/call_endings.cpp
@@ -158,6 +158,15 @@
         std::erase(call.avoid, name);
 }
 
+bool call_handler::spend_repeat(open_call& call)
+{
+    const time_point at = this->now();
+    if (!this->env.repeats.spend(call.target, this->env.known_node_count(), at))
+        return false;
+    call.repeat_spent_at = at;
+    return true;
+}
+
 void call_handler::handle_failed_dispatch(open_call& call, core::dispatch_end end)
 {
     this->withdraw_waiting(call);
@@ -167,9 +176,10 @@
     bool budget_left = true;
     const bool would_repeat =
         core::decide_next_step(*call.route, history, end, true) == core::next_step::place_again;
+    if (end == core::dispatch_end::not_sent)
+        call.repeat_spent_at = call.active_dispatch->repeat_spent_at;
     if (would_repeat && core::counts_as_repeat(end))
-        budget_left =
-            this->env.repeats.spend(call.target, this->env.known_node_count(), this->now());
+        budget_left = this->spend_repeat(call);
     const core::next_step step = core::decide_next_step(*call.route, history, end, budget_left);
     this->log_failure(call, end, budget_left, step == core::next_step::place_again);
     const bool awaits_fate = this->report_lost_connection(call);
@@ -386,6 +396,8 @@
     this->env.event_loop.cancel(call.idle_timer);
     this->withdraw_waiting(call);
     this->end_trial(call, "no upstream has taken the request");
+    if (call.repeat_spent_at)
+        this->env.repeats.give_back(call.target, *call.repeat_spent_at);
     if (call.placement != 0)
         this->env.placement.withdraw(std::exchange(call.placement, 0));
     if (call.quota_charged && !call.history.may_have_run)
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -474,6 +474,7 @@
     call.active_dispatch->address = {upstream.address.address, upstream.address.port};
     call.active_dispatch->is_warming_up = at < upstream.warm_at;
     call.active_dispatch->sent_at = at;
+    call.active_dispatch->repeat_spent_at = std::exchange(call.repeat_spent_at, std::nullopt);
     if (call.last_upstream.empty())
         call.first_sent_at = at;
     call.last_upstream = upstream.name;
@@ -560,8 +561,7 @@
 /// request has to stay where it is.
 bool call_handler::take_from_silent(open_call& call)
 {
-    if (!this->may_replace(call) ||
-        !this->env.repeats.spend(call.target, this->env.known_node_count(), this->now())) {
+    if (!this->may_replace(call) || !this->spend_repeat(call)) {
         this->arm_idle_timer(call);
         return false;
     }
--- a/unittests/gateway/call_handler_test.cpp
+++ b/unittests/gateway/call_handler_test.cpp
@@ -130,6 +130,43 @@
     CHECK(good.request_count == 1);
 }
 
+// Guards against a budget that is used up by repeats that did not take place.
+TEST_CASE("the budget of repeats is spent only on those that reach an upstream")
+{
+    gateway_fixture node;
+    node.repeats = core::repeat_budget{core::repeat_limits{0.0, 2.0, 10s}};
+    const auto has_left = [&] {
+        return node.repeats.has_left({"t"}, 1, core::time_point{node.event_loop.now()});
+    };
+    scripted_upstream broken({"", "", ""});
+    node.add_upstream("i-1", broken.server);
+    REQUIRE(has_left());
+    SUBCASE("there is no other one")
+    {
+        CHECK(contains(node.send_request("/again/"), " 502 "));
+        CHECK(has_left());
+    }
+    SUBCASE("nobody can connect to the other one")
+    {
+        scripted_upstream gone({});
+        gone.server.stop_listening();
+        node.add_upstream("i-2", gone.server);
+        CHECK(contains(node.send_request("/again/"), " 502 "));
+        CHECK(has_left());
+    }
+    SUBCASE("the other one takes it")
+    {
+        scripted_upstream sound({make_response(200, "sound"), make_response(200, "sound")});
+        node.fill_slots("i-1");
+        node.add_upstream("i-2", sound.server);
+        node.fill_slots("i-2");
+        node.event_loop.after(20ms, [&] { node.free_slots(); });
+        CHECK(contains(node.send_request("/again/"), "sound"));
+        CHECK(has_left() == (broken.request_count == 0));
+    }
+    CHECK(node.is_empty());
+}
+
 TEST_CASE("the log tells the causes of a cut answer apart")
 {
     const captured_log log;
