--- a/include/ragwortcove/gateway/part_guard.hpp
+++ b/include/ragwortcove/gateway/part_guard.hpp
@@ -150,6 +150,7 @@
     {
         return core::time_point{this->env.event_loop.now()};
     }
+    [[nodiscard]] core::node_name owner_of(core::part_id part) const;
     [[nodiscard]] suspicion* find_suspicion(const core::upstream_name& name);
     void examine(const core::upstream_name& name);
     void probe(suspicion& examined);
--- a/lib/gateway/part_guard.cpp
+++ b/lib/gateway/part_guard.cpp
@@ -29,8 +29,6 @@
 static constexpr core::duration announcement_lifetime = 10s;
 /// Number of processes that are examined at a time.
 static constexpr std::size_t max_suspicions = 256;
-/// Parts of one request that the owner of one of them takes.
-static constexpr int max_parts_of_request = 1024;
 /// Parts of the requests that waited at one process, beyond which further ones are left out.
 static constexpr std::size_t max_parts_of_process = 128;
 /// A datagram may be lost, so each change is sent so often, this far apart.
@@ -43,14 +41,6 @@
 /// How long a node that starts asks the others, and how often.
 static constexpr core::duration query_time = 500ms;
 static constexpr core::duration query_interval = 100ms;
-/// How often an owner is asked for a trial, and how long.
-static constexpr core::duration trial_request_interval = 40ms;
-static constexpr core::duration trial_request_timeout = 250ms;
-
-static std::string owner_key(part_id part)
-{
-    return "part/" + to_text(part);
-}
 
 part_guard::part_guard(part_guard_dependencies&& dependencies)
     : env(std::move(dependencies)), started_at(this->now())
@@ -69,9 +59,14 @@
     return this->parts.decide(all, this->now(), own);
 }
 
+core::node_name part_guard::owner_of(part_id part) const
+{
+    return this->env.owner_of("part/" + to_text(part));
+}
+
 bool part_guard::owns(part_id part) const
 {
-    return this->env.owner_of(owner_key(part)) == this->env.self;
+    return this->owner_of(part) == this->env.self;
 }
 
 bool part_guard::has_evidence(std::span<const part_id> all) const
@@ -468,131 +463,4 @@
         this->send_held_back(other);
 }
 
-// Trials.
-
-void part_guard::request_trial(part_id part, std::span<const part_id> all, trial_handler&& done)
-{
-    const std::uint64_t number = ++this->last_trial_number;
-    open_trial_request& request = this->trial_requests[number];
-    request.part = part;
-    request.parts.assign(all.begin(), all.end());
-    request.done = std::move(done);
-    request.first_sent_at = this->now();
-    this->send_trial_request(number, request);
-}
-
-void part_guard::send_trial_request(std::uint64_t number, open_trial_request& request)
-{
-    request.sent_at = this->now();
-    const core::part_record* const known = this->parts.find(request.part);
-    const core::node_name owner = this->env.owner_of(owner_key(request.part));
-    const bool decides_itself = known == nullptr || owner == this->env.self;
-    if (decides_itself) {
-        const bool permitted = known == nullptr || this->permit_trial(request.part, request.parts,
-                                                                      {this->env.self, number});
-        this->env.event_loop.post(
-            [this, number, permitted] { this->finish_trial_request(number, permitted); });
-        return;
-    }
-    wire::PeerDatagram message;
-    wire::PartTrialAsk& body = *message.mutable_part_trial_ask();
-    body.set_sequence(number);
-    write_part_record(*known, this->now(), *body.mutable_record());
-    for (const part_id part : request.parts)
-        body.add_parts(part.value);
-    this->env.send(owner, message);
-}
-
-// A node that is not the owner any more permits nothing beside the one that is.
-bool part_guard::permit_trial(part_id part, std::span<const part_id> all,
-                              const core::trial_holder& holder)
-{
-    return this->owns(part) && this->env.is_settled() &&
-           this->parts.permit_trial(part, all, holder, this->now());
-}
-
-void part_guard::finish_trial_request(std::uint64_t number, bool permitted)
-{
-    const auto found = this->trial_requests.find(number);
-    if (found == this->trial_requests.end())
-        return;
-    const trial_handler done = std::move(found->second.done);
-    this->trial_requests.erase(found);
-    done(permitted);
-}
-
-void part_guard::retry_trial_requests()
-{
-    const core::time_point at = this->now();
-    std::vector<std::uint64_t> timed_out;
-    for (auto& [number, request] : this->trial_requests) {
-        if (at - request.first_sent_at >= trial_request_timeout)
-            timed_out.push_back(number);
-        else if (at - request.sent_at >= trial_request_interval)
-            this->send_trial_request(number, request);
-    }
-    for (const std::uint64_t number : timed_out)
-        this->finish_trial_request(number, false);
-}
-
-void part_guard::on_trial_ask(const core::node_name& from, const wire::PartTrialAsk& message)
-{
-    const std::optional<core::part_record> stated = read_part_record(message.record(), this->now());
-    if (!stated || message.parts_size() > max_parts_of_request) {
-        daemon::write_log(log_event::peer_message_unreadable,
-                          {{"bytes", std::to_string(message.ByteSizeLong())}});
-        return;
-    }
-    static_cast<void>(this->take_record(*stated, from.value));
-    std::vector<part_id> all{stated->part};
-    for (const std::uint64_t part : message.parts())
-        all.push_back({part});
-    wire::PeerDatagram reply;
-    wire::PartTrialAnswer& body = *reply.mutable_part_trial_answer();
-    body.set_sequence(message.sequence());
-    body.set_permitted(this->permit_trial(stated->part, all, {from, message.sequence()}));
-    if (const core::part_record* const known = this->parts.find(stated->part))
-        write_part_record(*known, this->now(), *body.mutable_record());
-    this->env.send(from, reply);
-}
-
-void part_guard::on_trial_answer(const core::node_name& from, const wire::PartTrialAnswer& message)
-{
-    const std::optional<core::part_record> stated = read_part_record(message.record(), this->now());
-    if (message.has_record() && stated)
-        static_cast<void>(this->take_record(*stated, from.value));
-    this->finish_trial_request(message.sequence(), message.permitted());
-}
-
-std::optional<core::part_trial> part_guard::on_trial_sent(part_id part, std::string_view request)
-{
-    const std::optional<core::part_trial> trial = this->parts.record_trial(part, this->now());
-    if (!trial)
-        return std::nullopt;
-    daemon::write_log(log_event::part_trial_sent,
-                      {{"request", request},
-                       {"part", to_text(part)},
-                       {"trial", std::to_string(trial->number)},
-                       {"ends", std::to_string(this->parts.find(part)->ends.size())}});
-    const std::array changed{part};
-    this->spread(changed);
-    return trial;
-}
-
-void part_guard::return_trial(const core::part_trial& trial, std::string_view reason)
-{
-    if (!this->parts.record_trial_over(trial))
-        return;
-    daemon::write_log(log_event::part_trial_returned, {{"part", to_text(trial.part)},
-                                                       {"trial", std::to_string(trial.number)},
-                                                       {"reason", reason}});
-    const std::array changed{trial.part};
-    this->spread(changed);
-}
-
-bool part_guard::is_open(const core::part_trial& trial) const
-{
-    return this->parts.is_open(trial, this->now());
-}
-
 } // namespace ragwortcove::gateway
