--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -90,6 +90,7 @@
     removals_delayed = 413,
     nodes_sought = 414,
     node_entry_unreadable = 415,
+    node_entry_call_failed = 416,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/include/ragwortcove/gateway/node_registry.hpp
+++ b/include/ragwortcove/gateway/node_registry.hpp
@@ -46,7 +46,8 @@
 private:
     void write_entry();
     void replace_entry();
-    void on_written(bool is_written);
+    [[nodiscard]] adapter::store_document make_entry() const;
+    void on_written(const adapter::store_document* written, const adapter::store_error& error);
     void list_entries();
     void take_entries(const adapter::document_list& all);
     void remove_entry(const std::string& name);
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -255,6 +255,10 @@
                     "an entry of the store for an instance that looks for others cannot be read; "
                     "it is ignored",
                     "correct or remove the entry at `place`"},
+    log_event_entry{log_event::node_entry_call_failed, "node_entry_call_failed", log_level::warning,
+                    "the store did not `write`, `list` or `remove` entries of instances that look "
+                    "for others; the call is repeated when it is due",
+                    "look at the platform when it repeats"},
 
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
--- a/lib/gateway/node_registry.cpp
+++ b/lib/gateway/node_registry.cpp
@@ -2,6 +2,8 @@
 
 #include "ragwortcove/daemon/event_log.hpp"
 
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -51,37 +53,50 @@
         this->list_entries();
 }
 
+/// Logs a call that has failed; the next one that is due repeats it.
+static void log_failed_call(std::string_view call, const adapter::store_error& error)
+{
+    daemon::write_log(log_event::node_entry_call_failed,
+                      {{"call", call}, {"status", std::to_string(error.status)}});
+}
+
+adapter::store_document node_registry::make_entry() const
+{
+    return adapter::write_node_document({this->env.self, this->env.peers, this->env.wall_time()});
+}
+
 void node_registry::write_entry()
 {
-    const adapter::node_entry entry{this->env.self, this->env.peers, this->env.wall_time()};
     this->env.store.send(
-        adapter::create_document{kind_name(), adapter::write_node_document(entry)},
+        adapter::create_document{kind_name(), this->make_entry()},
         [this](const adapter::store_document* written, const adapter::store_error& error) {
             const bool is_there = error.failure == adapter::store_failure::conflict;
             if (written == nullptr && is_there)
                 this->replace_entry();
             else
-                this->on_written(written != nullptr);
+                this->on_written(written, error);
         });
 }
 
 // The entry of an earlier process of this node.
 void node_registry::replace_entry()
 {
-    const adapter::node_entry entry{this->env.self, this->env.peers, this->env.wall_time()};
     this->env.store.send(
-        adapter::replace_document{kind_name(), adapter::write_node_document(entry), std::nullopt},
-        [this](const adapter::store_document* written, const adapter::store_error&) {
-            this->on_written(written != nullptr);
+        adapter::replace_document{kind_name(), this->make_entry(), std::nullopt},
+        [this](const adapter::store_document* written, const adapter::store_error& error) {
+            this->on_written(written, error);
         });
 }
 
 // A node that has left meanwhile must not leave an entry behind. The entry is read after it is
 // written: so one of two nodes finds the other.
-void node_registry::on_written(bool is_written)
+void node_registry::on_written(const adapter::store_document* written,
+                               const adapter::store_error& error)
 {
-    if (!is_written)
+    if (written == nullptr) {
+        log_failed_call("write", error);
         return;
+    }
     this->written_at = this->now();
     if (this->has_left)
         this->remove_entry(this->env.self.value);
@@ -91,11 +106,14 @@
 
 void node_registry::list_entries()
 {
-    this->env.store.list(adapter::document_kind::own_nodes,
-                         [this](const adapter::document_list* all, const adapter::store_error&) {
-                             if (all != nullptr)
-                                 this->take_entries(*all);
-                         });
+    this->env.store.list(
+        adapter::document_kind::own_nodes,
+        [this](const adapter::document_list* all, const adapter::store_error& error) {
+            if (all != nullptr)
+                this->take_entries(*all);
+            else
+                log_failed_call("list", error);
+        });
 }
 
 void node_registry::take_entries(const adapter::document_list& all)
@@ -127,8 +145,14 @@
 void node_registry::remove_entry(const std::string& name)
 {
     // An entry that stays is removed by the next node that reads it too late.
-    this->env.store.send(adapter::remove_document{kind_name(), name, std::nullopt},
-                         [](const adapter::store_document*, const adapter::store_error&) {});
+    this->env.store.send(
+        adapter::remove_document{kind_name(), name, std::nullopt},
+        [](const adapter::store_document* removed, const adapter::store_error& error) {
+            const bool is_gone =
+                removed != nullptr || error.failure == adapter::store_failure::missing;
+            if (!is_gone)
+                log_failed_call("remove", error);
+        });
 }
 
 void node_registry::leave()
