--- a/include/ragwortcove/core/part_quarantine.hpp
+++ b/include/ragwortcove/core/part_quarantine.hpp
@@ -100,7 +100,7 @@
 public:
     /// Decides by the strictest of a request's parts, which are given in the order of the prompt.
     /// If several need a trial, the most likely cause of the ends is stated, and the request counts
-    /// as the trial of that part alone. A trial of its own keeps no request waiting.
+    /// as the trial of that part alone. It does not wait for a trial of its own.
     [[nodiscard]] part_decision decide(std::span<const part_id> parts, time_point now,
                                        const std::optional<part_trial>& own = std::nullopt) const;
     /// Records that a process ended while requests with these parts waited for its responses. After
--- a/include/ragwortcove/gateway/part_guard.hpp
+++ b/include/ragwortcove/gateway/part_guard.hpp
@@ -72,7 +72,7 @@
     part_guard(const part_guard&) = delete;
     part_guard& operator=(const part_guard&) = delete;
 
-    /// Decides on a request with these parts. A trial of its own keeps it not waiting.
+    /// Decides on a request with these parts, which does not wait for a trial of its own.
     [[nodiscard]] core::part_decision
     decide(std::span<const core::part_id> parts,
            const std::optional<core::part_trial>& own = std::nullopt) const;
