[tests] streams of a roll-out's test come from an upstream that keeps its connections

By the log its request was written on a kept connection and that broke within the millisecond (attempt_failed how=broken after_ms=0): the test's upstream closed each connection after its response without saying so. It serves further requests on it now; the checks are the same.

--- a/unittests/gateway/call_rollout_test.cpp
+++ b/unittests/gateway/call_rollout_test.cpp
@@ -188,18 +188,20 @@
     gateway_fixture node;
     const auto make_stream = [](std::chrono::milliseconds gap) {
         return [gap](raw_connection& connection) {
-            static_cast<void>(connection.receive_until("\r\n\r\n"));
-            connection.send("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n"
-                            "Transfer-Encoding: chunked\r\n\r\n");
-            for (int number = 1; number <= 12; ++number) {
-                const std::string event =
-                    "id: " + std::to_string(number) + "\ndata: " + std::string(10, 'x') + "\n\n";
-                std::array<char, 16> size{};
-                std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
-                connection.send(std::string(size.data()) + event + "\r\n");
-                std::this_thread::sleep_for(gap);
+            // The connection is kept: one that is closed may break the next request on it.
+            while (!connection.receive_until("\r\n\r\n").empty()) {
+                connection.send("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: id7\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n");
+                for (int number = 1; number <= 12; ++number) {
+                    const std::string event = "id: " + std::to_string(number) +
+                                              "\ndata: " + std::string(10, 'x') + "\n\n";
+                    std::array<char, 16> size{};
+                    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+                    connection.send(std::string(size.data()) + event + "\r\n");
+                    std::this_thread::sleep_for(gap);
+                }
+                connection.send("0\r\n\r\n");
             }
-            connection.send("0\r\n\r\n");
         };
     };
     raw_server old_version(make_stream(2ms));
