[gateway] one function describes the connection of a dispatch to the guard of parts

It stood twice, for connections that are lost and for trials that are given up. Nothing else was run on this commit.

--- a/lib/gateway/call_parts.cpp
+++ b/lib/gateway/call_parts.cpp
@@ -104,16 +104,21 @@
     call.trial.reset();
 }
 
+/// The connection of the active dispatch. Its trial, if it is one, passes to the guard.
+static lost_connection take_lost_connection(open_call& call)
+{
+    const dispatch& lost = *call.active_dispatch;
+    return {{lost.upstream, lost.upstream_started_at},
+            lost.address,
+            call.shared_parts,
+            std::exchange(call.trial, std::nullopt)};
+}
+
 void call_handler::give_up_trial(open_call& call)
 {
     if (!call.trial || !call.active_dispatch || call.active_dispatch->has_responded)
         return;
-    const dispatch& given_up = *call.active_dispatch;
-    this->env.parts.on_connection_lost({{given_up.upstream, given_up.upstream_started_at},
-                                        given_up.address,
-                                        call.shared_parts,
-                                        std::exchange(call.trial, std::nullopt)},
-                                       [](process_fate) {});
+    this->env.parts.on_connection_lost(take_lost_connection(call), [](process_fate) {});
 }
 
 bool call_handler::report_lost_connection(open_call& call)
@@ -122,10 +127,7 @@
     if (!lost.connection_lost || lost.has_responded || call.shared_parts.empty())
         return false;
     this->env.parts.on_connection_lost(
-        {{lost.upstream, lost.upstream_started_at},
-         lost.address,
-         call.shared_parts,
-         std::exchange(call.trial, std::nullopt)},
+        take_lost_connection(call),
         [this, exchange = call.exchange, upstream = lost.upstream](process_fate fate) {
             if (fate == process_fate::ended)
                 this->avoid_unreachable(upstream);
