[core] failure domains are drained by the operator's order

Change: a fifth replicated kind of document, read by its name alone (platform/drain_document); core/domain_drain keeps the drained domains and marks their upstreams as leaving on the copy that is handed to the scheduler, so nothing is granted there and what runs there ends as usual. A grant of an owner that does not know the order yet is checked again before the request is sent. A store that does not know the kind has no order.

--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -108,6 +108,9 @@
     rollout_state_not_stored = 607,
     rollout_unreadable = 608,
     rollout_state_lost = 609,
+    domain_drained = 620,
+    domain_drain_ended = 621,
+    domain_drain_unreadable = 622,
 };
 
 /// One row of the catalogue.
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -51,6 +51,8 @@
     part_guard& parts;
     /// Takes that a process of an upstream has said in a response that it leaves.
     std::function<void(const core::upstream_process&)> upstream_leaves;
+    /// Whether the operator has ordered that upstreams of a failure domain get no requests.
+    std::function<bool(const core::failure_domain_name&)> is_drained;
 };
 
 class call_handler {
--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -88,6 +88,8 @@
         core::store_era lower_era;
         bool settling = false;
         bool store_available = true;
+        /// Whether the store has said that it does not know the kind.
+        bool is_unknown = false;
         std::uint32_t failures = 0;
         /// Whether a call that fetches the revision reported by another node is scheduled, or open.
         bool fetch_scheduled = false;
@@ -135,6 +137,8 @@
     void schedule_settling(kind_state& state);
     void watch_store(kind_state& state);
     void continue_watching(kind_state& state);
+    /// Handles that the store does not know a kind, and so holds no document of it.
+    void on_kind_unknown(kind_state& state);
     void on_list_failed(kind_state& state, const adapter::store_error& error,
                         core::duration sent_at);
     void on_watch_failed(kind_state& state, const adapter::store_error& error,
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "platform/store_client.hpp"
+#include "ragwortcove/core/domain_drain.hpp"
 #include "ragwortcove/core/feed_readers.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/ruleset.hpp"
@@ -59,6 +60,9 @@
     void apply_upstreams(const document_update& update);
     void apply_rollouts();
     void apply_parts(const document_update& update);
+    void apply_domain_drains();
+    /// Hands the upstreams on that requests may be placed on, and those that end what they have.
+    void offer_upstreams();
     [[nodiscard]] part_guard_dependencies make_part_dependencies();
     /// Stores what this node, as their owner, knows of prompt parts that are held back.
     void store_parts();
@@ -112,6 +116,7 @@
     adapter::store_client store;
     core::repeat_budget repeats;
     core::upstream_directory directory;
+    core::domain_drain drains;
     std::shared_ptr<const core::rule_index> rules;
     std::unique_ptr<http::inbound_server> caller_server;
     std::unique_ptr<http::inbound_server> readiness_server;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -306,6 +306,18 @@
                     "the store has come back from a copy without the state of a roll-out that had "
                     "ended; the state stays in force and is stored again",
                     "none"},
+    log_event_entry{log_event::domain_drained, "domain_drained", log_level::info,
+                    "the operator has a failure domain drained: none of its `upstreams` gets a "
+                    "request from now on; `left` others remain",
+                    "none, unless `left` is too small for the load"},
+    log_event_entry{log_event::domain_drain_ended, "domain_drain_ended", log_level::info,
+                    "the order to drain a failure domain is gone: its `upstreams` get requests "
+                    "again, one after the other",
+                    "none"},
+    log_event_entry{log_event::domain_drain_unreadable, "domain_drain_unreadable",
+                    log_level::warning,
+                    "an order to drain a failure domain cannot be read; it has no effect",
+                    "remove the entry, and order it under the domain's name"},
 };
 
 std::span<const log_event_entry> log_event_catalogue()
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -378,7 +378,9 @@
     const core::announced_upstream* upstream = this->env.find_upstream(grant.upstream);
     const bool is_serving = upstream != nullptr && !upstream->leaving;
     const bool is_paused = upstream != nullptr && this->is_paused(*upstream, this->now());
-    if (is_serving && !is_paused && this->env.rollouts.split().may_send(*upstream, this->now())) {
+    const bool is_drained = upstream != nullptr && this->env.is_drained(upstream->failure_domain);
+    if (is_serving && !is_paused && !is_drained &&
+        this->env.rollouts.split().may_send(*upstream, this->now())) {
         if (!call.active_dispatch && this->is_too_late(call)) {
             this->env.placement.withdraw(number);
             this->refuse_for_shutdown(call);
@@ -397,8 +399,8 @@
         return;
     }
     // The owner does not know yet that the upstream was removed or is leaving, that it pauses for
-    // this node, or that its version gets no more requests. There may be many upstreams of that
-    // version, each granted once.
+    // this node, that its failure domain is drained, or that its version gets no more requests.
+    // There may be many upstreams of that domain or version, each granted once.
     this->env.placement.withdraw(number);
     call.avoid.push_back(grant.upstream);
     if (is_serving)
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -22,6 +22,8 @@
 static constexpr std::uint32_t max_counted_failures = 6;
 /// Status from which on a response tells of a fault of the store.
 static constexpr int first_server_error = 500;
+/// Interval at which a kind is listed again that the store does not know.
+static constexpr core::duration unknown_kind_interval = 2s;
 
 document_feed::document_feed(http::loop& loop, adapter::store_client& client, std::uint64_t seed,
                              document_feed_handlers&& given)
@@ -76,17 +78,30 @@
     return era_relation::current;
 }
 
+/// Whether an error says that there is no document of a kind. Without the other kinds, a node could
+/// not serve.
+static bool is_kind_unknown(adapter::document_kind kind, const adapter::store_error& error)
+{
+    return kind == adapter::document_kind::domain_drains &&
+           error.failure == adapter::store_failure::missing;
+}
+
 void document_feed::list_store(kind_state& state)
 {
     state.polling = true;
     const core::duration sent_at = this->event_loop.now();
     this->store.list(state.kind, [this, &state, sent_at](const adapter::document_list* all,
                                                          const adapter::store_error& error) {
+        if (all == nullptr && is_kind_unknown(state.kind, error)) {
+            this->on_kind_unknown(state);
+            return;
+        }
         if (all == nullptr) {
             this->on_list_failed(state, error, sent_at);
             return;
         }
         this->note_store_available(state);
+        state.is_unknown = false;
         if (this->take_store_list(state, *all, sent_at, true))
             this->continue_watching(state);
         else
@@ -282,7 +297,7 @@
     kind_state& first = this->state_of(adapter::document_kind::rules);
     this->audit_kind(first, [this](core::store_position upto) {
         for (kind_state& each : this->kinds) {
-            if (each.read_upto < upto)
+            if (!each.is_unknown && each.read_upto < upto)
                 this->audit_kind(each, [](core::store_position) {});
         }
     });
@@ -370,6 +385,16 @@
     });
 }
 
+// What is known already stays in force: the store states no position for what it does not know.
+void document_feed::on_kind_unknown(kind_state& state)
+{
+    this->note_store_available(state);
+    state.is_unknown = true;
+    if (!state.documents.is_loaded())
+        this->apply_list(state, {}, false);
+    this->list_later(state, unknown_kind_interval);
+}
+
 void document_feed::on_list_failed(kind_state& state, const adapter::store_error& error,
                                    core::duration sent_at)
 {
--- a/lib/gateway/document_set.cpp
+++ b/lib/gateway/document_set.cpp
@@ -26,6 +26,8 @@
         return "rollouts";
     case adapter::document_kind::held_parts:
         return "held_parts";
+    case adapter::document_kind::domain_drains:
+        return "domain_drains";
     case adapter::document_kind::own_objects:
         return "objects";
     case adapter::document_kind::own_claims:
@@ -79,12 +81,15 @@
 void document_set::begin_era(core::time_point now)
 {
     this->settled_at = now + settle_time;
-    this->must_settle = this->kind == adapter::document_kind::rollouts;
+    this->must_settle = this->kind == adapter::document_kind::rollouts ||
+                        this->kind == adapter::document_kind::domain_drains;
 }
 
 // The rules stay until others come: without any, no request would be served. The announcement of
 // an upstream goes, since the directory of upstreams has a grace period of its own. So does a held
-// part's document, since the part's owner writes it again.
+// part's document, since the part's owner writes it again. An order to drain a domain stays until
+// the operator has had time to write it again: a domain that is used too late loses less than one
+// that is used too early.
 bool document_set::keeps_missing(const adapter::store_document& known, core::store_era list_era,
                                  core::time_point now) const
 {
@@ -94,6 +99,7 @@
     case adapter::document_kind::rules:
         return true;
     case adapter::document_kind::rollouts:
+    case adapter::document_kind::domain_drains:
         return this->is_settling(now);
     case adapter::document_kind::upstreams:
     case adapter::document_kind::held_parts:
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -134,6 +134,9 @@
         [this] { return this->nodes->known_node_count(); }, *this->rollouts, *this->parts,
         [this](const core::upstream_process& process) {
             this->on_upstream_leaves(process, this->settings.name);
+        },
+        [this](const core::failure_domain_name& domain) {
+            return this->drains.is_drained(domain);
         }});
 
     document_feed_handlers feed_handlers;
@@ -190,6 +193,8 @@
     this->parts->tick();
     this->store_parts();
     this->on_directory_changed(this->directory.tick(this->now()));
+    if (this->drains.tick(this->now()))
+        this->offer_upstreams();
     this->refresh_readiness();
     this->exchange_documents();
     this->tick_timer = this->event_loop.after(tick_period, [this] { this->tick(); });
@@ -311,6 +316,8 @@
           to_value(this->parts->quarantine().held_back().size())},
          {"tracked_parts", "prompt parts under which upstreams have ended lately",
           to_value(this->parts->quarantine().size())},
+         {"drained_domains", "failure domains whose upstreams get no requests",
+          to_value(this->drains.domains().size())},
          {"store_answers", "whether the store answered the last calls",
           this->feed->is_store_available() ? 1.0 : 0.0},
          {"serving_nodes", "nodes that serve, this one among them",
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -221,6 +221,9 @@
     case adapter::document_kind::held_parts:
         this->apply_parts(update);
         break;
+    case adapter::document_kind::domain_drains:
+        this->apply_domain_drains();
+        break;
     case adapter::document_kind::own_objects:
     case adapter::document_kind::own_claims:
     case adapter::document_kind::own_nodes:
@@ -332,7 +335,7 @@
         this->parts->on_process_gone(name);
         this->upstream_connections.forget(name.value);
     }
-    this->rollouts->set_upstreams(this->directory.all());
+    this->offer_upstreams();
 }
 
 } // namespace ragwortcove::gateway
--- a/unittests/gateway/call_fixture.hpp
+++ b/unittests/gateway/call_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include "../http/loopback.hpp"
 #include "gateway.pb.h"
+#include "ragwortcove/core/domain_drain.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/gateway/call_handler.hpp"
 
@@ -52,6 +53,7 @@
     core::node_name quota_owner{"n"};
     /// Upstreams of which a response has said that they leave.
     std::vector<std::string> told_leaving;
+    core::domain_drain drains;
     /// Slots that the test itself has taken.
     std::vector<placement_number> held;
 
@@ -120,6 +122,9 @@
                               *this->parts,
                               [this](const core::upstream_process& process) {
                                   this->told_leaving.push_back(process.name.value);
+                              },
+                              [this](const core::failure_domain_name& domain) {
+                                  return this->drains.is_drained(domain);
                               }});
         this->set_test_rules();
     }
--- a/unittests/gateway/document_feed_test.cpp
+++ b/unittests/gateway/document_feed_test.cpp
@@ -37,6 +37,8 @@
     int error_status = 0;
     /// Kind whose calls fail; empty for none.
     std::string refused_kind;
+    /// Kind that the store does not know; empty for none.
+    std::string unknown_kind;
 
     explicit fake_store(http::loop& loop) : event_loop(loop)
     {
@@ -96,6 +98,10 @@
             this->server->respond(id, 503, {}, "");
             return;
         }
+        if (kind == this->unknown_kind) {
+            this->server->respond(id, 404, {}, "");
+            return;
+        }
         if (target.find("watch=") != std::string::npos) {
             ++this->watches;
             if (target.find("wait_ms=0") == std::string::npos)
@@ -479,6 +485,86 @@
     CHECK(fixture.run_until_true([&] { return fixture.feed->is_healthy_reader(); }));
 }
 
+// Guards against an order to drain a domain that takes effect only at the nodes that the store
+// serves, and against a store that has no such orders and so keeps a node from serving.
+TEST_CASE("orders to drain domains reach nodes that the store does not serve")
+{
+    feed_fixture fixture;
+    const std::string kind(adapter::store_name(document_kind::domain_drains));
+    const auto is_ordered = [&] {
+        return fixture.feed->all_documents(document_kind::domain_drains).documents.size() == 1;
+    };
+    SUBCASE("a store that does not know the kind has no order")
+    {
+        fixture.store.unknown_kind = kind;
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_healthy_reader(); }));
+        CHECK(fixture.store.open_watches.size() == kind_count - 1);
+        const std::size_t lists = fixture.store.lists;
+        fixture.store.put("config", "main");
+        fixture.feed->audit();
+        fixture.pass(500ms);
+        CHECK(fixture.feed->is_healthy_reader());
+        CHECK(fixture.store.lists == lists);
+        SUBCASE("until it knows one")
+        {
+            fixture.store.unknown_kind.clear();
+            fixture.store.put(kind, "a");
+            CHECK(fixture.run_until_true(is_ordered));
+            CHECK(fixture.run_until_true([&] { return fixture.is_watching(); }));
+        }
+    }
+    SUBCASE("an order comes from a reader, and is taken back, while the store is away")
+    {
+        fixture.is_reader = false;
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_complete(); }));
+        fixture.store.error_status = 503;
+        adapter::store_document ordered;
+        ordered.name = "a";
+        ordered.at = core::revision{11};
+        adapter::document_changes changes;
+        changes.changes.push_back({ordered, false});
+        changes.upto = core::revision{11};
+        const http::socket_address peer{"127.0.0.1", fixture.store.server->port()};
+        fixture.feed->on_peer_delta({document_kind::domain_drains, {0}, changes}, peer);
+        REQUIRE(is_ordered());
+        REQUIRE_FALSE(fixture.updates.empty());
+        CHECK(fixture.updates.back().kind == document_kind::domain_drains);
+        changes.changes[0].removed = true;
+        changes.changes[0].document.at = core::revision{12};
+        changes.upto = core::revision{12};
+        fixture.feed->on_peer_delta({document_kind::domain_drains, {11}, changes}, peer);
+        CHECK_FALSE(is_ordered());
+    }
+    SUBCASE("a node that missed it reads it from another one")
+    {
+        fixture.is_reader = false;
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_complete(); }));
+        fixture.store.error_status = 503;
+        fake_store other(fixture.event_loop);
+        other.documents[kind]["a"] = 20;
+        other.revision = 20;
+        fixture.feed->on_peer_position(document_kind::domain_drains, {{20}},
+                                       {"127.0.0.1", other.server->port()});
+        CHECK(fixture.run_until_true(is_ordered));
+    }
+    SUBCASE("one that a copy of the store has lost stays, until the operator could write it again")
+    {
+        fixture.store.era = "1";
+        fixture.store.documents[kind]["a"] = 9;
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.is_watching() && is_ordered(); }));
+        fixture.store.documents[kind].erase("a");
+        fixture.store.restore(8, 1);
+        REQUIRE(fixture.run_until_true([&] { return fixture.eras_begun > 0; }));
+        fixture.pass(500ms);
+        CHECK(is_ordered());
+        CHECK(fixture.run_until_true([&] { return !is_ordered(); }));
+    }
+}
+
 TEST_CASE("a node fetches newer documents from another node when the store has none")
 {
     feed_fixture fixture;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -70,8 +70,30 @@
     static std::string rules_path() { return path_of(adapter::document_kind::rules); }
 };
 
-/// The status with which a node responds to another one that reads documents from it.
-std::string read_documents(http::loop& event_loop, std::uint16_t port, const std::string& path)
+/// A store with the orders to drain the given domains, beside an entry without a name.
+struct draining_store {
+    raw_server server;
+
+    explicit draining_store(const std::vector<std::string>& domains)
+        : server([domains](raw_connection& connection) {
+              const std::string request = connection.receive_until("\r\n\r\n");
+              const bool is_watch = request.find("watch=") != std::string::npos;
+              std::string entries = R"({"meta":{"name":"","revision":2}})";
+              for (const std::string& domain : domains)
+                  entries += R"(,{"meta":{"name":")" + domain + R"(","revision":2},"spec":{}})";
+              const bool is_drains =
+                  request.find(large_store::path_of(adapter::document_kind::domain_drains)) !=
+                  std::string::npos;
+              const std::string list = R"({"entries":[)" + (is_drains ? entries : "") +
+                                       R"(],"has_more":false,"current_rev":3})";
+              connection.send(large_store::make_response(is_watch ? 503 : 200, list));
+          })
+    {
+    }
+};
+
+/// The response of a node to another one that reads from it.
+std::string read_page(http::loop& event_loop, std::uint16_t port, const std::string& path)
 {
     std::string response;
     std::atomic<bool> is_read{false};
@@ -82,7 +104,13 @@
     });
     static_cast<void>(run_until(
         event_loop, [&] { return is_read.load(); }, 5s));
-    return response.substr(0, std::string("HTTP/1.1 200").size());
+    return response;
+}
+
+/// The status with which a node responds to another one that reads documents from it.
+std::string read_documents(http::loop& event_loop, std::uint16_t port, const std::string& path)
+{
+    return read_page(event_loop, port, path).substr(0, std::string("HTTP/1.1 200").size());
 }
 
 } // namespace
@@ -115,6 +143,24 @@
     CHECK(read_documents(event_loop, settings.peers.port, small) == "HTTP/1.1 200");
 }
 
+TEST_CASE("a node drains the domains that the store has orders for")
+{
+    const draining_store store({"a", "b"});
+    gateway_settings settings = make_settings();
+    settings.store.port = store.server.port();
+    http::loop event_loop;
+    const gateway node{event_loop, settings, core::incarnation{1}, [] {}};
+    REQUIRE(node.listening());
+    std::string page;
+    for (int count = 0; count < 50 && page.find("drained_domains 2.0") == std::string::npos;
+         ++count) {
+        static_cast<void>(run_until(
+            event_loop, [] { return false; }, 20ms));
+        page = read_page(event_loop, settings.peers.port, "/metrics");
+    }
+    CHECK(page.find("drained_domains 2.0") != std::string::npos);
+}
+
 TEST_CASE("a request whose last part comes after a planned stop began is refused, not lost")
 {
     const gateway_settings settings = make_settings();
