--- a/tools/ragwortcove/commands.hpp
+++ b/tools/ragwortcove/commands.hpp
@@ -22,6 +22,8 @@
 cli::exit_code run_status(const words& arguments);
 cli::exit_code run_top(const words& arguments);
 cli::exit_code run_drain(const words& arguments);
+cli::exit_code run_drain_domain(const words& arguments);
+cli::exit_code run_drained_domains(const words& arguments);
 cli::exit_code run_move(const words& arguments);
 cli::exit_code run_parts(const words& arguments);
 cli::exit_code run_release(const words& arguments);
--- a/tools/ragwortcove/main.cpp
+++ b/tools/ragwortcove/main.cpp
@@ -30,6 +30,8 @@
     subcommand{"status", "show every daemon and its configuration", &run_status},
     subcommand{"top", "show queues and free permits, again and again", &run_top},
     subcommand{"drain", "shut a daemon down without cutting a request", &run_drain},
+    subcommand{"drain-domain", "have a failure domain get no more requests", &run_drain_domain},
+    subcommand{"drained-domains", "list the domains that get no requests", &run_drained_domains},
     subcommand{"move", "show a move, or wait for its end", &run_move},
     subcommand{"parts", "list prompt parts that are held back", &run_parts},
     subcommand{"release", "let a prompt part through again", &run_release},
@@ -37,12 +39,16 @@
     subcommand{"call", "send a request as a well-behaved caller", &run_call},
 };
 
+/// Width of the longest name, and of what separates it from the brief.
+static constexpr std::size_t name_width = 17;
+
 static void print_usage(std::ostream& to)
 {
     to << "usage: ragwortcove COMMAND [ARGUMENTS]\n\n"
           "Operates the ragwortcove request scheduler.\n\n";
     for (const auto& each : subcommands)
-        to << "  " << each.name << std::string(12 - each.name.size(), ' ') << each.brief << '\n';
+        to << "  " << each.name << std::string(name_width - each.name.size(), ' ') << each.brief
+           << '\n';
     to << "\nragwortcove COMMAND --help tells the arguments and gives an example.\n"
           "Exit codes: 0 ok, 1 failed, 2 wrong arguments or input, 3 conflict, 4 unreachable,\n"
           "            5 refused and not run, 6 may have run.\n\n"
