[core] requests to upstreams that are warming up are limited over all nodes

Cause: a target's configuration may state a rate that its upstreams bear while they warm up.

Change: core::warmup_limit counts the grants of a cell's owner in a sliding second, for each upstream of a target with a rate, warm ones too, since an upstream says one to two seconds later that it warms up again. Settled owners, new owners and the sides of a cut have parts that add up to the bound. The directory reports a warm-up that begins without another change.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -9,8 +9,10 @@
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
+#include "ragwortcove/core/warmup_limit.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -155,6 +157,13 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The unreachable
     /// nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
+    /// Sets what upstreams may get while they are warming up.
+    void set_warmup_tolerance(warmup_tolerance given) { this->warmup.set_tolerance(given); }
+    /// Applies the rates for warm-ups to the current upstreams; to be called when upstreams, rules
+    /// or owners may have changed. `is_owned` says whether this node owns a cell.
+    void
+    limit_warmups(const std::function<bool(const target_name& pool, cell_index cell)>& is_owned,
+                  time_point now);
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -187,6 +196,9 @@
     /// Load of the cell in whose queue the request waits or would wait.
     [[nodiscard]] cell_load load_for(const placement_request& request) const;
     [[nodiscard]] std::vector<upstream_view> views() const;
+    [[nodiscard]] const warmup_limit& warmups() const { return this->warmup; }
+    /// How often an upstream with a free slot was passed over because of the limit for warm-ups.
+    [[nodiscard]] std::uint64_t held_back() const { return this->held_back_count; }
 
 private:
     struct in_flight_request {
@@ -218,6 +230,9 @@
         /// Tokens in one event of a stream.
         std::uint32_t event_tokens = 1;
         bool is_engine = false;
+        /// Requests a second that the upstream bears while it is warming up; zero for no limit.
+        double warmup_rate = 0.0;
+        duration warmup_time{0};
         std::size_t in_flight = 0;
         std::uint64_t backlog_tokens = 0;
         /// Estimated from observations; zero until there is one.
@@ -307,6 +322,9 @@
 
     /// Requests that this scheduler may have in flight at an upstream at once.
     [[nodiscard]] std::uint32_t max_placed(const upstream_state& state) const;
+    /// Whether an upstream may get one more request, with `max_count` in flight at most.
+    [[nodiscard]] bool has_room(const upstream_state& state, std::uint32_t max_count,
+                                time_point now);
     /// Factor that makes an upstream look slower while this node reaches only a small part of the
     /// fleet; differs between nodes, so that they prefer different upstreams.
     [[nodiscard]] double spread_factor(const upstream_state& state) const;
@@ -322,6 +340,8 @@
     std::map<placement_id, time_point> recently_ended;
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
+    warmup_limit warmup;
+    std::uint64_t held_back_count = 0;
     /// Makes nodes that cannot reach each other prefer different upstreams.
     std::uint64_t spread_seed = 0;
 };
--- a/include/ragwortcove/core/ruleset.hpp
+++ b/include/ragwortcove/core/ruleset.hpp
@@ -60,6 +60,10 @@
     std::uint32_t cache_tokens = 0;
     /// Tokens in one event of a stream.
     std::uint32_t event_tokens = 1;
+    /// Requests a second that an upstream bears while it is warming up; zero for no limit.
+    double warmup_rate = 0.0;
+    /// Length of the warm-up after a start.
+    duration warmup_time{0};
     bool operator==(const target_rule&) const = default;
 };
 
--- a/include/ragwortcove/core/upstream_directory.hpp
+++ b/include/ragwortcove/core/upstream_directory.hpp
@@ -26,7 +26,7 @@
     /// Start time in Unix milliseconds by the upstream's own clock; distinguishes two processes
     /// with the same name.
     std::int64_t started_at = 0;
-    /// Until when the upstream is slow after its start, as it announces.
+    /// Until when the upstream is warming up, as it announces; zero when it isn't.
     time_point warm_at;
     /// Position of the announcement in the store's history.
     store_position at;
@@ -62,10 +62,12 @@
     std::vector<upstream_name> removed;
     /// Restarted under the same name: state kept for the earlier process is invalid.
     std::vector<upstream_name> restarted;
+    /// Warming up, for the first time or for longer than was known.
+    std::vector<upstream_name> warming;
     [[nodiscard]] bool empty() const
     {
         return this->added.empty() && this->leaving.empty() && this->removed.empty() &&
-               this->restarted.empty();
+               this->restarted.empty() && this->warming.empty();
     }
     void append(const directory_changes& more);
 };
--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -73,6 +73,7 @@
     part_unreadable = 317,
     part_not_stored = 318,
     part_trial_returned = 319,
+    upstream_warms_up = 323,
 
     member_changed = 400,
     peer_disconnected = 401,
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -6,6 +6,7 @@
 #include "ragwortcove/core/rollout_controller.hpp"
 #include "ragwortcove/core/team_quota.hpp"
 #include "ragwortcove/core/types.hpp"
+#include "ragwortcove/core/warmup_limit.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/settings/ini_document.hpp"
 
@@ -39,6 +40,7 @@
     core::repeat_limits repeats;
     core::quota_tolerance quotas;
     core::rollout_limits rollouts;
+    core::warmup_tolerance warmups;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -46,6 +46,7 @@
     std::function<std::size_t()> serving_node_count;
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
+    core::warmup_tolerance warmups;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -124,6 +125,8 @@
     void send_to_owner(tracked_request& request);
     [[nodiscard]] core::node_name owner_of_cell(const core::target_name& pool,
                                                 core::cell_index cell) const;
+    /// Tells the scheduler which upstreams this node grants as their owner.
+    void limit_warmups();
     [[nodiscard]] core::cell_index cell_count_of(const core::target_name& pool) const;
     /// Sends a denied request to another cell; returns false if none is known to have free slots.
     bool try_other_cell(tracked_request& request);
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -94,7 +94,7 @@
             estimate_or_scaled(state.event_us, typical_values.event_us),
             state.service_us > 0.0 ? state.service_us : typical_values.service_us};
         const std::uint32_t max_count = all_ejected ? 1 : this->max_placed(state);
-        created.has_free_slot = state.in_flight < max_count;
+        created.has_free_slot = this->has_room(state, max_count, now);
         listed.push_back(created);
     }
     return listed;
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -53,6 +53,8 @@
         state.slots = std::max(1U, rule_states_slots ? rule->slots : upstream.slots);
         state.cache_tokens = rule == nullptr ? 0 : rule->cache_tokens;
         state.event_tokens = rule == nullptr ? 1 : rule->event_tokens;
+        state.warmup_rate = rule == nullptr ? 0.0 : rule->warmup_rate;
+        state.warmup_time = rule == nullptr ? duration{0} : rule->warmup_time;
         cell& own_cell = this->cells[{pool_of(upstream), state.cell}];
         own_cell.members.push_back(upstream.name);
         own_cell.is_canary = pool_of(upstream) != upstream.target;
@@ -250,7 +252,7 @@
         at = own_cell.queue.erase(at);
         for (candidate& each : candidates) {
             if (each.state == chosen)
-                each.has_free_slot = chosen->in_flight < this->max_placed(*chosen);
+                each.has_free_slot = this->has_room(*chosen, this->max_placed(*chosen), now);
         }
         if (std::none_of(candidates.begin(), candidates.end(), has_free_slot))
             return;
@@ -268,6 +270,7 @@
     created.ahead_tokens = state.backlog_tokens;
     state.backlog_tokens += created.uncached_tokens;
     ++state.in_flight;
+    this->warmup.record_grant(created.upstream, now);
     this->update_cache(state, request);
     own_cell.service.record_placement(request.rank, now);
     const double elapsed_us = to_us(now - own_cell.rate_updated_at);
@@ -407,6 +410,7 @@
 
 void placement_scheduler::tick(time_point now, responses& out)
 {
+    this->warmup.set_fleet_share(this->fleet_share, now);
     for (auto& [key, own_cell] : this->cells) {
         this->expire(own_cell, now, out);
         this->grant_waiting(own_cell, now, out);
--- a/lib/core/upstream_directory.cpp
+++ b/lib/core/upstream_directory.cpp
@@ -11,6 +11,10 @@
 /// How long a leave notice is kept without an announcement, which may come back.
 static constexpr duration leave_notice_lifetime = 1h;
 
+/// An announcement that reaches a node later than the one before seems to move the end of a warm-up
+/// by the difference.
+static constexpr duration announcement_jitter = 500ms;
+
 /// Ends the name of a canary pool.
 static constexpr std::string_view canary_suffix = "/canary";
 
@@ -78,6 +82,8 @@
     known.remove_at = time_point::max();
     if (announced.started_at != known.value.started_at || announced.address != known.value.address)
         changes.restarted.push_back(announced.name);
+    if (announced.warm_at > known.value.warm_at + announcement_jitter)
+        changes.warming.push_back(announced.name);
     const bool leaving = announced.leaving || this->has_said_leaving(announced);
     if (leaving && !known.value.leaving)
         changes.leaving.push_back(announced.name);
@@ -168,6 +174,7 @@
     append_names(this->leaving, more.leaving);
     append_names(this->removed, more.removed);
     append_names(this->restarted, more.restarted);
+    append_names(this->warming, more.warming);
 }
 
 directory_changes upstream_directory::replace(std::span<const announced_upstream> all,
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -187,6 +187,10 @@
                     "a trial has shown nothing of its part, for the `reason`, and does not count; "
                     "another request may be tried",
                     "none"},
+    log_event_entry{log_event::upstream_warms_up, "upstream_warms_up", log_level::info,
+                    "an upstream is warming up for `for_ms` more; until then it gets at most the "
+                    "`rate` of requests a second of its target, from all instances together",
+                    "none; see that the others can take its requests when many do at once"},
 
     log_event_entry{log_event::member_changed, "member_changed", log_level::info,
                     "another instance joined, left, is suspected or is dead",
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -122,6 +122,7 @@
     placement_functions.serving_node_count = [this] { return this->nodes->serving_node_count(); };
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
+    placement_functions.warmups = given.warmups;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
@@ -287,6 +288,12 @@
          {"owned_waiting", "requests that wait for a place at this owner",
           to_value(scheduler.waiting())},
          {"owned_in_flight", "requests placed by this owner", to_value(scheduler.in_flight())},
+         {"owned_held_back",
+          "times that this owner passed over an upstream with a free slot, "
+          "because of the limit for warm-ups",
+          to_value(scheduler.held_back())},
+         {"upstreams_warming_up", "upstreams that are warming up, of targets with a rate for it",
+          to_value(scheduler.warmups().count_warming_up(this->now()))},
          {"caller_connections", "connections of callers",
           to_value(this->caller_server->connections())},
          {"upstream_connections_opened", "connections opened to upstreams",
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -303,6 +303,22 @@
     this->on_directory_changed(changes);
 }
 
+void gateway::log_warmups(const std::vector<core::upstream_name>& names) const
+{
+    const core::time_point at = this->now();
+    for (const core::upstream_name& name : names) {
+        const core::announced_upstream* known = this->directory.find(name);
+        const bool is_limited = known != nullptr && known->warm_at > at && this->rules != nullptr;
+        const core::target_rule* rule =
+            is_limited ? this->rules->find_target(known->target) : nullptr;
+        if (rule != nullptr && rule->warmup_rate > 0.0)
+            daemon::write_log(log_event::upstream_warms_up,
+                              {{"upstream", name.value},
+                               {"for_ms", to_ms_text(known->warm_at - at)},
+                               {"rate", std::to_string(rule->warmup_rate)}});
+    }
+}
+
 void gateway::on_directory_changed(const core::directory_changes& changes)
 {
     if (changes.empty())
@@ -323,6 +339,9 @@
     log_changes(changes.leaving, "leaving");
     log_changes(changes.removed, "gone");
     log_changes(changes.restarted, "restarted");
+    this->log_warmups(changes.added);
+    this->log_warmups(changes.restarted);
+    this->log_warmups(changes.warming);
     for (const core::upstream_name& name : changes.restarted) {
         this->parts->on_process_gone(name);
         this->placement->forget_upstream(name);
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -190,6 +190,14 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_count(text, into.rollouts.extra_requests);
               }},
+    known_key{"gateway", "warmup_overrun", false, "a number from one on",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_number(text, into.warmups.overrun) && into.warmups.overrun >= 1.0;
+              }},
+    known_key{"gateway", "warmup_slack", false, "a number from zero on",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_number(text, into.warmups.slack);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -29,6 +29,7 @@
     : env(std::move(dependencies)), random(this->env.run.value), scheduler(this->env.run.value),
       quotas(this->env.tolerance)
 {
+    this->scheduler.set_warmup_tolerance(this->env.warmups);
 }
 
 placement_service::~placement_service() = default;
@@ -37,6 +38,7 @@
 {
     this->rules = std::move(given);
     this->scheduler.set_upstreams(this->upstreams, this->rules.get());
+    this->limit_warmups();
     this->refresh_owned_quotas();
 }
 
@@ -44,6 +46,7 @@
 {
     this->upstreams.assign(all.begin(), all.end());
     this->scheduler.set_upstreams(this->upstreams, this->rules.get());
+    this->limit_warmups();
     std::map<core::target_name, core::cell_index> counts = core::count_cells(all);
     if (counts != this->cell_counts) {
         this->cell_counts = std::move(counts);
@@ -52,6 +55,15 @@
     this->tick();
 }
 
+void placement_service::limit_warmups()
+{
+    this->scheduler.limit_warmups(
+        [this](const core::target_name& pool, core::cell_index cell) {
+            return this->owner_of_cell(pool, cell) == this->env.self;
+        },
+        this->env.now());
+}
+
 core::cell_index placement_service::cell_count_of(const core::target_name& pool) const
 {
     const auto found = this->cell_counts.find(pool);
@@ -306,6 +318,7 @@
 
 void placement_service::owners_changed()
 {
+    this->limit_warmups();
     std::set<core::node_name> notified_owners;
     std::vector<placement_number> waiting;
     for (auto& [number, request] : this->requests) {
--- a/unittests/adapter/documents_test.cpp
+++ b/unittests/adapter/documents_test.cpp
@@ -200,7 +200,8 @@
         {"name":"r2","host":"h.example","prefix":"/b/","type":"nonidempotent","timeout_ms":800,
          "goal_ms":100,"prio":2,"split":[{"service":"x","weight":90},{"service":"y","weight":10}],
          "attempts":1,"public":true}],
-        "services":[{"name":"lm","health_path":"/h","backend":{"slots":10,"kv_capacity":700}},
+        "services":[{"name":"lm","health_path":"/h","cold_start_s":2.5,"cold_per_s":11,
+                     "backend":{"slots":10,"kv_capacity":700}},
                     {"name":"x"}],
         "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":30,
                   "idle_timeout_ms":40},
@@ -222,6 +223,9 @@
     CHECK(rules.routes[1].targets[0].weight == doctest::Approx(90.0));
     CHECK(rules.targets[0].is_engine);
     CHECK(rules.targets[0].slots == 10);
+    CHECK(rules.targets[0].warmup_rate == doctest::Approx(11.0));
+    CHECK(rules.targets[0].warmup_time == std::chrono::milliseconds(2500));
+    CHECK(rules.targets[1].warmup_rate == 0.0);
     CHECK_FALSE(rules.targets[1].is_engine);
     CHECK(rules.limits.header_bytes == 100);
     CHECK(rules.limits.idle_time == std::chrono::milliseconds(40));
--- a/unittests/adapter/odd_entries_test.cpp
+++ b/unittests/adapter/odd_entries_test.cpp
@@ -246,6 +246,10 @@
     CHECK(location_of_error(R"({"limits":{"idle_timeout_ms":1e300}})") == "limits.idle_timeout_ms");
     CHECK(location_of_error(R"({"services":[{"name":"lm","backend":{"slots":1e10}}]})") ==
           "services[0].backend.slots");
+    CHECK(location_of_error(R"({"services":[{"name":"lm","cold_per_s":-1}]})") ==
+          "services[0].cold_per_s");
+    CHECK(location_of_error(R"({"services":[{"name":"lm","cold_start_s":1e300}]})") ==
+          "services[0].cold_start_s");
     CHECK(location_of_error(R"({"tenants":[{"name":"t","raw_tokens":1e10}]})") ==
           "tenants[0].raw_tokens");
     CHECK(location_of_error(R"({"tenants":[{"name":"t\r\nX: y"}]})") == "tenants[0].name");
--- a/unittests/core/upstream_directory_test.cpp
+++ b/unittests/core/upstream_directory_test.cpp
@@ -37,6 +37,20 @@
         CHECK(directory.put(make_upstream("a", 7, true)).empty());
         CHECK(directory.find({"a"})->leaving);
     }
+    SUBCASE("an upstream that is warming up again is reported, once for a warm-up")
+    {
+        announced_upstream warming = make_upstream("a", 6);
+        warming.warm_at = start + 3s;
+        CHECK(directory.put(warming).warming.size() == 1);
+        CHECK(directory.find({"a"})->warm_at == start + 3s);
+        warming.at.revision.value = 7;
+        warming.warm_at += 200ms;
+        CHECK(directory.put(warming).empty());
+        CHECK(directory.put(make_upstream("a", 8)).empty());
+        CHECK(directory.find({"a"})->warm_at == time_point{});
+        warming.at.revision.value = 9;
+        CHECK(directory.put(warming).warming.size() == 1);
+    }
     SUBCASE("an upstream that has said in a response that it leaves is leaving")
     {
         CHECK(directory.mark_leaving({{"a"}, 7}, start).leaving.size() == 1);
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -49,6 +49,15 @@
         CHECK(outcome.settings->rollouts.max_share == doctest::Approx(0.1));
         CHECK(outcome.settings->rollouts.extra_requests == 50);
     }
+    SUBCASE("what upstreams may get while they are warming up is read, and bounded")
+    {
+        const auto given = read(valid_settings + "warmup_overrun = 1.5\nwarmup_slack = 5\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->warmups == core::warmup_tolerance{1.5, 5.0});
+        CHECK(outcome.settings->warmups == core::warmup_tolerance{1.0, 0.0});
+        CHECK(read(valid_settings + "warmup_overrun = 0.9\n").errors.size() == 1);
+        CHECK(read(valid_settings + "warmup_slack = -1\n").errors.size() == 1);
+    }
     SUBCASE("a missing key is named")
     {
         const auto missing = read("[node]\nname = n1\nregion = r\nfailure_domain = a\n[gateway]\n");
