[gateway] a setting whose value a deployment does not state keeps its default

The template names both keys now, and an empty value or a placeholder that nobody filled counts as not stated; a required key without a value is still reported as missing.

--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -208,6 +208,13 @@
               }},
 };
 
+// A template names every key; a deployment that does not state a value leaves it empty, or leaves
+// the placeholder in its place.
+static bool is_unstated(std::string_view value)
+{
+    return value.empty() || (value.starts_with("{{") && value.ends_with("}}"));
+}
+
 bool is_gateway_document(const ini_document& document)
 {
     return settings::find_section(document, "gateway") != nullptr;
@@ -238,6 +245,8 @@
             this->report(entry.line, entry.key, "a key of [" + section.name + "]", "");
             return;
         }
+        if (is_unstated(entry.value))
+            return;
         if (!this->seen.emplace(section.name, entry.key).second) {
             this->report(entry.line, entry.key, "each key once", entry.value);
             return;
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -4,7 +4,6 @@
 import asyncio
 import json
 import os
-import re
 import random
 import signal
 import socket
@@ -337,10 +336,7 @@
                   "seeds": ",".join(seeds), "platform.addr": store}
         values |= {f"listen.{key}": f"{self.host}:{port}" for key, port in PORTS.items()}
         values |= {f"bounds.{key}": str(value) for key, value in BOUNDS.items()}
-        # A section of the template is there for a deployment that states the value.
-        text = re.sub(r"{{#([a-z_.]+)}}(.*?){{/\1}}",
-                      lambda each: each[2] if each[1] in values else "", TEMPLATE.read_text(),
-                      flags=re.DOTALL)
+        text = TEMPLATE.read_text()
         for key, value in values.items():
             text = text.replace("{{" + key + "}}", value)
         self.settings.write_text(text)
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -58,6 +58,16 @@
         CHECK(read(valid_settings + "warmup_overrun = 0.9\n").errors.size() == 1);
         CHECK(read(valid_settings + "warmup_slack = -1\n").errors.size() == 1);
     }
+    SUBCASE("a key of the template that a deployment does not state keeps its default")
+    {
+        const auto given = read(valid_settings + "warmup_overrun =\nwarmup_slack = {{b.slack}}\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->warmups == core::warmup_tolerance{});
+        std::string unnamed = valid_settings;
+        unnamed.replace(unnamed.find("name = n1"), 9, "name = {{node}}");
+        CHECK(read(unnamed).errors.size() == 1);
+        CHECK(read(valid_settings + "warmup_slack = {{b.slack\n").errors.size() == 1);
+    }
     SUBCASE("a missing key is named")
     {
         const auto missing = read("[node]\nname = n1\nregion = r\nfailure_domain = a\n[gateway]\n");
