[core] a long response waits for an engine on which it ends in time

Engines differ six times in pace and announce the same number of slots. Under overload a long response took whatever slot was free; on a slow engine it was cut off when its caller gave up, after it had held the slot all that time.

A request now carries the time until its caller gives up. If its response would end after that on the free engines, it stays queued as long as another engine is expected to have a slot while it may wait. Switched on by `[gateway] pace_places`; without it placement is as before.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -4,6 +4,7 @@
 /// in flight, and estimates of each upstream's speed and health.
 #pragma once
 
+#include "ragwortcove/core/engine_places.hpp"
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
@@ -57,6 +58,8 @@
     duration max_wait{0};
     /// Longest pause between two events that meets the latency objective; zero means no limit.
     duration longest_pause{0};
+    /// Time left until the caller gives up; zero means no limit.
+    duration time_left{0};
     failure_domain_name failure_domain;
     std::vector<upstream_name> avoid;
     bool operator==(const placement_request&) const = default;
@@ -141,6 +144,13 @@
     double first_event_us = 0.0;
 };
 
+/// Decisions that a deployment switches on.
+struct placement_options {
+    /// Whether a request waits for an engine on which its response ends before its caller gives up,
+    /// rather than begin on a slower one.
+    bool paced_places = false;
+};
+
 /// Scheduler of the cells that this node owns. Functions append their grants and denials to `out`.
 class placement_scheduler {
 public:
@@ -155,6 +165,7 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The unreachable
     /// nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
+    void set_options(const placement_options& given) { this->options = given; }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -256,11 +267,13 @@
         upstream_state* state = nullptr;
         speed_estimates estimates;
         bool has_free_slot = false;
+        const usual_work* usual = nullptr;
     };
     struct cell {
         std::vector<std::unique_ptr<queued_request>> queue;
         std::vector<upstream_name> members;
         rank_service service;
+        usual_work usual;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
@@ -283,6 +296,15 @@
                                         std::uint64_t ahead) const;
     [[nodiscard]] double completion_us(const candidate& option,
                                        const placement_request& request) const;
+    /// Whether a response that begins now ends before its caller gives up.
+    [[nodiscard]] bool ends_in_time(const candidate& option, const queued_request& waiting,
+                                    time_point now) const;
+    /// Whether an engine on which the response ends in time is expected to have a free slot while
+    /// the request may still wait.
+    [[nodiscard]] bool is_worth_waiting(std::span<const candidate> candidates,
+                                        const queued_request& waiting, time_point now) const;
+    [[nodiscard]] engine_work work_of(const upstream_state& state,
+                                      const placement_request& request) const;
     [[nodiscard]] static bool is_allowed(const upstream_state& state,
                                          const placement_request& request);
     [[nodiscard]] speed_estimates typical_estimates(const cell& own_cell) const;
@@ -322,6 +344,7 @@
     std::map<placement_id, time_point> recently_ended;
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
+    placement_options options;
     /// Makes nodes that cannot reach each other prefer different upstreams.
     std::uint64_t spread_seed = 0;
 };
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -46,6 +46,7 @@
     std::function<std::size_t()> serving_node_count;
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
+    core::placement_options options;
 };
 
 /// Time after which a request without a response from its owner is sent again.
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -15,8 +15,6 @@
 static constexpr double default_service_us = 20'000.0;
 /// Prompt tokens that engines typically compute between two tokens of other running requests.
 static constexpr std::uint64_t typical_chunk_tokens = 4096;
-/// Share of a time limit that an estimated time may use, as a margin for estimation errors.
-static constexpr double safe_share = 0.9;
 /// A node that can reach less than this share of the fleet considers itself partitioned.
 static constexpr double small_fleet_share = 0.5;
 /// Factor by which a node's traffic may exceed the mean of all nodes.
@@ -93,6 +91,7 @@
             estimate_or_scaled(state.first_event_us, typical_values.first_event_us),
             estimate_or_scaled(state.event_us, typical_values.event_us),
             state.service_us > 0.0 ? state.service_us : typical_values.service_us};
+        created.usual = &own_cell.usual;
         const std::uint32_t max_count = all_ejected ? 1 : this->max_placed(state);
         created.has_free_slot = state.in_flight < max_count;
         listed.push_back(created);
@@ -187,6 +186,8 @@
         any_in_time = any_in_time || this->first_event_us(each, request, 0) <= budget_us;
         any_meets_pause_limit = any_meets_pause_limit || this->meets_pause_limit(each, request, 0);
     }
+    const bool is_waiting_better =
+        this->options.paced_places && this->is_worth_waiting(candidates, waiting, now);
     upstream_state* best = nullptr;
     double best_time = 0.0;
     for (const candidate& each : candidates) {
@@ -199,6 +200,8 @@
         if (any_meets_pause_limit && !is_idle &&
             !this->meets_pause_limit(each, request, state.backlog_tokens))
             continue;
+        if (is_waiting_better && !this->ends_in_time(each, waiting, now))
+            continue;
         const double time = this->completion_us(each, request) * this->spread_factor(state);
         if (best != nullptr && time >= best_time)
             continue;
--- a/lib/core/placement_limits.hpp
+++ b/lib/core/placement_limits.hpp
@@ -11,6 +11,8 @@
 /// Assumed time from dispatch to an engine's first event, without prefill, until there is an
 /// estimate for the engine.
 inline constexpr double default_first_event_us = 20'000.0;
+/// Share of a time limit that an estimated time may use, as a margin for estimation errors.
+inline constexpr double safe_share = 0.9;
 /// Requests that a plain service may have in flight beyond its slots, so that a slot that becomes
 /// free is used again without waiting for a round trip.
 inline constexpr std::uint32_t service_overlap = 1;
--- /dev/null
+++ b/lib/core/placement_pace.cpp
@@ -0,0 +1,58 @@
+#include "placement_limits.hpp"
+#include "ragwortcove/core/placement_scheduler.hpp"
+
+#include <algorithm>
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+engine_work placement_scheduler::work_of(const upstream_state& state,
+                                         const placement_request& request) const
+{
+    engine_work created;
+    created.uncached_tokens = this->count_uncached_tokens(state, request);
+    created.output_events = static_cast<double>(request.output_tokens) / state.event_tokens;
+    created.ahead_tokens = static_cast<double>(state.backlog_tokens);
+    created.running = static_cast<std::uint32_t>(state.in_flight);
+    return created;
+}
+
+bool placement_scheduler::ends_in_time(const candidate& option, const queued_request& waiting,
+                                       time_point now) const
+{
+    const placement_request& request = waiting.request;
+    if (request.time_left <= 0s || !option.state->is_engine)
+        return true;
+    const speed_estimates& known = option.estimates;
+    const engine_pace pace{known.first_event_us, known.event_us, known.prefill_us_per_token};
+    const duration left = waiting.arrived_at + request.time_left - now;
+    return completion_time_us(pace, this->work_of(*option.state, request)) <=
+           to_us(left) * safe_share;
+}
+
+// The wait is estimated as if no other request wanted those slots: one that waits in vain begins on
+// a slower engine after that, when the other requests of its rank have had their turn.
+bool placement_scheduler::is_worth_waiting(std::span<const candidate> candidates,
+                                           const queued_request& waiting, time_point now) const
+{
+    double releases = 0.0;
+    for (const candidate& each : candidates) {
+        if (!each.state->is_engine || !is_allowed(*each.state, waiting.request) ||
+            !this->ends_in_time(each, waiting, now))
+            continue;
+        // Prompts are computed there now, so the slot is free for this request soon.
+        if (each.has_free_slot)
+            return true;
+        const speed_estimates& known = each.estimates;
+        releases += releases_per_second(
+            {known.first_event_us, known.event_us, known.prefill_us_per_token},
+            each.usual->average(), static_cast<std::uint32_t>(each.state->in_flight));
+    }
+    if (releases <= 0.0)
+        return false;
+    const duration wait{static_cast<duration::rep>(1e6 / releases)};
+    return now + wait < waiting.expires_at;
+}
+
+} // namespace ragwortcove::core
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -266,6 +266,8 @@
     created.granted_at = now;
     created.reported_at = now;
     created.ahead_tokens = state.backlog_tokens;
+    if (state.is_engine)
+        own_cell.usual.record(this->work_of(state, request));
     state.backlog_tokens += created.uncached_tokens;
     ++state.in_flight;
     this->update_cache(state, request);
--- a/lib/gateway/datagram_bounds.cpp
+++ b/lib/gateway/datagram_bounds.cpp
@@ -35,7 +35,8 @@
 
 static bool is_within_bounds(const wire::PlacementAsk& body)
 {
-    return is_time(body.goal_left()) && is_time(body.patience()) && is_time(body.longest_pause());
+    return is_time(body.goal_left()) && is_time(body.patience()) && is_time(body.longest_pause()) &&
+           is_time(body.time_left());
 }
 
 static bool is_within_bounds(const wire::PlacementRelease& body)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -122,6 +122,7 @@
     placement_functions.serving_node_count = [this] { return this->nodes->serving_node_count(); };
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
+    placement_functions.options = given.placement;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -190,6 +190,10 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_count(text, into.rollouts.extra_requests);
               }},
+    known_key{"gateway", "pace_places", false, "true or false",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_flag(text, into.placement.paced_places);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -29,6 +29,7 @@
     : env(std::move(dependencies)), random(this->env.run.value), scheduler(this->env.run.value),
       quotas(this->env.tolerance)
 {
+    this->scheduler.set_options(this->env.options);
 }
 
 placement_service::~placement_service() = default;
@@ -138,6 +139,9 @@
         remaining_of(request.details.latency_budget, request.first_sent_at, now);
     current.max_wait =
         std::max(duration{0}, remaining_of(request.details.max_wait, request.first_sent_at, now));
+    if (request.details.time_left > duration{0})
+        current.time_left = std::max(
+            duration{1}, remaining_of(request.details.time_left, request.first_sent_at, now));
     if (request.owner == this->env.self) {
         request.last_seen_at = now;
         request.unanswered_count = 0;
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -37,6 +37,14 @@
               "boot.ini:15: repeat_window = \"soon\": expected a duration, such as 250ms or 5s");
         CHECK_FALSE(two_errors.settings.has_value());
     }
+    SUBCASE("decisions on placement are switched on by name")
+    {
+        CHECK_FALSE(outcome.settings->placement.paced_places);
+        const auto given = read(valid_settings + "pace_places = true\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->placement.paced_places);
+        CHECK(read(valid_settings + "pace_places = maybe\n").errors.size() == 1);
+    }
     SUBCASE("what a new version may get is read, and bounded")
     {
         const auto given = read(valid_settings + "canary_share = 0.15\ncanary_allowance = 60.0\n");
