--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -47,6 +47,7 @@
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
     core::warmup_tolerance warmups;
+    core::placement_options options;
 };
 
 /// Time after which a request without a response from its owner is sent again.
