[core] nodes that start together share the limit for warm-ups before they know of each other

Requests that wait at a former owner were granted there, too.

Change: a node counts which of the running nodes serve, and uses that share of the bound.

--- a/fuzz/gateway_message_fuzzer.cpp
+++ b/fuzz/gateway_message_fuzzer.cpp
@@ -59,6 +59,7 @@
         result.send = [](const core::node_name&, wire::PeerDatagram&) {};
         result.serving_node_count = [] { return std::size_t{3}; };
         result.lost_node_count = [] { return std::size_t{0}; };
+        result.running_node_count = [] { return std::size_t{3}; };
         result.tolerance = {8s, 0.1, 1000.0};
         return result;
     }
--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -157,6 +157,8 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The unreachable
     /// nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
+    /// Sets the share of the running nodes, from 0 to 1, that serve as far as this node knows.
+    void set_serving_share(double share) { this->warmup.set_serving_share(share); }
     /// Sets what upstreams may get while they are warming up.
     void set_warmup_tolerance(warmup_tolerance given) { this->warmup.set_tolerance(given); }
     /// Applies the rates for warm-ups to the current upstreams; to be called when upstreams, rules
--- a/include/ragwortcove/core/warmup_limit.hpp
+++ b/include/ragwortcove/core/warmup_limit.hpp
@@ -48,6 +48,9 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The others may
     /// have an owner of their own, which grants requests to the same upstreams.
     void set_fleet_share(double share, time_point now);
+    /// Sets the share of the running nodes, from 0 to 1, that serve as far as this node knows. Nodes
+    /// that start together each take themselves for the owner until they know of each other.
+    void set_serving_share(double share) { this->serving_share = share; }
 
     /// Whether an upstream may be granted a request now.
     [[nodiscard]] bool may_grant(const upstream_name& name, time_point now) const;
@@ -80,6 +83,7 @@
     std::map<upstream_name, upstream_state> upstreams;
     bool has_first_list = false;
     double fleet_share = 1.0;
+    double serving_share = 1.0;
     /// Until when a larger share has no effect.
     time_point share_holds_until;
 };
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -45,6 +45,8 @@
     /// running, unreachable to this node.
     std::function<std::size_t()> serving_node_count;
     std::function<std::size_t()> lost_node_count;
+    /// Number of the nodes that run, whether or not they serve yet.
+    std::function<std::size_t()> running_node_count;
     core::quota_tolerance tolerance;
     core::warmup_tolerance warmups;
 };
--- a/lib/core/warmup_limit.cpp
+++ b/lib/core/warmup_limit.cpp
@@ -18,9 +18,12 @@
 /// Longest pause between two grants.
 static constexpr duration max_pause = 1h;
 /// Parts of the bound for an owner that has been the owner for some time, and for all nodes
-/// together that have become owners lately or grant for a cell of another owner.
+/// together that have become owners lately.
 static constexpr double settled_part = 0.7;
 static constexpr double unsettled_part = 0.3;
+/// Requests in a window that a node grants for a cell of another owner, whom some entries may not
+/// reach. Many nodes can do so at the same time, each for the requests that wait with it.
+static constexpr double foreign_count = 1.0;
 /// Time within which two owners that cannot reach each other both know so. Nodes that do not
 /// respond are considered dead well before.
 static constexpr duration settling_time = 3s;
@@ -63,6 +66,8 @@
 //   reach it, have a part each.
 // - Owners that take over one after the other share one part, since their grants are spaced, and
 //   each begins with a pause.
+// - Nodes that have started together, and do not know yet which of the others serve, have parts by
+//   the nodes that they know to serve.
 // - Owners that know that they cannot reach each other have parts by the nodes that they reach.
 warmup_limit::allowance warmup_limit::allowance_of(const upstream_state& state,
                                                    time_point now) const
@@ -70,7 +75,9 @@
     const double bound = std::floor(state.rate * this->tolerance.overrun + this->tolerance.slack);
     const bool is_settled = state.is_owned && now - state.owner_since >= settling_time;
     const double part = is_settled ? settled_part : unsettled_part;
-    double count = bound * std::min(part, this->fleet_share);
+    double count = bound * std::min({part, this->fleet_share, this->serving_share});
+    if (!state.is_owned)
+        count = std::min(count, foreign_count);
     const bool is_warming_up = now < state.warm_at;
     if (is_warming_up)
         count = std::min(count, state.rate);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -121,6 +121,7 @@
     };
     placement_functions.serving_node_count = [this] { return this->nodes->serving_node_count(); };
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
+    placement_functions.running_node_count = [this] { return this->nodes->present_nodes().size(); };
     placement_functions.tolerance = given.quotas;
     placement_functions.warmups = given.warmups;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -416,6 +416,8 @@
     const auto serving = static_cast<double>(this->env.serving_node_count());
     this->scheduler.set_fleet_share(serving /
                                     (serving + static_cast<double>(this->env.lost_node_count())));
+    const auto running = static_cast<double>(this->env.running_node_count());
+    this->scheduler.set_serving_share(serving / std::max(running, serving));
     core::placement_scheduler::responses responses;
     this->scheduler.tick(now, responses);
     this->deliver_responses(responses);
--- a/unittests/core/warmup_fleet_test.cpp
+++ b/unittests/core/warmup_fleet_test.cpp
@@ -276,6 +276,42 @@
         });
     }
 
+    /// All processes end and start again. Each takes itself for the owner, until it hears that the
+    /// others serve, too.
+    void restart_all(duration when)
+    {
+        this->at(when, [this] {
+            duration last_serves{0};
+            std::vector<duration> serves;
+            for (std::size_t index = 0; index < node_count; ++index) {
+                serves.push_back(this->any_time(400ms, 700ms));
+                last_serves = std::max(last_serves, serves.back());
+            }
+            for (auto& [number, waiting] : this->requests)
+                waiting.has_ended = true;
+            for (std::size_t index = 0; index < node_count; ++index) {
+                this->nodes[index].is_running = false;
+                this->after(serves[index] - 400ms, [this, index] { this->start_again(index); });
+                this->after(serves[index], [this, index] { this->nodes[index].is_running = true; });
+                this->after(serves[index], [this, index] { this->tick(index); });
+                this->after(last_serves + this->any_time(5ms, 200ms), [this, index] {
+                    this->nodes[index].scheduler->set_serving_share(1.0);
+                    this->change_owner(index, 0);
+                });
+            }
+        });
+    }
+    void start_again(std::size_t index)
+    {
+        node& started = this->nodes[index];
+        started.scheduler = std::make_unique<placement_scheduler>(this->sequence + index);
+        started.scheduler->set_warmup_tolerance(tolerance);
+        started.scheduler->set_upstreams(started.upstreams, this->rules.get());
+        started.scheduler->set_serving_share(1.0 / node_count);
+        started.owner = index;
+        this->limit_warmups(index);
+    }
+
     void play()
     {
         while (!this->events.empty() && this->events.begin()->first < this->started_at + end) {
@@ -359,6 +395,13 @@
                   fleet.cut(first, fleet.any_time(4500ms, 8s), 20s);
               }) <= max_in_second);
     }
+    SUBCASE("when all nodes end and start again together")
+    {
+        CHECK(play_all([&](warmup_fleet& fleet) {
+                  warm_up(fleet);
+                  fleet.restart_all(fleet.any_time(4500ms, 8s));
+              }) <= max_in_second);
+    }
     SUBCASE("when the fleet is cut in two and joined again")
     {
         CHECK(play_all([&](warmup_fleet& fleet) {
--- a/unittests/gateway/call_fixture.hpp
+++ b/unittests/gateway/call_fixture.hpp
@@ -78,6 +78,7 @@
         dependencies.send = [](const core::node_name&, wire::PeerDatagram&) {};
         dependencies.serving_node_count = [] { return 1; };
         dependencies.lost_node_count = [] { return 0; };
+        dependencies.running_node_count = [] { return 1; };
         this->placement = std::make_unique<placement_service>(std::move(dependencies));
         rollout_dependencies functions;
         functions.self.value = "n";
--- a/unittests/gateway/placement_service_test.cpp
+++ b/unittests/gateway/placement_service_test.cpp
@@ -105,6 +105,7 @@
         dependencies.lost_node_count = [this, &started] {
             return this->nodes.size() - started.running_nodes.size();
         };
+        dependencies.running_node_count = [&started] { return started.running_nodes.size(); };
         dependencies.tolerance = {8s, 0.1, 1000.0};
         started.service = std::make_unique<placement_service>(std::move(dependencies));
         started.service->set_rules(this->rules);
--- a/unittests/gateway/quota_fleet_test.cpp
+++ b/unittests/gateway/quota_fleet_test.cpp
@@ -141,6 +141,7 @@
         };
         functions.serving_node_count = [&started] { return started.view->serving_nodes().size(); };
         functions.lost_node_count = [&started] { return started.view->lost_node_count(); };
+        functions.running_node_count = [&started] { return started.view->present_nodes().size(); };
         functions.tolerance = {window, 0.1, 300.0};
         started.service = std::make_unique<placement_service>(std::move(functions));
         started.service->set_rules(this->rules);
