[core] an engine gets no request that its memory has no room for

Cause: the scheduler placed by free slots alone, so long prompts could take more tokens than an engine holds; it then preempts what it runs, or ends.

Change: core/engine_memory counts each request in flight with its whole prompt and its expected response; an engine takes requests up to nine tenths of its memory together, or one alone up to all of it. What fits no engine is denied at once. What other owners placed counts with what the entries report, at least a slot's share.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -4,6 +4,7 @@
 /// in flight, and estimates of each upstream's speed and health.
 #pragma once
 
+#include "ragwortcove/core/engine_memory.hpp"
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
@@ -195,6 +196,8 @@
         /// Prompt tokens of earlier requests that were not computed yet when this one was granted.
         std::uint64_t ahead_tokens = 0;
         bool started = false;
+        /// What the request is counted with in its engine's memory.
+        std::uint64_t memory_tokens = 0;
         time_point granted_at;
         /// When the entry last reported that the request is in flight.
         time_point reported_at;
@@ -220,6 +223,7 @@
         bool is_engine = false;
         std::size_t in_flight = 0;
         std::uint64_t backlog_tokens = 0;
+        engine_memory memory;
         /// Estimated from observations; zero until there is one.
         double prefill_us_per_token = 0.0;
         double first_event_us = 0.0;
@@ -285,6 +289,9 @@
                                        const placement_request& request) const;
     [[nodiscard]] static bool is_allowed(const upstream_state& state,
                                          const placement_request& request);
+    /// Whether an upstream has room for a request beside those in flight.
+    [[nodiscard]] static bool has_room(const upstream_state& state,
+                                       const placement_request& request);
     [[nodiscard]] speed_estimates typical_estimates(const cell& own_cell) const;
     [[nodiscard]] std::uint32_t count_uncached_tokens(const upstream_state& state,
                                                       const placement_request& request) const;
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -32,6 +32,12 @@
            request.avoid.end();
 }
 
+bool placement_scheduler::has_room(const upstream_state& state, const placement_request& request)
+{
+    return state.memory.has_room_for(
+        tokens_in_memory(request.prompt_tokens, request.output_tokens));
+}
+
 double placement_scheduler::mean_or(const cell& own_cell, double upstream_state::*estimate,
                                     double fallback) const
 {
@@ -191,7 +197,7 @@
     double best_time = 0.0;
     for (const candidate& each : candidates) {
         upstream_state& state = *each.state;
-        if (!each.has_free_slot || !is_allowed(state, request))
+        if (!each.has_free_slot || !is_allowed(state, request) || !has_room(state, request))
             continue;
         if (any_in_time && this->first_event_us(each, request, state.backlog_tokens) > budget_us)
             continue;
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -53,6 +53,7 @@
         state.slots = std::max(1U, rule_states_slots ? rule->slots : upstream.slots);
         state.cache_tokens = rule == nullptr ? 0 : rule->cache_tokens;
         state.event_tokens = rule == nullptr ? 1 : rule->event_tokens;
+        state.memory.set_limits(state.is_engine ? state.cache_tokens : 0, state.slots);
         cell& own_cell = this->cells[{pool_of(upstream), state.cell}];
         own_cell.members.push_back(upstream.name);
         own_cell.is_canary = pool_of(upstream) != upstream.target;
@@ -174,7 +175,9 @@
     const bool any_allowed = std::any_of(
         own_cell.members.begin(), own_cell.members.end(), [&](const upstream_name& name) {
             const upstream_state& state = this->upstreams.at(name);
-            return !state.info.leaving && is_allowed(state, message);
+            return !state.info.leaving && is_allowed(state, message) &&
+                   state.memory.could_hold(
+                       tokens_in_memory(message.prompt_tokens, message.output_tokens));
         });
     if (!any_allowed) {
         out.emplace_back(
@@ -267,6 +270,8 @@
     created.reported_at = now;
     created.ahead_tokens = state.backlog_tokens;
     state.backlog_tokens += created.uncached_tokens;
+    created.memory_tokens = tokens_in_memory(request.prompt_tokens, request.output_tokens);
+    state.memory.add(created.memory_tokens);
     ++state.in_flight;
     this->update_cache(state, request);
     own_cell.service.record_placement(request.rank, now);
@@ -318,6 +323,7 @@
         return;
     if (state->second.in_flight > 0)
         --state->second.in_flight;
+    state->second.memory.remove(ended_request.memory_tokens);
     if (!ended_request.started)
         state->second.backlog_tokens -=
             std::min<std::uint64_t>(state->second.backlog_tokens, ended_request.uncached_tokens);
@@ -355,7 +361,15 @@
         const auto state = this->upstreams.find(each.upstream);
         if (state == this->upstreams.end())
             continue;
-        in_flight_request created{each.upstream, each.uncached_tokens, 0, each.started, now, now};
+        engine_memory& memory = state->second.memory;
+        in_flight_request created{each.upstream,
+                                  each.uncached_tokens,
+                                  0,
+                                  each.started,
+                                  memory.assumed_tokens(each.uncached_tokens),
+                                  now,
+                                  now};
+        memory.add(created.memory_tokens);
         ++state->second.in_flight;
         if (!each.started)
             state->second.backlog_tokens += each.uncached_tokens;
