--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -4,6 +4,7 @@
 /// in flight, and estimates of each upstream's speed and health.
 #pragma once
 
+#include "ragwortcove/core/admission_policy.hpp"
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
@@ -59,6 +60,8 @@
     duration longest_pause{0};
     failure_domain_name failure_domain;
     std::vector<upstream_name> avoid;
+    /// Whether the caller was refused before and came back.
+    bool returned = false;
     bool operator==(const placement_request&) const = default;
 };
 
@@ -149,6 +152,8 @@
     /// `seed` must differ between nodes.
     explicit placement_scheduler(std::uint64_t seed = 0) : spread_seed(seed) {}
 
+    /// Chooses how requests for engines are admitted under overload.
+    void set_admission(admission_mode chosen) { this->admission = chosen; }
     /// Replaces the known upstreams and the rules of their targets. Without rules (null), every
     /// upstream is a plain service with its announced slots.
     void set_upstreams(std::span<const announced_upstream> all, const rule_index* rules);
@@ -187,6 +192,9 @@
     /// Load of the cell in whose queue the request waits or would wait.
     [[nodiscard]] cell_load load_for(const placement_request& request) const;
     [[nodiscard]] std::vector<upstream_view> views() const;
+    [[nodiscard]] const admission_counts& admissions() const { return this->admission_numbers; }
+    /// Slots that all cells keep free for on-time requests.
+    [[nodiscard]] std::uint32_t reserved_slots(time_point now) const;
 
 private:
     struct in_flight_request {
@@ -198,6 +206,11 @@
         time_point granted_at;
         /// When the entry last reported that the request is in flight.
         time_point reported_at;
+        std::uint32_t rank = 0;
+        /// Whether the request could not meet its latency objective any more when it was granted.
+        bool was_late = false;
+        /// Whether this owner granted it; other requests are known from reports only.
+        bool is_own = false;
     };
     struct cached_part {
         std::uint32_t tokens = 0;
@@ -250,6 +263,12 @@
         /// Position in the order of service, lowest first: the rank plus one, or zero while the
         /// rank is starved.
         std::uint32_t priority = 0;
+        /// When the request must be at an upstream to meet its latency objective.
+        time_point latest_start;
+        /// Whether that time has passed; set by `rank_queue`.
+        bool is_late = false;
+        /// Whether the request is later than others of its rank, but must be served like them.
+        bool is_admitted_late = false;
     };
     /// An upstream considered by the current placement.
     struct candidate {
@@ -261,6 +280,7 @@
         std::vector<std::unique_ptr<queued_request>> queue;
         std::vector<upstream_name> members;
         rank_service service;
+        admission_policy admission;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
@@ -289,9 +309,25 @@
     [[nodiscard]] std::uint32_t count_uncached_tokens(const upstream_state& state,
                                                       const placement_request& request) const;
     void update_cache(upstream_state& state, const placement_request& request);
-    void grant(cell& own_cell, upstream_state& state, const placement_request& request,
-               time_point now, responses& out);
+    void grant(cell& own_cell, upstream_state& state, const queued_request& waiting, time_point now,
+               responses& out);
+    void submit_by_deadline(cell& own_cell, const placement_request& message, time_point now,
+                            responses& out);
+    void record_slot_time(cell& own_cell, const in_flight_request& ended, placement_outcome outcome,
+                          time_point now);
     void grant_waiting(cell& own_cell, time_point now, responses& out);
+    /// Whether late requests of the cell give way to on-time ones.
+    [[nodiscard]] bool admits_by_deadline(const cell& own_cell) const;
+    [[nodiscard]] cell_slots slots_of(const cell& own_cell, time_point now) const;
+    /// When the request must be granted to meet its latency objective on the cell's fastest engine.
+    [[nodiscard]] time_point latest_start_of(const queued_request& waiting,
+                                             std::span<const candidate> candidates) const;
+    /// Sets the queue's order of service for admission by deadline.
+    void rank_queue(cell& own_cell, time_point now) const;
+    /// Grants queued requests that can be in time, and late ones on slots that nobody else wants.
+    void grant_by_deadline(cell& own_cell, time_point now, responses& out);
+    /// Denies the queued requests that are not expected to get a slot in time.
+    void deny_hopeless(cell& own_cell, time_point now, responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
     void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
@@ -322,6 +358,8 @@
     std::map<placement_id, time_point> recently_ended;
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
+    admission_mode admission = admission_mode::by_patience;
+    admission_counts admission_numbers;
     /// Makes nodes that cannot reach each other prefer different upstreams.
     std::uint64_t spread_seed = 0;
 };
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -155,6 +155,10 @@
     /// The time `after` plus a random part, so that requests refused together do not come again at
     /// the same moment.
     [[nodiscard]] core::duration spread_retry(core::duration after);
+    /// When the caller of a denied request is told to come back: when a slot is likely, as far as
+    /// the caller honours that.
+    [[nodiscard]] core::duration retry_after_denial(const open_call& call,
+                                                    const core::placement_denial& denial);
     void on_response_body(http::inbound_exchange exchange, std::string_view bytes);
     void forward_events(open_call& call);
     void end_too_long_responses(open_call& received);
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of a daemon that serves HTTP traffic on the users' platform, read from an INI file.
 #pragma once
 
+#include "ragwortcove/core/admission_policy.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/rollout_controller.hpp"
 #include "ragwortcove/core/team_quota.hpp"
@@ -39,6 +40,8 @@
     core::repeat_limits repeats;
     core::quota_tolerance quotas;
     core::rollout_limits rollouts;
+    /// How requests for engines are admitted under overload.
+    core::admission_mode admission = core::admission_mode::by_patience;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -46,6 +46,7 @@
     std::function<std::size_t()> serving_node_count;
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
+    core::admission_mode admission = core::admission_mode::by_patience;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -89,6 +90,7 @@
     void node_ended(core::incarnation run);
     /// Resends requests and reports that are due; to be called every few tens of milliseconds.
     void tick();
+    [[nodiscard]] core::admission_mode admission() const { return this->env.admission; }
     [[nodiscard]] const core::placement_scheduler& owned_placements() const
     {
         return this->scheduler;
--- /dev/null
+++ b/lib/core/placement_admission.cpp
@@ -0,0 +1,213 @@
+#include "placement_limits.hpp"
+#include "ragwortcove/core/placement_scheduler.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+// Admission by deadline: which queued requests get a slot while a cell has too few.
+
+namespace ragwortcove::core {
+
+using namespace std::chrono_literals;
+
+/// Share of the time until the latest start that an estimated time to the first event may use, as a
+/// margin for estimation errors.
+static constexpr double start_margin = 0.9;
+/// Share of the time until its latest start that a new request is expected to wait at most. A
+/// request that is admitted should not be denied later because others took longer than estimated.
+static constexpr double max_arrival_wait_share = 0.5;
+/// Largest share of the slots that the load of earlier ranks counts for: the loads are averages,
+/// and a few requests of later ranks wait for the gaps.
+static constexpr double max_load_share = 0.9;
+/// On-time requests of one rank that may fail to be placed before the rest of the rank is skipped.
+static constexpr std::size_t max_passed_over = 6;
+
+static duration from_us(double value)
+{
+    return duration{static_cast<duration::rep>(value)};
+}
+
+// Plain services respond within a few milliseconds; a slot that a late request takes there is free
+// again before it could make another request late.
+bool placement_scheduler::admits_by_deadline(const cell& own_cell) const
+{
+    return this->admission == admission_mode::by_deadline && !own_cell.members.empty() &&
+           this->upstreams.at(own_cell.members.front()).is_engine;
+}
+
+cell_slots placement_scheduler::slots_of(const cell& own_cell, time_point now) const
+{
+    cell_slots counted;
+    for (const upstream_name& name : own_cell.members) {
+        const upstream_state& state = this->upstreams.at(name);
+        if (state.info.leaving || state.ejected_until > now)
+            continue;
+        const std::uint32_t most = this->max_placed(state);
+        counted.all += most;
+        if (state.in_flight < most)
+            counted.free += most - static_cast<std::uint32_t>(state.in_flight);
+    }
+    return counted;
+}
+
+std::uint32_t placement_scheduler::reserved_slots(time_point now) const
+{
+    std::uint32_t total = 0;
+    for (const auto& [key, own_cell] : this->cells) {
+        if (this->admits_by_deadline(own_cell))
+            total += own_cell.admission.reserve(this->slots_of(own_cell, now).all, now);
+    }
+    return total;
+}
+
+time_point placement_scheduler::latest_start_of(const queued_request& waiting,
+                                                std::span<const candidate> candidates) const
+{
+    std::optional<double> shortest_us;
+    for (const candidate& each : candidates) {
+        if (!is_allowed(*each.state, waiting.request))
+            continue;
+        const double time_us = this->first_event_us(each, waiting.request, 0);
+        shortest_us = std::min(shortest_us.value_or(time_us), time_us);
+    }
+    return waiting.latency_deadline - from_us(shortest_us.value_or(0.0) / start_margin);
+}
+
+// On-time requests of all ranks precede late ones. A rank whose requests all arrive late would
+// starve so; while it is starved, its late requests count as on time. Within a rank, callers that
+// came back precede new ones, and then the request that must start first is first: the queue is
+// kept so short that it is still in time.
+void placement_scheduler::rank_queue(cell& own_cell, time_point now) const
+{
+    for (const auto& each : own_cell.queue) {
+        const std::uint32_t rank = each->request.rank;
+        const bool is_starved = own_cell.service.is_starved(rank);
+        each->priority = is_starved ? 0 : rank + 1;
+        each->is_late = each->latest_start <= now;
+        each->is_admitted_late =
+            each->is_late && is_starved && own_cell.admission.is_mostly_late(rank, now);
+    }
+    const auto key_of_queued = [](const queued_request& each) {
+        return std::tuple(each.is_late && !each.is_admitted_late, each.priority,
+                          !each.request.returned, each.latest_start);
+    };
+    std::stable_sort(own_cell.queue.begin(), own_cell.queue.end(),
+                     [&](const auto& left, const auto& right) {
+                         return key_of_queued(*left) < key_of_queued(*right);
+                     });
+}
+
+void placement_scheduler::submit_by_deadline(cell& own_cell, const placement_request& message,
+                                             time_point now, responses& out)
+{
+    auto added = std::make_unique<queued_request>();
+    added->request = message;
+    added->arrived_at = now;
+    added->latency_deadline = now + message.latency_budget;
+    added->expires_at = now + message.max_wait;
+    added->refreshed_at = now;
+    added->latest_start = this->latest_start_of(*added, this->list_candidates(own_cell, now));
+    if (added->latest_start > now)
+        own_cell.admission.record_on_time(message.rank, now);
+    else
+        own_cell.admission.record_late(message.rank, now);
+    own_cell.queue.push_back(std::move(added));
+    this->grant_waiting(own_cell, now, out);
+}
+
+void placement_scheduler::grant_by_deadline(cell& own_cell, time_point now, responses& out)
+{
+    this->rank_queue(own_cell, now);
+    std::vector<candidate> candidates = this->list_candidates(own_cell, now);
+    const std::uint32_t reserve =
+        own_cell.admission.reserve(this->slots_of(own_cell, now).all, now);
+    std::uint32_t priority = 0;
+    std::size_t passed_over = 0;
+    // On-time requests that wait although slots are free: they wait for an engine that reads other
+    // prompts first, and want its slot.
+    std::uint32_t on_time_waiting = 0;
+    for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
+        const queued_request& waiting = **at;
+        const std::uint32_t free = this->slots_of(own_cell, now).free;
+        const bool any_free = std::any_of(candidates.begin(), candidates.end(),
+                                          [](const candidate& each) { return each.has_free_slot; });
+        if (!any_free)
+            break;
+        const bool yields = waiting.is_late && !waiting.is_admitted_late;
+        if (yields && free <= reserve + on_time_waiting)
+            break;
+        if (waiting.priority != priority) {
+            priority = waiting.priority;
+            passed_over = 0;
+        }
+        upstream_state* chosen =
+            passed_over < max_passed_over ? this->choose(candidates, waiting, now) : nullptr;
+        if (chosen == nullptr) {
+            ++passed_over;
+            on_time_waiting += yields ? 0 : 1;
+            ++at;
+            continue;
+        }
+        this->grant(own_cell, *chosen, waiting, now, out);
+        at = own_cell.queue.erase(at);
+        for (candidate& each : candidates) {
+            if (each.state == chosen)
+                each.has_free_slot = chosen->in_flight < this->max_placed(*chosen);
+        }
+    }
+    this->deny_hopeless(own_cell, now, out);
+}
+
+void placement_scheduler::deny_hopeless(cell& own_cell, time_point now, responses& out)
+{
+    const cell_slots slots = this->slots_of(own_cell, now);
+    admission_policy& policy = own_cell.admission;
+    if (slots.free > policy.reserve(slots.all, now))
+        return;
+    const double all_on_time = policy.on_time_load(now);
+    double work = 0.0;
+    for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
+        const queued_request& waiting = **at;
+        const double own_work = policy.slot_seconds(waiting.request.rank);
+        if (own_work <= 0.0)
+            return; // Nothing is known yet.
+        const bool yields = waiting.is_late && !waiting.is_admitted_late;
+        const bool is_new = waiting.arrived_at == now;
+        const double load_before = waiting.priority == 0
+                                       ? 0.0
+                                       : std::min(policy.load_before(waiting.request.rank, now),
+                                                  max_load_share * slots.all);
+        const std::optional<duration> wait = admission_policy::time_to_serve(
+            work + own_work, yields ? all_on_time : load_before, slots.all);
+        const time_point until = waiting.is_late
+                                     ? waiting.expires_at
+                                     : std::min(waiting.latest_start, waiting.expires_at);
+        const double share = is_new && !waiting.is_late ? max_arrival_wait_share : 1.0;
+        const bool has_hope = wait && to_us(*wait) <= to_us(until - now) * share;
+        if (has_hope) {
+            work += own_work;
+            ++at;
+            continue;
+        }
+        policy.record_denial(now);
+        (is_new ? this->admission_numbers.denied_at_arrival
+                : this->admission_numbers.denied_later) += 1;
+        out.emplace_back(placement_denial{waiting.request.id, denial_reason::overloaded,
+                                          policy.retry_after(now), this->load_of(own_cell)});
+        at = own_cell.queue.erase(at);
+    }
+}
+
+void placement_scheduler::record_slot_time(cell& own_cell, const in_flight_request& ended,
+                                           placement_outcome outcome, time_point now)
+{
+    if (!ended.is_own)
+        return;
+    const duration held = now - ended.granted_at;
+    if (outcome == placement_outcome::completed)
+        own_cell.admission.record_slot_time(ended.rank, held);
+    if (ended.was_late)
+        this->admission_numbers.late_slot_time += held;
+}
+
+} // namespace ragwortcove::core
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -186,14 +186,23 @@
         own_cell.grants_start_at = now + takeover_wait;
     }
     own_cell.service.record_request(message.rank, now);
+    if (this->admits_by_deadline(own_cell)) {
+        this->submit_by_deadline(own_cell, message, now, out);
+        return;
+    }
     const duration wait = this->estimated_wait(own_cell, message);
     if (wait > message.max_wait && !own_cell.service.is_starved(message.rank)) {
         out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait),
                                           this->load_of(own_cell)});
         return;
     }
-    own_cell.queue.push_back(std::make_unique<queued_request>(
-        queued_request{message, now, now + message.latency_budget, now + message.max_wait, now}));
+    auto added = std::make_unique<queued_request>();
+    added->request = message;
+    added->arrived_at = now;
+    added->latency_deadline = now + message.latency_budget;
+    added->expires_at = now + message.max_wait;
+    added->refreshed_at = now;
+    own_cell.queue.push_back(std::move(added));
     this->grant_waiting(own_cell, now, out);
 }
 
@@ -217,6 +226,10 @@
 {
     if (now < own_cell.grants_start_at || own_cell.queue.empty())
         return;
+    if (this->admits_by_deadline(own_cell)) {
+        this->grant_by_deadline(own_cell, now, out);
+        return;
+    }
     std::vector<candidate> candidates = this->list_candidates(own_cell, now);
     const auto has_free_slot = [](const candidate& each) { return each.has_free_slot; };
     if (std::none_of(candidates.begin(), candidates.end(), has_free_slot))
@@ -246,7 +259,7 @@
             ++at;
             continue;
         }
-        this->grant(own_cell, *chosen, waiting.request, now, out);
+        this->grant(own_cell, *chosen, waiting, now, out);
         at = own_cell.queue.erase(at);
         for (candidate& each : candidates) {
             if (each.state == chosen)
@@ -258,9 +271,16 @@
 }
 
 void placement_scheduler::grant(cell& own_cell, upstream_state& state,
-                                const placement_request& request, time_point now, responses& out)
+                                const queued_request& waiting, time_point now, responses& out)
 {
+    const placement_request& request = waiting.request;
     in_flight_request created;
+    created.rank = request.rank;
+    created.was_late =
+        state.is_engine &&
+        (this->admits_by_deadline(own_cell) ? waiting.is_late : waiting.latency_deadline <= now);
+    this->admission_numbers.late_placements += created.was_late ? 1 : 0;
+    created.is_own = true;
     created.upstream = state.info.name;
     created.uncached_tokens = state.is_engine ? this->count_uncached_tokens(state, request) : 0;
     created.granted_at = now;
@@ -337,6 +357,7 @@
     cell& own_cell = this->cells[{pool_of(state->second.info), state->second.cell}];
     update_end_estimates(state->second, message);
     this->update_health(state->second, own_cell, message.outcome, now);
+    this->record_slot_time(own_cell, ended_request, message.outcome, now);
     this->grant_waiting(own_cell, now, out);
 }
 
@@ -355,7 +376,12 @@
         const auto state = this->upstreams.find(each.upstream);
         if (state == this->upstreams.end())
             continue;
-        in_flight_request created{each.upstream, each.uncached_tokens, 0, each.started, now, now};
+        in_flight_request created;
+        created.upstream = each.upstream;
+        created.uncached_tokens = each.uncached_tokens;
+        created.started = each.started;
+        created.granted_at = now;
+        created.reported_at = now;
         ++state->second.in_flight;
         if (!each.started)
             state->second.backlog_tokens += each.uncached_tokens;
--- a/lib/gateway/call_endings.cpp
+++ b/lib/gateway/call_endings.cpp
@@ -16,6 +16,10 @@
 using core::time_point;
 using daemon::log_event;
 
+/// Callers honour a time to retry after up to their time left divided by this.
+static constexpr std::int64_t honoured_retry_divisor = 3;
+/// Part of the time to retry after over which the returns of refused callers are spread.
+static constexpr double retry_spread = 0.4;
 /// How long this node avoids an upstream after it failed to connect to it.
 static constexpr duration unreachable_duration = 1s;
 
@@ -281,6 +285,19 @@
     this->end_call(call);
 }
 
+// Callers honour up to a third of the time that they have left. The returns are spread out, since a
+// burst of refusals would otherwise come back as a burst.
+duration call_handler::retry_after_denial(const open_call& call,
+                                          const core::placement_denial& denial)
+{
+    if (this->env.placement.admission() == core::admission_mode::by_patience)
+        return denial.retry_after;
+    const duration honoured = (call.deadline - this->now()) / honoured_retry_divisor;
+    const double longest = static_cast<double>(std::min(denial.retry_after, honoured).count());
+    const double share = 1.0 - retry_spread * core::uniform(this->random);
+    return duration{static_cast<duration::rep>(longest * share)};
+}
+
 void call_handler::refuse(open_call& call, int status, std::string_view reason,
                           duration retry_after)
 {
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -247,6 +247,7 @@
     request.max_wait =
         core::max_placement_wait(*call.route, call.deadline - at, call.history.response_started);
     request.longest_pause = call.route->longest_pause;
+    request.returned = call.earlier_attempts_time > duration{0};
     request.failure_domain = this->env.failure_domain;
     request.avoid = call.avoid;
     if (call.active_dispatch)
@@ -424,7 +425,9 @@
     const std::string_view reason = pause         ? "all upstreams pause"
                                     : no_upstream ? "no upstream"
                                                   : "no place in time";
-    this->on_unplaced(call, reason, pause.value_or(denial.retry_after));
+    const duration retry_after =
+        no_upstream ? denial.retry_after : this->retry_after_denial(call, denial);
+    this->on_unplaced(call, reason, pause.value_or(retry_after));
 }
 
 void call_handler::on_unplaced(open_call& call, std::string_view reason, duration retry_after)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -122,6 +122,7 @@
     placement_functions.serving_node_count = [this] { return this->nodes->serving_node_count(); };
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
+    placement_functions.admission = given.admission;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
@@ -287,6 +288,16 @@
          {"owned_waiting", "requests that wait for a place at this owner",
           to_value(scheduler.waiting())},
          {"owned_in_flight", "requests placed by this owner", to_value(scheduler.in_flight())},
+         {"owned_late_placements", "requests placed by this owner after their latest start",
+          to_value(scheduler.admissions().late_placements)},
+         {"owned_late_slot_seconds", "time for which such requests held their slots",
+          std::chrono::duration<double>(scheduler.admissions().late_slot_time).count()},
+         {"owned_denials_at_arrival", "requests that this owner denied at once for want of a slot",
+          to_value(scheduler.admissions().denied_at_arrival)},
+         {"owned_denials_later", "requests that waited at this owner and were denied",
+          to_value(scheduler.admissions().denied_later)},
+         {"owned_reserved_slots", "slots that this owner keeps free for requests that are in time",
+          to_value(scheduler.reserved_slots(this->now()))},
          {"caller_connections", "connections of callers",
           to_value(this->caller_server->connections())},
          {"upstream_connections_opened", "connections opened to upstreams",
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -96,6 +96,13 @@
     return text == "true" || text == "false";
 }
 
+static bool read_admission(std::string_view text, core::admission_mode& into)
+{
+    into =
+        text == "deadline" ? core::admission_mode::by_deadline : core::admission_mode::by_patience;
+    return text == "deadline" || text == "patience";
+}
+
 static bool read_level(std::string_view text, daemon::log_level& into)
 {
     static constexpr std::array levels{daemon::log_level::debug, daemon::log_level::info,
@@ -190,6 +197,10 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_count(text, into.rollouts.extra_requests);
               }},
+    known_key{"gateway", "admission", false, "deadline or patience",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_admission(text, into.admission);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -29,6 +29,7 @@
     : env(std::move(dependencies)), random(this->env.run.value), scheduler(this->env.run.value),
       quotas(this->env.tolerance)
 {
+    this->scheduler.set_admission(this->env.admission);
 }
 
 placement_service::~placement_service() = default;
