--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -62,6 +62,8 @@
     std::vector<upstream_name> avoid;
     /// Whether the caller was refused before and came back.
     bool returned = false;
+    /// Time until the caller gives up; zero if unknown.
+    duration time_left{0};
     bool operator==(const placement_request&) const = default;
 };
 
@@ -265,6 +267,8 @@
         std::uint32_t priority = 0;
         /// When the request must be at an upstream to meet its latency objective.
         time_point latest_start;
+        /// When the caller gives up; the end of time if unknown.
+        time_point gives_up_at = time_point::max();
         /// Whether that time has passed; set by `rank_queue`.
         bool is_late = false;
         /// Whether the request is later than others of its rank, but must be served like them.
@@ -326,8 +330,19 @@
     void rank_queue(cell& own_cell, time_point now) const;
     /// Grants queued requests that can be in time, and late ones on slots that nobody else wants.
     void grant_by_deadline(cell& own_cell, time_point now, responses& out);
+    /// Whether the request would run well at the upstream if no other prompt was ahead of it: in
+    /// time if it is on time, without pauses that are too long, and complete before its caller
+    /// gives up.
+    [[nodiscard]] bool is_suitable(const candidate& option, const queued_request& waiting,
+                                   time_point now) const;
+    /// The free slots that a late request may take.
+    [[nodiscard]] std::vector<candidate> leftover_for(std::span<const candidate> candidates,
+                                                      std::span<const std::uint32_t> wanted,
+                                                      const queued_request& waiting,
+                                                      std::uint32_t reserve, time_point now) const;
     /// Denies the queued requests that are not expected to get a slot in time.
-    void deny_hopeless(cell& own_cell, time_point now, responses& out);
+    void deny_hopeless(cell& own_cell, std::span<const candidate> candidates, time_point now,
+                       responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
     void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -19,7 +19,10 @@
 /// Largest share of the slots that the load of earlier ranks counts for: the loads are averages,
 /// and a few requests of later ranks wait for the gaps.
 static constexpr double max_load_share = 0.9;
-/// On-time requests of one rank that may fail to be placed before the rest of the rank is skipped.
+/// Longest time for which a late request is held: whether it gets a slot is uncertain, and its
+/// caller is better told when to come back.
+static constexpr duration max_late_wait = 500ms;
+/// Requests of one rank that may fail to be placed before the rest of the rank is skipped.
 static constexpr std::size_t max_passed_over = 6;
 
 static duration from_us(double value)
@@ -106,6 +109,8 @@
     added->latency_deadline = now + message.latency_budget;
     added->expires_at = now + message.max_wait;
     added->refreshed_at = now;
+    if (message.time_left > 0s)
+        added->gives_up_at = now + message.time_left;
     added->latest_start = this->latest_start_of(*added, this->list_candidates(own_cell, now));
     if (added->latest_start > now)
         own_cell.admission.record_on_time(message.rank, now);
@@ -115,36 +120,91 @@
     this->grant_waiting(own_cell, now, out);
 }
 
+bool placement_scheduler::is_suitable(const candidate& option, const queued_request& waiting,
+                                      time_point now) const
+{
+    const placement_request& request = waiting.request;
+    if (!is_allowed(*option.state, request) || !this->meets_pause_limit(option, request, 0))
+        return false;
+    if (waiting.gives_up_at != time_point::max() &&
+        this->completion_us(option, request) > to_us(waiting.gives_up_at - now))
+        return false;
+    return waiting.is_late || this->first_event_us(option, request, 0) <=
+                                  to_us(waiting.latency_deadline - now) * start_margin;
+}
+
+static std::uint32_t free_slots_of(std::uint32_t most, std::size_t in_flight)
+{
+    return in_flight < most ? most - static_cast<std::uint32_t>(in_flight) : 0;
+}
+
+// The reserve is kept on the faster engines: those that are slower than usual are in time for few
+// requests.
+std::vector<placement_scheduler::candidate> placement_scheduler::leftover_for(
+    std::span<const candidate> candidates, std::span<const std::uint32_t> wanted,
+    const queued_request& waiting, std::uint32_t reserve, time_point now) const
+{
+    double total_event_us = 0.0;
+    for (const candidate& each : candidates)
+        total_event_us += each.estimates.event_us;
+    const double usual_event_us =
+        total_event_us / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
+    std::vector<candidate> left(candidates.begin(), candidates.end());
+    const auto is_fast = [&](const candidate& each) {
+        return each.estimates.event_us <= usual_event_us;
+    };
+    std::uint32_t free_fast = 0;
+    for (std::size_t index = 0; index < left.size(); ++index) {
+        candidate& each = left[index];
+        const std::uint32_t free =
+            free_slots_of(this->max_placed(*each.state), each.state->in_flight);
+        if (free <= wanted[index] || !this->is_suitable(each, waiting, now))
+            each.has_free_slot = false;
+        if (is_fast(each))
+            free_fast += free;
+    }
+    if (free_fast > reserve)
+        return left;
+    for (candidate& each : left)
+        each.has_free_slot = each.has_free_slot && !is_fast(each);
+    return left;
+}
+
 void placement_scheduler::grant_by_deadline(cell& own_cell, time_point now, responses& out)
 {
     this->rank_queue(own_cell, now);
     std::vector<candidate> candidates = this->list_candidates(own_cell, now);
     const std::uint32_t reserve =
         own_cell.admission.reserve(this->slots_of(own_cell, now).all, now);
+    // On-time requests that wait although an engine has a free slot: it reads other prompts first.
+    std::vector<std::uint32_t> wanted(candidates.size(), 0);
     std::uint32_t priority = 0;
     std::size_t passed_over = 0;
-    // On-time requests that wait although slots are free: they wait for an engine that reads other
-    // prompts first, and want its slot.
-    std::uint32_t on_time_waiting = 0;
+    bool was_late = false;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
-        const queued_request& waiting = **at;
-        const std::uint32_t free = this->slots_of(own_cell, now).free;
         const bool any_free = std::any_of(candidates.begin(), candidates.end(),
                                           [](const candidate& each) { return each.has_free_slot; });
         if (!any_free)
             break;
+        const queued_request& waiting = **at;
         const bool yields = waiting.is_late && !waiting.is_admitted_late;
-        if (yields && free <= reserve + on_time_waiting)
-            break;
-        if (waiting.priority != priority) {
-            priority = waiting.priority;
+        if (waiting.priority != priority || yields != was_late)
             passed_over = 0;
+        priority = waiting.priority;
+        was_late = yields;
+        upstream_state* chosen = nullptr;
+        if (passed_over < max_passed_over && yields) {
+            std::vector<candidate> left =
+                this->leftover_for(candidates, wanted, waiting, reserve, now);
+            chosen = this->choose(left, waiting, now);
+        }
+        else if (passed_over < max_passed_over) {
+            chosen = this->choose(candidates, waiting, now);
         }
-        upstream_state* chosen =
-            passed_over < max_passed_over ? this->choose(candidates, waiting, now) : nullptr;
         if (chosen == nullptr) {
             ++passed_over;
-            on_time_waiting += yields ? 0 : 1;
+            for (std::size_t index = 0; !yields && index < candidates.size(); ++index)
+                wanted[index] += this->is_suitable(candidates[index], waiting, now) ? 1 : 0;
             ++at;
             continue;
         }
@@ -155,15 +215,16 @@
                 each.has_free_slot = chosen->in_flight < this->max_placed(*chosen);
         }
     }
-    this->deny_hopeless(own_cell, now, out);
+    this->deny_hopeless(own_cell, candidates, now, out);
 }
 
-void placement_scheduler::deny_hopeless(cell& own_cell, time_point now, responses& out)
+void placement_scheduler::deny_hopeless(cell& own_cell, std::span<const candidate> candidates,
+                                        time_point now, responses& out)
 {
     const cell_slots slots = this->slots_of(own_cell, now);
-    admission_policy& policy = own_cell.admission;
-    if (slots.free > policy.reserve(slots.all, now))
+    if (slots.free * 2 > slots.all)
         return;
+    admission_policy& policy = own_cell.admission;
     const double all_on_time = policy.on_time_load(now);
     double work = 0.0;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
@@ -173,18 +234,28 @@
             return; // Nothing is known yet.
         const bool yields = waiting.is_late && !waiting.is_admitted_late;
         const bool is_new = waiting.arrived_at == now;
+        cell_slots suitable;
+        for (const candidate& each : candidates) {
+            if (!this->is_suitable(each, waiting, now))
+                continue;
+            const std::uint32_t most = this->max_placed(*each.state);
+            suitable.all += most;
+            suitable.free += free_slots_of(most, each.state->in_flight);
+        }
+        if (suitable.all == 0)
+            suitable = slots;
         const double load_before = waiting.priority == 0
                                        ? 0.0
                                        : std::min(policy.load_before(waiting.request.rank, now),
-                                                  max_load_share * slots.all);
+                                                  max_load_share * suitable.all);
         const std::optional<duration> wait = admission_policy::time_to_serve(
-            work + own_work, yields ? all_on_time : load_before, slots.all);
-        const time_point until = waiting.is_late
-                                     ? waiting.expires_at
-                                     : std::min(waiting.latest_start, waiting.expires_at);
+            work + own_work, yields ? all_on_time : load_before, suitable.all);
+        const time_point until =
+            waiting.is_late ? std::min(waiting.arrived_at + max_late_wait, waiting.expires_at)
+                            : std::min(waiting.latest_start, waiting.expires_at);
         const double share = is_new && !waiting.is_late ? max_arrival_wait_share : 1.0;
-        const bool has_hope = wait && to_us(*wait) <= to_us(until - now) * share;
-        if (has_hope) {
+        const bool is_soon = wait && to_us(*wait) <= to_us(until - now) * share;
+        if (is_soon || (!yields && suitable.free > 0)) {
             work += own_work;
             ++at;
             continue;
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -21,6 +21,7 @@
     to.set_goal_left(from.latency_budget.count());
     to.set_patience(from.max_wait.count());
     to.set_returned(from.returned);
+    to.set_time_left(from.time_left.count());
     to.set_longest_pause(from.longest_pause.count());
     to.set_failure_domain(from.failure_domain.value);
     for (const core::upstream_name& avoided : from.avoid)
@@ -43,6 +44,7 @@
     result.latency_budget = duration{from.goal_left()};
     result.max_wait = duration{from.patience()};
     result.returned = from.returned();
+    result.time_left = duration{from.time_left()};
     result.longest_pause = duration{from.longest_pause()};
     result.failure_domain.value = from.failure_domain();
     for (const std::string& avoided : from.avoid())
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -137,6 +137,9 @@
     core::placement_request current = request.details;
     current.latency_budget =
         remaining_of(request.details.latency_budget, request.first_sent_at, now);
+    if (request.details.time_left > duration{0})
+        current.time_left = std::max(
+            duration{1}, remaining_of(request.details.time_left, request.first_sent_at, now));
     current.max_wait =
         std::max(duration{0}, remaining_of(request.details.max_wait, request.first_sent_at, now));
     if (request.owner == this->env.self) {
