--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of a daemon that serves HTTP traffic on the users' platform, read from an INI file.
 #pragma once
 
+#include "ragwortcove/core/admission_policy.hpp"
 #include "ragwortcove/core/placement_scheduler.hpp"
 #include "ragwortcove/core/repeat_budget.hpp"
 #include "ragwortcove/core/rollout_controller.hpp"
@@ -43,6 +44,8 @@
     core::rollout_limits rollouts;
     core::warmup_tolerance warmups;
     core::placement_options placement;
+    /// How requests for engines are admitted under overload.
+    core::admission_mode admission = core::admission_mode::by_patience;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -50,6 +50,7 @@
     core::quota_tolerance tolerance;
     core::warmup_tolerance warmups;
     core::placement_options options;
+    core::admission_mode admission = core::admission_mode::by_patience;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -93,6 +94,7 @@
     void node_ended(core::incarnation run);
     /// Resends requests and reports that are due; to be called every few tens of milliseconds.
     void tick();
+    [[nodiscard]] core::admission_mode admission() const { return this->env.admission; }
     [[nodiscard]] const core::placement_scheduler& owned_placements() const
     {
         return this->scheduler;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -125,6 +125,7 @@
     placement_functions.tolerance = given.quotas;
     placement_functions.warmups = given.warmups;
     placement_functions.options = given.placement;
+    placement_functions.admission = given.admission;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
@@ -301,6 +302,16 @@
           to_value(scheduler.held_back())},
          {"upstreams_warming_up", "upstreams that are warming up, of targets with a rate for it",
           to_value(scheduler.warmups().count_warming_up(this->now()))},
+         {"owned_late_placements", "requests placed by this owner after their latest start",
+          to_value(scheduler.admissions().late_placements)},
+         {"owned_late_slot_seconds", "time for which such requests held their slots",
+          std::chrono::duration<double>(scheduler.admissions().late_slot_time).count()},
+         {"owned_denials_at_arrival", "requests that this owner denied at once for want of a slot",
+          to_value(scheduler.admissions().denied_at_arrival)},
+         {"owned_denials_later", "requests that waited at this owner and were denied",
+          to_value(scheduler.admissions().denied_later)},
+         {"owned_reserved_slots", "slots that this owner keeps free for requests that are in time",
+          to_value(scheduler.reserved_slots(this->now()))},
          {"caller_connections", "connections of callers",
           to_value(this->caller_server->connections())},
          {"upstream_connections_opened", "connections opened to upstreams",
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -31,6 +31,7 @@
 {
     this->scheduler.set_warmup_tolerance(this->env.warmups);
     this->scheduler.set_options(this->env.options);
+    this->scheduler.set_admission(this->env.admission);
 }
 
 placement_service::~placement_service() = default;
