[core] teams that compete for too few slots are served by their shares

Change: the tags of start-time fair queueing are a module of their own (team_shares), used by fair_queue and by placement_scheduler, which orders the waiting requests of one rank and one lateness class by their teams' leads. The cost is the slot time at a typical upstream of the cell, the weight the quota's rate. A team may use later what it left unused in the last 2 s, and has no lead 1 s after its last placement. The estimated wait at submit counts only requests that the shares put before. Owners state with each load the wait of a request that is in time and of a team within its share (CellLoad.wait_ms); entries compare full cells by it and send a denied request to a cell whose wait it can spend, after at most two denials. Off by default: [gateway] team_shares and cell_waits.

--- a/include/ragwortcove/core/fair_queue.hpp
+++ b/include/ragwortcove/core/fair_queue.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "ragwortcove/core/peer_message.hpp"
+#include "ragwortcove/core/team_shares.hpp"
 #include "ragwortcove/core/types.hpp"
 
 #include <cstdint>
@@ -32,7 +33,7 @@
     time_point expires_at;
 };
 
-/// Start-time fair queueing (Goyal, Vin and Cheng, 1996) over teams within each rank. To avoid
+/// Start-time fair queueing (`team_shares.hpp`) over teams within each rank. To avoid
 /// head-of-line blocking, a team's short and long requests wait in separate lanes, and so do
 /// requests that differ in their version or in the upstreams that they avoid.
 class fair_queue {
@@ -77,7 +78,7 @@
         std::deque<queued_request> waiting;
     };
     struct rank_state {
-        double virtual_time = 0.0;
+        fair_clock clock;
         duration short_cost{0};
         duration long_cost{0};
         std::map<lane_key, lane> lanes;
--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
+#include "ragwortcove/core/team_shares.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
 
@@ -141,6 +142,12 @@
     double first_event_us = 0.0;
 };
 
+/// Placements and denials of one class of requests.
+struct placement_counts {
+    std::uint64_t placed = 0;
+    std::uint64_t denied = 0;
+};
+
 /// Scheduler of the cells that this node owns. Functions append their grants and denials to `out`.
 class placement_scheduler {
 public:
@@ -155,6 +162,9 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The unreachable
     /// nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
+    /// Whether waiting requests of one rank are served by their teams' shares. Must be set before
+    /// the first request.
+    void set_team_shares(bool used) { this->uses_team_shares = used; }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -185,8 +195,11 @@
     [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::size_t in_flight() const { return this->in_flight_by_id.size(); }
     /// Load of the cell in whose queue the request waits or would wait.
-    [[nodiscard]] cell_load load_for(const placement_request& request) const;
+    [[nodiscard]] cell_load load_for(const placement_request& request, time_point now) const;
     [[nodiscard]] std::vector<upstream_view> views() const;
+    /// Requests of teams within and over their share; zero without team shares.
+    [[nodiscard]] const placement_counts& within_share_counts() const { return this->within_share; }
+    [[nodiscard]] const placement_counts& over_share_counts() const { return this->over_share; }
 
 private:
     struct in_flight_request {
@@ -250,6 +263,12 @@
         /// Position in the order of service, lowest first: the rank plus one, or zero while the
         /// rank is starved.
         std::uint32_t priority = 0;
+        /// Account of the team, and the slot time that the request is expected to need; unset
+        /// without team shares.
+        share_account* account = nullptr;
+        duration slot_time{0};
+        /// How far the request is ahead of its team's share, among those that wait.
+        double team_lead = 0.0;
     };
     /// An upstream considered by the current placement.
     struct candidate {
@@ -261,6 +280,7 @@
         std::vector<std::unique_ptr<queued_request>> queue;
         std::vector<upstream_name> members;
         rank_service service;
+        team_shares shares;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
@@ -289,10 +309,23 @@
     [[nodiscard]] std::uint32_t count_uncached_tokens(const upstream_state& state,
                                                       const placement_request& request) const;
     void update_cache(upstream_state& state, const placement_request& request);
-    void grant(cell& own_cell, upstream_state& state, const placement_request& request,
-               time_point now, responses& out);
+    void grant(cell& own_cell, upstream_state& state, const queued_request& waiting, time_point now,
+               responses& out);
     void grant_waiting(cell& own_cell, time_point now, responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
+    /// Sets the team's account and the expected slot time of a new request.
+    void assign_account(cell& own_cell, queued_request& waiting, time_point now) const;
+    /// Time for which a typical upstream of the cell is expected to run a request.
+    [[nodiscard]] duration typical_slot_time(const cell& own_cell,
+                                             const placement_request& request) const;
+    /// Orders requests of one priority, all on time or all late, by their teams' shares; otherwise
+    /// keeps the order.
+    void order_by_shares(cell& own_cell, time_point now) const;
+    /// Queued requests that are expected to be served before a new one.
+    [[nodiscard]] std::size_t count_ahead(const cell& own_cell, const queued_request& waiting,
+                                          time_point now) const;
+    void deny(cell& own_cell, const queued_request& waiting, denial_reason reason, time_point now,
+              responses& out);
     void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
     void update_health(upstream_state& state, const cell& own_cell, placement_outcome outcome,
@@ -300,8 +333,8 @@
     static void update_start_estimates(upstream_state& state, std::uint64_t computed_tokens,
                                        duration after);
     static void update_end_estimates(upstream_state& state, const placement_release& message);
-    [[nodiscard]] duration estimated_wait(const cell& own_cell,
-                                          const placement_request& request) const;
+    [[nodiscard]] duration estimated_wait(const cell& own_cell, const queued_request& waiting,
+                                          time_point now) const;
     [[nodiscard]] double mean_or(const cell& own_cell, double upstream_state::*estimate,
                                  double fallback) const;
 
@@ -311,7 +344,11 @@
     /// fleet; differs between nodes, so that they prefer different upstreams.
     [[nodiscard]] double spread_factor(const upstream_state& state) const;
     [[nodiscard]] cell_key key_of(const placement_request& request) const;
-    [[nodiscard]] cell_load load_of(const cell& own_cell) const;
+    [[nodiscard]] cell_load load_of(const cell& own_cell, std::uint32_t rank, time_point now) const;
+    /// Expected wait of a new request of a rank that can still be in time, and of a team within its
+    /// share; unset if no request was granted lately although some wait.
+    [[nodiscard]] std::optional<duration> on_time_wait(const cell& own_cell, std::uint32_t rank,
+                                                       time_point now) const;
 
     std::map<cell_key, cell> cells;
     std::map<target_name, cell_index> cell_counts;
@@ -320,6 +357,10 @@
     /// Recently ended requests and when to forget them, so that a delayed report does not count
     /// them as in flight again.
     std::map<placement_id, time_point> recently_ended;
+    bool uses_team_shares = false;
+    team_weights weights;
+    placement_counts within_share;
+    placement_counts over_share;
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
     /// Makes nodes that cannot reach each other prefer different upstreams.
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -39,6 +39,10 @@
     core::repeat_limits repeats;
     core::quota_tolerance quotas;
     core::rollout_limits rollouts;
+    /// Whether waiting requests are served by their teams' shares.
+    bool team_shares = false;
+    /// Whether cells without free slots are compared by the waits that their owners state.
+    bool cell_waits = false;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -46,6 +46,10 @@
     std::function<std::size_t()> serving_node_count;
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
+    /// Whether waiting requests are served by their teams' shares.
+    bool team_shares = false;
+    /// Whether full cells are compared by the waits that their owners state.
+    bool cell_waits = false;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -125,7 +129,8 @@
     [[nodiscard]] core::node_name owner_of_cell(const core::target_name& pool,
                                                 core::cell_index cell) const;
     [[nodiscard]] core::cell_index cell_count_of(const core::target_name& pool) const;
-    /// Sends a denied request to another cell; returns false if none is known to have free slots.
+    /// Sends a denied request to another cell; returns false if none is known to have free slots or
+    /// a wait that the request can spend.
     bool try_other_cell(tracked_request& request);
     /// Moves a queued request to another cell; returns false if none is known to have free slots.
     bool move_queued_request(tracked_request& request);
--- a/lib/core/fair_queue.cpp
+++ b/lib/core/fair_queue.cpp
@@ -18,7 +18,7 @@
     (queued.is_long ? rank.long_cost : rank.short_cost) += queued.cost;
     if (target.waiting.empty()) {
         // A lane that was empty gets no credit for that time.
-        target.start = std::max(target.start, rank.virtual_time);
+        target.start = rank.clock.start_after(target.start);
         rank.order.insert({target.start, key});
     }
     target.waiting.push_back(std::move(queued));
@@ -51,9 +51,8 @@
             const lane_key chosen = key;
             const queued_request& head = from.waiting.front();
             const double length = static_cast<double>(head.cost.count()) / head.weight;
-            rank.virtual_time = std::max(rank.virtual_time, start);
             rank.order.erase({from.start, chosen});
-            from.start += length;
+            from.start = rank.clock.serve(from.start, length);
             rank.order.insert({from.start, chosen});
             return this->remove(number, chosen, 0);
         }
--- a/lib/core/placement_limits.hpp
+++ b/lib/core/placement_limits.hpp
@@ -15,6 +15,9 @@
 /// free is used again without waiting for a round trip.
 inline constexpr std::uint32_t service_overlap = 1;
 
+/// Time constant of the average of a cell's grant rate.
+inline constexpr duration rate_window = std::chrono::seconds{2};
+
 inline double to_us(duration span)
 {
     return static_cast<double>(span.count());
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -27,8 +27,6 @@
 static constexpr duration max_retry = 3s;
 /// Requests of one rank that may fail to be placed before the rest of the rank is skipped.
 static constexpr std::size_t max_passed_over = 6;
-/// Time constant of the average of the grant rate.
-static constexpr duration rate_window = 2s;
 
 static duration from_us(double value)
 {
@@ -39,6 +37,7 @@
                                         const rule_index* rules)
 {
     std::set<upstream_name> present;
+    this->weights = rules == nullptr ? team_weights{} : make_team_weights(rules->rules());
     for (auto& [key, each] : this->cells)
         each.members.clear();
     this->cell_counts = count_cells(all);
@@ -67,25 +66,6 @@
     return {request.pool, found == this->cell_counts.end() ? 0 : request.cell % found->second};
 }
 
-cell_load placement_scheduler::load_for(const placement_request& request) const
-{
-    const auto found = this->cells.find(this->key_of(request));
-    return found == this->cells.end() ? cell_load{} : this->load_of(found->second);
-}
-
-cell_load placement_scheduler::load_of(const cell& own_cell) const
-{
-    cell_load created;
-    created.waiting = static_cast<std::uint32_t>(own_cell.queue.size());
-    for (const upstream_name& name : own_cell.members) {
-        const upstream_state& state = this->upstreams.at(name);
-        const std::size_t max_count = this->max_placed(state);
-        if (!state.info.leaving && state.in_flight < max_count)
-            created.free_slots += static_cast<std::uint32_t>(max_count - state.in_flight);
-    }
-    return created;
-}
-
 void placement_scheduler::forget(const upstream_name& name)
 {
     const auto found = this->upstreams.find(name);
@@ -136,15 +116,13 @@
     }
 }
 
-duration placement_scheduler::estimated_wait(const cell& own_cell,
-                                             const placement_request& request) const
+duration placement_scheduler::estimated_wait(const cell& own_cell, const queued_request& waiting,
+                                             time_point now) const
 {
-    std::size_t ahead = 0;
-    for (const auto& each : own_cell.queue)
-        ahead += each->request.rank <= request.rank ? 1 : 0;
     if (own_cell.grant_rate <= 0.0)
         return 0s;
-    return from_us(1e6 * static_cast<double>(ahead) / own_cell.grant_rate);
+    const auto ahead = static_cast<double>(this->count_ahead(own_cell, waiting, now));
+    return from_us(1e6 * ahead / own_cell.grant_rate);
 }
 
 static duration retry_hint(duration wait)
@@ -157,9 +135,9 @@
     // An entry without a response repeats its request, which must be queued and granted only once.
     const auto granted = this->in_flight_by_id.find(message.id);
     if (granted != this->in_flight_by_id.end()) {
-        out.emplace_back(placement_grant{message.id, granted->second.upstream,
-                                         granted->second.uncached_tokens, this->load_for(message),
-                                         granted->second.ahead_tokens});
+        out.emplace_back(
+            placement_grant{message.id, granted->second.upstream, granted->second.uncached_tokens,
+                            this->load_for(message, now), granted->second.ahead_tokens});
         return;
     }
     cell& own_cell = this->cells[this->key_of(message)];
@@ -177,8 +155,8 @@
             return !state.info.leaving && is_allowed(state, message);
         });
     if (!any_allowed) {
-        out.emplace_back(
-            placement_denial{message.id, denial_reason::no_upstream, 1s, this->load_of(own_cell)});
+        out.emplace_back(placement_denial{message.id, denial_reason::no_upstream, 1s,
+                                          this->load_of(own_cell, message.rank, now)});
         return;
     }
     if (!own_cell.in_use) {
@@ -186,14 +164,15 @@
         own_cell.grants_start_at = now + takeover_wait;
     }
     own_cell.service.record_request(message.rank, now);
-    const duration wait = this->estimated_wait(own_cell, message);
+    auto created = std::make_unique<queued_request>(
+        queued_request{message, now, now + message.latency_budget, now + message.max_wait, now});
+    this->assign_account(own_cell, *created, now);
+    const duration wait = this->estimated_wait(own_cell, *created, now);
     if (wait > message.max_wait && !own_cell.service.is_starved(message.rank)) {
-        out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait),
-                                          this->load_of(own_cell)});
+        this->deny(own_cell, *created, denial_reason::overloaded, now, out);
         return;
     }
-    own_cell.queue.push_back(std::make_unique<queued_request>(
-        queued_request{message, now, now + message.latency_budget, now + message.max_wait, now}));
+    own_cell.queue.push_back(std::move(created));
     this->grant_waiting(own_cell, now, out);
 }
 
@@ -229,6 +208,8 @@
                          return is_served_before(left->priority, left->latency_deadline,
                                                  right->priority, right->latency_deadline, now);
                      });
+    if (this->uses_team_shares)
+        this->order_by_shares(own_cell, now);
     // If several requests of a rank could not be placed on the free slots, the rest of the rank
     // hardly can either, and is skipped to save time.
     std::uint32_t rank = 0;
@@ -246,7 +227,7 @@
             ++at;
             continue;
         }
-        this->grant(own_cell, *chosen, waiting.request, now, out);
+        this->grant(own_cell, *chosen, waiting, now, out);
         at = own_cell.queue.erase(at);
         for (candidate& each : candidates) {
             if (each.state == chosen)
@@ -258,8 +239,9 @@
 }
 
 void placement_scheduler::grant(cell& own_cell, upstream_state& state,
-                                const placement_request& request, time_point now, responses& out)
+                                const queued_request& waiting, time_point now, responses& out)
 {
+    const placement_request& request = waiting.request;
     in_flight_request created;
     created.upstream = state.info.name;
     created.uncached_tokens = state.is_engine ? this->count_uncached_tokens(state, request) : 0;
@@ -270,12 +252,18 @@
     ++state.in_flight;
     this->update_cache(state, request);
     own_cell.service.record_placement(request.rank, now);
+    if (waiting.account != nullptr) {
+        const bool is_over = waiting.account->is_over_share;
+        ++(is_over ? this->over_share : this->within_share).placed;
+        own_cell.shares.charge(*waiting.account, waiting.slot_time, now);
+    }
     const double elapsed_us = to_us(now - own_cell.rate_updated_at);
     const double retained = std::exp(-elapsed_us / to_us(rate_window));
     own_cell.grant_rate = own_cell.grant_rate * retained + 1e6 / to_us(rate_window);
     own_cell.rate_updated_at = now;
     out.emplace_back(placement_grant{request.id, created.upstream, created.uncached_tokens,
-                                     this->load_of(own_cell), created.ahead_tokens});
+                                     this->load_of(own_cell, request.rank, now),
+                                     created.ahead_tokens});
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
@@ -385,6 +373,18 @@
         this->release({id, placement_outcome::cancelled, {}, {}}, now, out);
 }
 
+void placement_scheduler::deny(cell& own_cell, const queued_request& waiting, denial_reason reason,
+                               time_point now, responses& out)
+{
+    if (waiting.account != nullptr) {
+        const bool is_over = waiting.account->is_over_share;
+        ++(is_over ? this->over_share : this->within_share).denied;
+    }
+    out.emplace_back(placement_denial{waiting.request.id, reason,
+                                      retry_hint(this->estimated_wait(own_cell, waiting, now)),
+                                      this->load_of(own_cell, waiting.request.rank, now)});
+}
+
 void placement_scheduler::expire(cell& own_cell, time_point now, responses& out)
 {
     const bool has_vanished = own_cell.is_canary && own_cell.members.empty();
@@ -395,12 +395,10 @@
             ++at;
             continue;
         }
+        const denial_reason reason =
+            has_vanished ? denial_reason::no_upstream : denial_reason::overloaded;
         if (!abandoned)
-            out.emplace_back(placement_denial{
-                waiting.request.id,
-                has_vanished ? denial_reason::no_upstream : denial_reason::overloaded,
-                retry_hint(this->estimated_wait(own_cell, waiting.request)),
-                this->load_of(own_cell)});
+            this->deny(own_cell, waiting, reason, now, out);
         at = own_cell.queue.erase(at);
     }
 }
@@ -410,6 +408,9 @@
     for (auto& [key, own_cell] : this->cells) {
         this->expire(own_cell, now, out);
         this->grant_waiting(own_cell, now, out);
+        // Queued requests refer to their accounts.
+        if (own_cell.queue.empty())
+            own_cell.shares.forget_idle(now);
     }
     std::erase_if(this->recently_ended, [now](const auto& each) { return each.second <= now; });
     std::vector<placement_id> unreported;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -122,6 +122,8 @@
     placement_functions.serving_node_count = [this] { return this->nodes->serving_node_count(); };
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
+    placement_functions.team_shares = given.team_shares;
+    placement_functions.cell_waits = given.cell_waits;
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
@@ -286,6 +288,14 @@
           to_value(this->calls->response_memory())},
          {"owned_waiting", "requests that wait for a place at this owner",
           to_value(scheduler.waiting())},
+         {"within_share_placed", "requests that this owner placed for teams within their share",
+          to_value(scheduler.within_share_counts().placed)},
+         {"within_share_denied", "requests that this owner denied to teams within their share",
+          to_value(scheduler.within_share_counts().denied)},
+         {"over_share_placed", "requests that this owner placed for teams over their share",
+          to_value(scheduler.over_share_counts().placed)},
+         {"over_share_denied", "requests that this owner denied to teams over their share",
+          to_value(scheduler.over_share_counts().denied)},
          {"owned_in_flight", "requests placed by this owner", to_value(scheduler.in_flight())},
          {"caller_connections", "connections of callers",
           to_value(this->caller_server->connections())},
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -190,6 +190,14 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_count(text, into.rollouts.extra_requests);
               }},
+    known_key{"gateway", "team_shares", false, "true or false",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_flag(text, into.team_shares);
+              }},
+    known_key{"gateway", "cell_waits", false, "true or false",
+              [](gateway_settings& into, std::string_view text) {
+                  return read_flag(text, into.cell_waits);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/lib/gateway/placement_inbox.cpp
+++ b/lib/gateway/placement_inbox.cpp
@@ -27,7 +27,8 @@
     wire::PeerDatagram queued;
     queued.set_receiver_run(run.value);
     queued.mutable_queued()->set_sequence(id.sequence);
-    write_load(this->scheduler.load_for(request), *queued.mutable_queued()->mutable_load());
+    write_load(this->scheduler.load_for(request, this->env.now()),
+               *queued.mutable_queued()->mutable_load());
     this->env.send(from, queued);
 }
 
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -1,9 +1,15 @@
 #include "placement_messages.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 namespace ragwortcove::gateway {
 
 using core::duration;
 
+/// Longer waits are all the same to a request.
+static constexpr std::chrono::milliseconds max_stated_wait{60'000};
+
 void write_placement_request(const core::placement_request& from, wire::PlacementAsk& to)
 {
     to.set_sequence(from.id.sequence);
@@ -52,11 +58,18 @@
 {
     to.set_free_places(from.free_slots);
     to.set_waiting(from.waiting);
+    if (!from.wait)
+        return;
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(*from.wait);
+    to.set_wait_ms(static_cast<std::uint32_t>(std::min(wait, max_stated_wait).count()));
 }
 
 core::cell_load read_load(const wire::CellLoad& from)
 {
-    return {from.free_places(), from.waiting()};
+    core::cell_load result{from.free_places(), from.waiting()};
+    if (from.has_wait_ms())
+        result.wait = std::chrono::milliseconds{from.wait_ms()};
+    return result;
 }
 
 } // namespace ragwortcove::gateway
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -29,6 +29,8 @@
     : env(std::move(dependencies)), random(this->env.run.value), scheduler(this->env.run.value),
       quotas(this->env.tolerance)
 {
+    this->scheduler.set_team_shares(this->env.team_shares);
+    this->cells.set_uses_waits(this->env.cell_waits);
 }
 
 placement_service::~placement_service() = default;
@@ -88,15 +90,21 @@
 
 void placement_service::record_load(const tracked_request& request, const core::cell_load& load)
 {
-    this->cells.record_load(request.details.pool, request.details.cell, load, this->env.now());
+    this->cells.record_load(request.details.pool, request.details.cell, load, this->env.now(),
+                            request.details.rank);
 }
 
 bool placement_service::try_other_cell(tracked_request& request)
 {
     request.denied_cells.push_back(request.details.cell);
-    const std::optional<core::cell_index> other =
-        this->cells.choose_free(request.details.pool, this->cell_count_of(request.details.pool),
-                                request.denied_cells, this->random, this->env.now());
+    const time_point now = this->env.now();
+    const duration waited = now - request.first_sent_at;
+    const core::cell_retry retry{
+        request.details.rank,
+        std::min(request.details.latency_budget, request.details.max_wait) - waited,
+        request.denied_cells};
+    const std::optional<core::cell_index> other = this->cells.choose_after_denial(
+        request.details.pool, this->cell_count_of(request.details.pool), retry, this->random, now);
     if (!other)
         return false;
     request.details.cell = *other;
@@ -117,7 +125,7 @@
     request.first_sent_at = this->env.now();
     request.details.cell =
         this->cells.choose(request.details.pool, this->cell_count_of(request.details.pool), {},
-                           this->random, request.first_sent_at);
+                           this->random, request.first_sent_at, request.details.rank);
     request.owner = this->owner_of_cell(request.details.pool, request.details.cell);
     this->send_to_owner(request);
     return number;
