--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -10,6 +10,7 @@
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
 #include "ragwortcove/core/ruleset.hpp"
+#include "ragwortcove/core/team_shares.hpp"
 #include "ragwortcove/core/types.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
 #include "ragwortcove/core/warmup_limit.hpp"
@@ -157,7 +158,14 @@
     bool paced_places = false;
 };
 
-/// Scheduler of the cells that this node owns. Functions append their grants and denials to `out`.
+/// Placements and denials of one class of requests.
+struct placement_counts {
+    std::uint64_t placed = 0;
+    std::uint64_t denied = 0;
+};
+
+/// Scheduler of the cells that this node owns. Functions append their grants and denials to
+/// `out`.
 class placement_scheduler {
 public:
     using responses = std::vector<placement_response>;
@@ -170,19 +178,22 @@
     /// Replaces the known upstreams and the rules of their targets. Without rules (null), every
     /// upstream is a plain service with its announced slots.
     void set_upstreams(std::span<const announced_upstream> all, const rule_index* rules);
-    /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The unreachable
-    /// nodes may place requests on the same upstreams.
+    /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The
+    /// unreachable nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
     /// Sets the share of the running nodes, from 0 to 1, that serve as far as this node knows.
     void set_serving_share(double share) { this->warmup.set_serving_share(share); }
     /// Sets what upstreams may get while they are warming up.
     void set_warmup_tolerance(warmup_tolerance given) { this->warmup.set_tolerance(given); }
-    /// Applies the rates for warm-ups to the current upstreams; to be called when upstreams, rules
-    /// or owners may have changed. `is_owned` says whether this node owns a cell.
+    /// Applies the rates for warm-ups to the current upstreams; to be called when upstreams,
+    /// rules or owners may have changed. `is_owned` says whether this node owns a cell.
     void
     limit_warmups(const std::function<bool(const target_name& pool, cell_index cell)>& is_owned,
                   time_point now);
     void set_options(const placement_options& given) { this->options = given; }
+    /// Whether waiting requests of one rank are served by their teams' shares. Must be set
+    /// before the first request.
+    void set_team_shares(bool used) { this->uses_team_shares = used; }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -194,8 +205,8 @@
     void started(const placement_id& id, duration after);
     /// Ends a request and updates the estimates and the health of its upstream.
     void release(const placement_release& message, time_point now, responses& out);
-    /// Updates the estimates of an upstream from a request that another owner placed, so that this
-    /// node knows the upstream's speed if it becomes the owner.
+    /// Updates the estimates of an upstream from a request that another owner placed, so that
+    /// this node knows the upstream's speed if it becomes the owner.
     void observe_start(const upstream_name& name, std::uint32_t computed_tokens, duration after);
     /// The same, for the end of such a request.
     void observe_end(const upstream_name& name, const placement_release& message);
@@ -213,20 +224,25 @@
     [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::size_t in_flight() const { return this->in_flight_by_id.size(); }
     /// Load of the cell in whose queue the request waits or would wait.
-    [[nodiscard]] cell_load load_for(const placement_request& request) const;
+    [[nodiscard]] cell_load load_for(const placement_request& request, time_point now) const;
     [[nodiscard]] std::vector<upstream_view> views() const;
     [[nodiscard]] const warmup_limit& warmups() const { return this->warmup; }
-    /// How often an upstream with a free slot was passed over because of the limit for warm-ups.
+    /// How often an upstream with a free slot was passed over because of the limit for
+    /// warm-ups.
     [[nodiscard]] std::uint64_t held_back() const { return this->held_back_count; }
     [[nodiscard]] const admission_counts& admissions() const { return this->admission_numbers; }
     /// Slots that all cells keep free for on-time requests.
     [[nodiscard]] std::uint32_t reserved_slots(time_point now) const;
+    /// Requests of teams within and over their share; zero without team shares.
+    [[nodiscard]] const placement_counts& within_share_counts() const { return this->within_share; }
+    [[nodiscard]] const placement_counts& over_share_counts() const { return this->over_share; }
 
 private:
     struct in_flight_request {
         upstream_name upstream;
         std::uint32_t uncached_tokens = 0;
-        /// Prompt tokens of earlier requests that were not computed yet when this one was granted.
+        /// Prompt tokens of earlier requests that were not computed yet when this one was
+        /// granted.
         std::uint64_t ahead_tokens = 0;
         bool started = false;
         /// What the request is counted with in its engine's memory.
@@ -235,7 +251,8 @@
         /// When the entry last reported that the request is in flight.
         time_point reported_at;
         std::uint32_t rank = 0;
-        /// Whether the request could not meet its latency objective any more when it was granted.
+        /// Whether the request could not meet its latency objective any more when it was
+        /// granted.
         bool was_late = false;
         /// Whether this owner granted it; other requests are known from reports only.
         bool is_own = false;
@@ -299,10 +316,18 @@
         time_point latest_start;
         /// When the caller gives up; the end of time if unknown.
         time_point gives_up_at = time_point::max();
-        /// Whether that time has passed; set by `rank_queue`.
+        /// Whether the request can no longer be in time; set when the queue is ordered.
         bool is_late = false;
         /// Whether the request is later than others of its rank, but must be served like them.
         bool is_admitted_late = false;
+        /// Whether on-time requests of all ranks go before.
+        [[nodiscard]] bool yields() const { return this->is_late && !this->is_admitted_late; }
+        /// Account of the team, and the slot time that the request is expected to need; unset
+        /// without team shares.
+        share_account* account = nullptr;
+        duration slot_time{0};
+        /// How far the request is ahead of its team's share, among those that wait.
+        double team_lead = 0.0;
     };
     /// An upstream considered by the current placement.
     struct candidate {
@@ -317,16 +342,18 @@
         rank_service service;
         usual_work usual;
         admission_policy admission;
+        team_shares shares;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
-        /// Earliest time of a grant; a new owner first waits for the entries' reports of requests
-        /// in flight.
+        /// Earliest time of a grant; a new owner first waits for the entries' reports of
+        /// requests in flight.
         time_point grants_start_at;
-        /// Whether a request has been submitted for the cell; the first one sets `grants_start_at`.
+        /// Whether a request has been submitted for the cell; the first one sets
+        /// `grants_start_at`.
         bool in_use = false;
-        /// Whether the cell belongs to the canaries of a roll-out. Its upstreams do not come back,
-        /// and its requests can be placed in the target's own pool.
+        /// Whether the cell belongs to the canaries of a roll-out. Its upstreams do not come
+        /// back, and its requests can be placed in the target's own pool.
         bool is_canary = false;
     };
 
@@ -342,8 +369,8 @@
     /// Whether a response that begins now ends before its caller gives up.
     [[nodiscard]] bool ends_in_time(const candidate& option, const queued_request& waiting,
                                     time_point now) const;
-    /// Whether an engine on which the response ends in time is expected to have a free slot while
-    /// the request may still wait.
+    /// Whether an engine on which the response ends in time is expected to have a free slot
+    /// while the request may still wait.
     [[nodiscard]] bool is_worth_waiting(std::span<const candidate> candidates,
                                         const queued_request& waiting, time_point now) const;
     [[nodiscard]] engine_work work_of(const upstream_state& state,
@@ -359,24 +386,26 @@
     void update_cache(upstream_state& state, const placement_request& request);
     void grant(cell& own_cell, upstream_state& state, const queued_request& waiting, time_point now,
                responses& out);
-    void submit_by_deadline(cell& own_cell, const placement_request& message, time_point now,
-                            responses& out);
+    /// Completes a new request for admission by deadline, and counts it.
+    void record_arrival(cell& own_cell, queued_request& created, time_point now);
     void record_slot_time(cell& own_cell, const in_flight_request& ended, placement_outcome outcome,
                           time_point now);
     void grant_waiting(cell& own_cell, time_point now, responses& out);
     /// Whether late requests of the cell give way to on-time ones.
     [[nodiscard]] bool admits_by_deadline(const cell& own_cell) const;
     [[nodiscard]] cell_slots slots_of(const cell& own_cell, time_point now) const;
-    /// When the request must be granted to meet its latency objective on the cell's fastest engine.
+    /// When the request must be granted to meet its latency objective on the cell's fastest
+    /// engine.
     [[nodiscard]] time_point latest_start_of(const queued_request& waiting,
                                              std::span<const candidate> candidates) const;
     /// Sets the queue's order of service for admission by deadline.
     void rank_queue(cell& own_cell, time_point now) const;
-    /// Grants queued requests that can be in time, and late ones on slots that nobody else wants.
+    /// Grants queued requests that can be in time, and late ones on slots that nobody else
+    /// wants.
     void grant_by_deadline(cell& own_cell, time_point now, responses& out);
-    /// Whether the request would run well at the upstream if no other prompt was ahead of it: in
-    /// time if it is on time, without pauses that are too long, and complete before its caller
-    /// gives up.
+    /// Whether the request would run well at the upstream if no other prompt was ahead of it:
+    /// in time if it is on time, without pauses that are too long, and complete before its
+    /// caller gives up.
     [[nodiscard]] bool is_suitable(const candidate& option, const queued_request& waiting,
                                    time_point now) const;
     /// The free slots that a late request may take.
@@ -388,6 +417,19 @@
     void deny_hopeless(cell& own_cell, std::span<const candidate> candidates, time_point now,
                        responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
+    /// Sets the team's account and the expected slot time of a new request.
+    void assign_account(cell& own_cell, queued_request& waiting, time_point now) const;
+    /// Time for which a typical upstream of the cell is expected to run a request.
+    [[nodiscard]] duration typical_slot_time(const cell& own_cell,
+                                             const placement_request& request) const;
+    /// Orders requests of one priority, all on time or all late, by their teams' shares;
+    /// otherwise keeps the order.
+    void order_by_shares(cell& own_cell, time_point now) const;
+    /// Queued requests that are expected to be served before a new one.
+    [[nodiscard]] std::size_t count_ahead(const cell& own_cell, const queued_request& waiting,
+                                          time_point now) const;
+    void deny(cell& own_cell, const queued_request& waiting, denial_reason reason, time_point now,
+              responses& out);
     void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
     void update_health(upstream_state& state, const cell& own_cell, placement_outcome outcome,
@@ -395,8 +437,8 @@
     static void update_start_estimates(upstream_state& state, std::uint64_t computed_tokens,
                                        duration after);
     static void update_end_estimates(upstream_state& state, const placement_release& message);
-    [[nodiscard]] duration estimated_wait(const cell& own_cell,
-                                          const placement_request& request) const;
+    [[nodiscard]] duration estimated_wait(const cell& own_cell, const queued_request& waiting,
+                                          time_point now) const;
     [[nodiscard]] double mean_or(const cell& own_cell, double upstream_state::*estimate,
                                  double fallback) const;
 
@@ -405,11 +447,15 @@
     /// Whether an upstream may get one more request, with `max_count` in flight at most.
     [[nodiscard]] bool has_room(const upstream_state& state, std::uint32_t max_count,
                                 time_point now);
-    /// Factor that makes an upstream look slower while this node reaches only a small part of the
-    /// fleet; differs between nodes, so that they prefer different upstreams.
+    /// Factor that makes an upstream look slower while this node reaches only a small part of
+    /// the fleet; differs between nodes, so that they prefer different upstreams.
     [[nodiscard]] double spread_factor(const upstream_state& state) const;
     [[nodiscard]] cell_key key_of(const placement_request& request) const;
-    [[nodiscard]] cell_load load_of(const cell& own_cell) const;
+    [[nodiscard]] cell_load load_of(const cell& own_cell, std::uint32_t rank, time_point now) const;
+    /// Expected wait of a new request of a rank that can still be in time, and of a team within
+    /// its share; unset if no request was granted lately although some wait.
+    [[nodiscard]] std::optional<duration> on_time_wait(const cell& own_cell, std::uint32_t rank,
+                                                       time_point now) const;
 
     std::map<cell_key, cell> cells;
     std::map<target_name, cell_index> cell_counts;
@@ -418,6 +464,10 @@
     /// Recently ended requests and when to forget them, so that a delayed report does not count
     /// them as in flight again.
     std::map<placement_id, time_point> recently_ended;
+    bool uses_team_shares = false;
+    team_weights weights;
+    placement_counts within_share;
+    placement_counts over_share;
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
     warmup_limit warmup;
--- a/include/ragwortcove/gateway/gateway_settings.hpp
+++ b/include/ragwortcove/gateway/gateway_settings.hpp
@@ -46,6 +46,10 @@
     core::placement_options placement;
     /// How requests for engines are admitted under overload.
     core::admission_mode admission = core::admission_mode::by_patience;
+    /// Whether waiting requests are served by their teams' shares.
+    bool team_shares = false;
+    /// Whether cells without free slots are compared by the waits that their owners state.
+    bool cell_waits = false;
     /// Whether unencrypted connections are allowed beyond loopback.
     bool trusted_network = false;
     daemon::log_settings log;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -51,6 +51,10 @@
     core::warmup_tolerance warmups;
     core::placement_options options;
     core::admission_mode admission = core::admission_mode::by_patience;
+    /// Whether waiting requests are served by their teams' shares.
+    bool team_shares = false;
+    /// Whether full cells are compared by the waits that their owners state.
+    bool cell_waits = false;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -133,7 +137,8 @@
     /// Tells the scheduler which upstreams this node grants as their owner.
     void limit_warmups();
     [[nodiscard]] core::cell_index cell_count_of(const core::target_name& pool) const;
-    /// Sends a denied request to another cell; returns false if none is known to have free slots.
+    /// Sends a denied request to another cell; returns false if none is known to have free slots or
+    /// a wait that the request can spend.
     bool try_other_cell(tracked_request& request);
     /// Moves a queued request to another cell; returns false if none is known to have free slots.
     bool move_queued_request(tracked_request& request);
--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -91,33 +91,25 @@
             each->is_late && is_starved && own_cell.admission.is_mostly_late(rank, now);
     }
     const auto key_of_queued = [](const queued_request& each) {
-        return std::tuple(each.is_late && !each.is_admitted_late, each.priority,
-                          !each.request.returned, each.latest_start);
+        return std::tuple(each.yields(), each.priority, !each.request.returned, each.latest_start);
     };
     std::stable_sort(own_cell.queue.begin(), own_cell.queue.end(),
                      [&](const auto& left, const auto& right) {
                          return key_of_queued(*left) < key_of_queued(*right);
                      });
+    this->order_by_shares(own_cell, now);
 }
 
-void placement_scheduler::submit_by_deadline(cell& own_cell, const placement_request& message,
-                                             time_point now, responses& out)
+void placement_scheduler::record_arrival(cell& own_cell, queued_request& created, time_point now)
 {
-    auto added = std::make_unique<queued_request>();
-    added->request = message;
-    added->arrived_at = now;
-    added->latency_deadline = now + message.latency_budget;
-    added->expires_at = now + message.max_wait;
-    added->refreshed_at = now;
-    if (message.time_left > 0s)
-        added->gives_up_at = now + message.time_left;
-    added->latest_start = this->latest_start_of(*added, this->list_candidates(own_cell, now));
-    if (added->latest_start > now)
-        own_cell.admission.record_on_time(message.rank, now);
+    const placement_request& request = created.request;
+    if (request.time_left > 0s)
+        created.gives_up_at = now + request.time_left;
+    created.latest_start = this->latest_start_of(created, this->list_candidates(own_cell, now));
+    if (created.latest_start > now)
+        own_cell.admission.record_on_time(request.rank, now);
     else
-        own_cell.admission.record_late(message.rank, now);
-    own_cell.queue.push_back(std::move(added));
-    this->grant_waiting(own_cell, now, out);
+        own_cell.admission.record_late(request.rank, now);
 }
 
 bool placement_scheduler::is_suitable(const candidate& option, const queued_request& waiting,
@@ -187,7 +179,7 @@
         if (!any_free)
             break;
         const queued_request& waiting = **at;
-        const bool yields = waiting.is_late && !waiting.is_admitted_late;
+        const bool yields = waiting.yields();
         if (waiting.priority != priority || yields != was_late)
             passed_over = 0;
         priority = waiting.priority;
@@ -212,7 +204,7 @@
         at = own_cell.queue.erase(at);
         for (candidate& each : candidates) {
             if (each.state == chosen)
-                each.has_free_slot = chosen->in_flight < this->max_placed(*chosen);
+                each.has_free_slot = this->has_room(*chosen, this->max_placed(*chosen), now);
         }
     }
     this->deny_hopeless(own_cell, candidates, now, out);
@@ -232,7 +224,7 @@
         const double own_work = policy.slot_seconds(waiting.request.rank);
         if (own_work <= 0.0)
             return; // Nothing is known yet.
-        const bool yields = waiting.is_late && !waiting.is_admitted_late;
+        const bool yields = waiting.yields();
         const bool is_new = waiting.arrived_at == now;
         cell_slots suitable;
         for (const candidate& each : candidates) {
@@ -260,11 +252,9 @@
             ++at;
             continue;
         }
-        policy.record_denial(now);
         (is_new ? this->admission_numbers.denied_at_arrival
                 : this->admission_numbers.denied_later) += 1;
-        out.emplace_back(placement_denial{waiting.request.id, denial_reason::overloaded,
-                                          policy.retry_after(now), this->load_of(own_cell)});
+        this->deny(own_cell, waiting, denial_reason::overloaded, now, out);
         at = own_cell.queue.erase(at);
     }
 }
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -27,8 +27,6 @@
 static constexpr duration max_retry = 3s;
 /// Requests of one rank that may fail to be placed before the rest of the rank is skipped.
 static constexpr std::size_t max_passed_over = 6;
-/// Time constant of the average of the grant rate.
-static constexpr duration rate_window = 2s;
 
 static duration from_us(double value)
 {
@@ -39,6 +37,7 @@
                                         const rule_index* rules)
 {
     std::set<upstream_name> present;
+    this->weights = rules == nullptr ? team_weights{} : make_team_weights(rules->rules());
     for (auto& [key, each] : this->cells)
         each.members.clear();
     this->cell_counts = count_cells(all);
@@ -70,25 +69,6 @@
     return {request.pool, found == this->cell_counts.end() ? 0 : request.cell % found->second};
 }
 
-cell_load placement_scheduler::load_for(const placement_request& request) const
-{
-    const auto found = this->cells.find(this->key_of(request));
-    return found == this->cells.end() ? cell_load{} : this->load_of(found->second);
-}
-
-cell_load placement_scheduler::load_of(const cell& own_cell) const
-{
-    cell_load created;
-    created.waiting = static_cast<std::uint32_t>(own_cell.queue.size());
-    for (const upstream_name& name : own_cell.members) {
-        const upstream_state& state = this->upstreams.at(name);
-        const std::size_t max_count = this->max_placed(state);
-        if (!state.info.leaving && state.in_flight < max_count)
-            created.free_slots += static_cast<std::uint32_t>(max_count - state.in_flight);
-    }
-    return created;
-}
-
 void placement_scheduler::forget(const upstream_name& name)
 {
     const auto found = this->upstreams.find(name);
@@ -139,15 +119,13 @@
     }
 }
 
-duration placement_scheduler::estimated_wait(const cell& own_cell,
-                                             const placement_request& request) const
+duration placement_scheduler::estimated_wait(const cell& own_cell, const queued_request& waiting,
+                                             time_point now) const
 {
-    std::size_t ahead = 0;
-    for (const auto& each : own_cell.queue)
-        ahead += each->request.rank <= request.rank ? 1 : 0;
     if (own_cell.grant_rate <= 0.0)
         return 0s;
-    return from_us(1e6 * static_cast<double>(ahead) / own_cell.grant_rate);
+    const auto ahead = static_cast<double>(this->count_ahead(own_cell, waiting, now));
+    return from_us(1e6 * ahead / own_cell.grant_rate);
 }
 
 static duration retry_hint(duration wait)
@@ -160,9 +138,9 @@
     // An entry without a response repeats its request, which must be queued and granted only once.
     const auto granted = this->in_flight_by_id.find(message.id);
     if (granted != this->in_flight_by_id.end()) {
-        out.emplace_back(placement_grant{message.id, granted->second.upstream,
-                                         granted->second.uncached_tokens, this->load_for(message),
-                                         granted->second.ahead_tokens});
+        out.emplace_back(
+            placement_grant{message.id, granted->second.upstream, granted->second.uncached_tokens,
+                            this->load_for(message, now), granted->second.ahead_tokens});
         return;
     }
     cell& own_cell = this->cells[this->key_of(message)];
@@ -182,8 +160,8 @@
                        tokens_in_memory(message.prompt_tokens, message.output_tokens));
         });
     if (!any_allowed) {
-        out.emplace_back(
-            placement_denial{message.id, denial_reason::no_upstream, 1s, this->load_of(own_cell)});
+        out.emplace_back(placement_denial{message.id, denial_reason::no_upstream, 1s,
+                                          this->load_of(own_cell, message.rank, now)});
         return;
     }
     if (!own_cell.in_use) {
@@ -191,23 +169,24 @@
         own_cell.grants_start_at = now + takeover_wait;
     }
     own_cell.service.record_request(message.rank, now);
+    auto created = std::make_unique<queued_request>();
+    created->request = message;
+    created->arrived_at = now;
+    created->latency_deadline = now + message.latency_budget;
+    created->expires_at = now + message.max_wait;
+    created->refreshed_at = now;
+    this->assign_account(own_cell, *created, now);
     if (this->admits_by_deadline(own_cell)) {
-        this->submit_by_deadline(own_cell, message, now, out);
-        return;
+        this->record_arrival(own_cell, *created, now);
     }
-    const duration wait = this->estimated_wait(own_cell, message);
-    if (wait > message.max_wait && !own_cell.service.is_starved(message.rank)) {
-        out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait),
-                                          this->load_of(own_cell)});
-        return;
+    else {
+        const duration wait = this->estimated_wait(own_cell, *created, now);
+        if (wait > message.max_wait && !own_cell.service.is_starved(message.rank)) {
+            this->deny(own_cell, *created, denial_reason::overloaded, now, out);
+            return;
+        }
     }
-    auto added = std::make_unique<queued_request>();
-    added->request = message;
-    added->arrived_at = now;
-    added->latency_deadline = now + message.latency_budget;
-    added->expires_at = now + message.max_wait;
-    added->refreshed_at = now;
-    own_cell.queue.push_back(std::move(added));
+    own_cell.queue.push_back(std::move(created));
     this->grant_waiting(own_cell, now, out);
 }
 
@@ -239,14 +218,17 @@
     const auto has_free_slot = [](const candidate& each) { return each.has_free_slot; };
     if (std::none_of(candidates.begin(), candidates.end(), has_free_slot))
         return;
-    for (const auto& each : own_cell.queue)
+    for (const auto& each : own_cell.queue) {
         each->priority =
             own_cell.service.is_starved(each->request.rank) ? 0 : each->request.rank + 1;
+        each->is_late = each->latency_deadline <= now;
+    }
     std::stable_sort(own_cell.queue.begin(), own_cell.queue.end(),
                      [now](const auto& left, const auto& right) {
                          return is_served_before(left->priority, left->latency_deadline,
                                                  right->priority, right->latency_deadline, now);
                      });
+    this->order_by_shares(own_cell, now);
     // If several requests of a rank could not be placed on the free slots, the rest of the rank
     // hardly can either, and is skipped to save time.
     std::uint32_t rank = 0;
@@ -281,9 +263,7 @@
     const placement_request& request = waiting.request;
     in_flight_request created;
     created.rank = request.rank;
-    created.was_late =
-        state.is_engine &&
-        (this->admits_by_deadline(own_cell) ? waiting.is_late : waiting.latency_deadline <= now);
+    created.was_late = state.is_engine && waiting.is_late;
     this->admission_numbers.late_placements += created.was_late ? 1 : 0;
     created.is_own = true;
     created.upstream = state.info.name;
@@ -300,12 +280,18 @@
     this->warmup.record_grant(created.upstream, now);
     this->update_cache(state, request);
     own_cell.service.record_placement(request.rank, now);
+    if (waiting.account != nullptr) {
+        const bool is_over = waiting.account->is_over_share;
+        ++(is_over ? this->over_share : this->within_share).placed;
+        own_cell.shares.charge(*waiting.account, waiting.slot_time, now);
+    }
     const double elapsed_us = to_us(now - own_cell.rate_updated_at);
     const double retained = std::exp(-elapsed_us / to_us(rate_window));
     own_cell.grant_rate = own_cell.grant_rate * retained + 1e6 / to_us(rate_window);
     own_cell.rate_updated_at = now;
     out.emplace_back(placement_grant{request.id, created.upstream, created.uncached_tokens,
-                                     this->load_of(own_cell), created.ahead_tokens});
+                                     this->load_of(own_cell, request.rank, now),
+                                     created.ahead_tokens});
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
@@ -425,6 +411,22 @@
         this->release({id, placement_outcome::cancelled, {}, {}}, now, out);
 }
 
+void placement_scheduler::deny(cell& own_cell, const queued_request& waiting, denial_reason reason,
+                               time_point now, responses& out)
+{
+    if (waiting.account != nullptr) {
+        const bool is_over = waiting.account->is_over_share;
+        ++(is_over ? this->over_share : this->within_share).denied;
+    }
+    duration retry_after = retry_hint(this->estimated_wait(own_cell, waiting, now));
+    if (this->admits_by_deadline(own_cell)) {
+        own_cell.admission.record_denial(now);
+        retry_after = own_cell.admission.retry_after(now);
+    }
+    out.emplace_back(placement_denial{waiting.request.id, reason, retry_after,
+                                      this->load_of(own_cell, waiting.request.rank, now)});
+}
+
 void placement_scheduler::expire(cell& own_cell, time_point now, responses& out)
 {
     const bool has_vanished = own_cell.is_canary && own_cell.members.empty();
@@ -435,12 +437,10 @@
             ++at;
             continue;
         }
+        const denial_reason reason =
+            has_vanished ? denial_reason::no_upstream : denial_reason::overloaded;
         if (!abandoned)
-            out.emplace_back(placement_denial{
-                waiting.request.id,
-                has_vanished ? denial_reason::no_upstream : denial_reason::overloaded,
-                retry_hint(this->estimated_wait(own_cell, waiting.request)),
-                this->load_of(own_cell)});
+            this->deny(own_cell, waiting, reason, now, out);
         at = own_cell.queue.erase(at);
     }
 }
@@ -451,6 +451,9 @@
     for (auto& [key, own_cell] : this->cells) {
         this->expire(own_cell, now, out);
         this->grant_waiting(own_cell, now, out);
+        // Queued requests refer to their accounts.
+        if (own_cell.queue.empty())
+            own_cell.shares.forget_idle(now);
     }
     std::erase_if(this->recently_ended, [now](const auto& each) { return each.second <= now; });
     std::vector<placement_id> unreported;
