--- a/unittests/core/fleet_load.hpp
+++ b/unittests/core/fleet_load.hpp
@@ -110,9 +110,9 @@
     }
 
     /// Makes an engine run its requests slower by a factor.
-    void slow_down(std::size_t engine, double factor)
+    void slow_down(const upstream_name& engine, double factor)
     {
-        this->slowness_by_name[this->upstreams[engine].name] = factor;
+        this->slowness_by_name[engine] = factor;
     }
     void remove_upstreams(const std::vector<upstream_name>& names)
     {
--- a/unittests/core/placement_cells_test.cpp
+++ b/unittests/core/placement_cells_test.cpp
@@ -108,3 +108,56 @@
         CHECK_FALSE(chooser.choose_free(engines, 1, {}, random, start).has_value());
     }
 }
+
+TEST_CASE("a denied request is sent to a cell whose wait it can spend")
+{
+    cell_chooser chooser;
+    chooser.set_uses_waits(true);
+    random_engine random{3};
+    static_cast<void>(chooser.choose(engines, 4, {}, random, start));
+    const std::vector<cell_index> denied{0};
+    const auto choose = [&](duration time_left, time_point now = start, std::uint32_t rank = 1) {
+        return chooser.choose_after_denial(engines, 4, {rank, time_left, denied}, random, now);
+    };
+    chooser.record_load(engines, 0, {0, 9, 5ms}, start, 1);
+    chooser.record_load(engines, 1, {0, 9, 900ms}, start, 1);
+    chooser.record_load(engines, 2, {0, 9, 100ms}, start, 1);
+    chooser.record_load(engines, 3, {0, 9}, start, 1);
+
+    SUBCASE("but not to one that has denied it, nor to one that does not state its wait")
+    {
+        for (int count = 0; count != 20; ++count)
+            CHECK(choose(200ms) == 2);
+    }
+    SUBCASE("but to none if it would be late everywhere")
+    {
+        CHECK_FALSE(choose(100ms).has_value());
+        CHECK_FALSE(choose(-5ms).has_value());
+    }
+    SUBCASE("by the wait of its own rank")
+    {
+        CHECK_FALSE(choose(200ms, start, 2).has_value());
+    }
+    SUBCASE("unless the wait was stated long ago")
+    {
+        CHECK_FALSE(choose(200ms, start + 2s).has_value());
+    }
+    SUBCASE("rather to one with a free slot")
+    {
+        chooser.record_load(engines, 3, {2, 0}, start, 1);
+        CHECK(choose(200ms) == 3);
+    }
+    SUBCASE("after two denials only to one with a free slot")
+    {
+        const std::vector<cell_index> twice{0, 1};
+        CHECK_FALSE(
+            chooser.choose_after_denial(engines, 4, {1, 200ms, twice}, random, start).has_value());
+        chooser.record_load(engines, 3, {2, 0}, start, 1);
+        CHECK(chooser.choose_after_denial(engines, 4, {1, 200ms, twice}, random, start) == 3);
+    }
+    SUBCASE("only if that is switched on")
+    {
+        chooser.set_uses_waits(false);
+        CHECK_FALSE(choose(200ms).has_value());
+    }
+}
--- a/unittests/core/placement_scheduler_test.cpp
+++ b/unittests/core/placement_scheduler_test.cpp
@@ -2,9 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace ragwortcove::core {
 
@@ -567,4 +569,58 @@
     }
 }
 
+TEST_CASE("with team shares, a team's requests do not wait behind the many of another team")
+{
+    engine_scheduler fixture{1};
+    fixture.scheduler.set_team_shares(true);
+    const auto make_for = [&](const char* team) {
+        placement_request made = fixture.make_request(0, 100);
+        made.team.value = team;
+        made.max_wait = 60s;
+        return made;
+    };
+    for (int count = 0; count != 2; ++count)
+        CHECK(fixture.ask(make_for("many")).size() == 1);
+    std::vector<placement_request> many;
+    for (int count = 0; count != 20; ++count) {
+        many.push_back(make_for("many"));
+        CHECK(fixture.ask(many.back()).empty());
+    }
+    const auto next = [&] {
+        const auto responses = fixture.finish(fixture.granted.begin()->first);
+        REQUIRE(responses.size() == 1);
+        return std::get<placement_grant>(responses[0]).id;
+    };
+
+    SUBCASE("the slots are given by turns")
+    {
+        const placement_request first = make_for("few");
+        const placement_request second = make_for("few");
+        CHECK(fixture.ask(first).empty());
+        CHECK(fixture.ask(second).empty());
+        std::vector<placement_id> order;
+        for (int count = 0; count != 6; ++count)
+            order.push_back(next());
+        CHECK(std::count(order.begin(), order.begin() + 4, first.id) == 1);
+        CHECK(std::count(order.begin(), order.begin() + 4, second.id) == 1);
+    }
+    SUBCASE("a request is not denied because of the other team's queue")
+    {
+        placement_request own = make_for("many");
+        own.max_wait = 2s;
+        const auto denied = fixture.ask(own);
+        REQUIRE(denied.size() == 1);
+        CHECK(std::holds_alternative<placement_denial>(denied[0]));
+        placement_request other = make_for("few");
+        other.max_wait = 2s;
+        CHECK(fixture.ask(other).empty());
+    }
+    SUBCASE("requests of one team keep their order")
+    {
+        // They have the same deadline, so the first one is served first.
+        CHECK((next() == many[0].id));
+        CHECK((next() == many[1].id));
+    }
+}
+
 } // namespace ragwortcove::core
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -49,6 +49,16 @@
         CHECK(outcome.settings->rollouts.max_share == doctest::Approx(0.1));
         CHECK(outcome.settings->rollouts.extra_requests == 50);
     }
+    SUBCASE("shares of teams and waits of cells are used only where the settings say so")
+    {
+        const auto given = read(valid_settings + "team_shares = true\ncell_waits = true\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->team_shares);
+        CHECK(given.settings->cell_waits);
+        CHECK_FALSE(outcome.settings->team_shares);
+        CHECK_FALSE(outcome.settings->cell_waits);
+        CHECK(read(valid_settings + "team_shares = perhaps\n").errors.size() == 1);
+    }
     SUBCASE("a missing key is named")
     {
         const auto missing = read("[node]\nname = n1\nregion = r\nfailure_domain = a\n[gateway]\n");
