[http] what waits for callers that do not read is bounded at any speed

Cause: the bytes that wait for all callers were counted every 250 ms; in between, upstreams on a fast link sent what they liked.

Change: the bytes written since the last count are added to it, which bounds from above what waits at no cost for each connection; when that passes the bound, the count is made and the caller with most is cut off in the same turn.

--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -131,6 +131,8 @@
     /// Connections with a request that is being read or answered, or with bytes that are not handed
     /// to the network yet.
     [[nodiscard]] std::size_t unfinished() const;
+    /// Bytes of responses that wait for clients to take them.
+    [[nodiscard]] std::size_t unsent_bytes() const;
     /// Closes every connection, with a reset where `unfinished()` counts it.
     void close_all();
 
--- a/include/ragwortcove/http/outbound.hpp
+++ b/include/ragwortcove/http/outbound.hpp
@@ -82,6 +82,8 @@
     /// Closes the kept connections of an identity.
     void forget(std::string_view identity);
     [[nodiscard]] const outbound_counters& counters() const;
+    /// Bytes of requests that wait for the other ends to take them.
+    [[nodiscard]] std::size_t unsent_bytes() const;
 
     struct state;
 
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -72,6 +72,10 @@
     std::uint64_t last_connection = 0;
     inbound_exchange last_exchange = 0;
     timer_id sweep_timer = 0;
+    /// Bytes that waited for all clients when they were last counted, and those written since.
+    std::size_t counted_unsent_bytes = 0;
+    std::size_t written_since = 0;
+    bool counting_unsent = false;
     bool draining = false;
 
     explicit state(loop& loop) : on(loop) {}
@@ -96,7 +100,11 @@
     /// Whether the connection may be closed without harm to a request.
     [[nodiscard]] static bool is_unused(const connection& each);
     void close(connection& unused);
-    [[nodiscard]] std::vector<std::shared_ptr<connection>> find_clogged() const;
+    /// Takes that bytes were written; cuts clients off before too many wait.
+    void on_written(std::size_t bytes);
+    [[nodiscard]] std::vector<std::shared_ptr<connection>> find_clogged();
+    void cut_off_clogged();
+    [[nodiscard]] std::size_t unsent_bytes() const;
     [[nodiscard]] bool is_slow(const connection& each) const;
     [[nodiscard]] bool is_clogged(connection& each) const;
     [[nodiscard]] connection* find(inbound_exchange exchange);
@@ -335,12 +343,14 @@
     text += "\r\n";
     of.head_sent = true;
     of.stream->write(text);
+    this->on_written(text.size());
 }
 
 void inbound_server::state::write(connection& of, std::string_view bytes)
 {
     if (bytes.empty() || of.is_head_request)
         return;
+    this->on_written(bytes.size());
     if (!of.chunked) {
         of.stream->write(bytes);
         return;
@@ -428,30 +438,64 @@
            this->on.now() - each.sent_at > this->limits.clogged_time;
 }
 
-std::vector<std::shared_ptr<connection>> inbound_server::state::find_clogged() const
+// Between two sweeps, a fast link brings more bytes than the limit. What was written since they
+// were last counted bounds from above what waits, at no cost for each connection.
+void inbound_server::state::on_written(std::size_t bytes)
+{
+    this->written_since += bytes;
+    const bool may_exceed =
+        this->counted_unsent_bytes + this->written_since > this->limits.max_all_unsent_bytes;
+    if (!may_exceed || this->counting_unsent)
+        return;
+    this->counting_unsent = true;
+    run_after_turn(this->on, [this] {
+        this->counting_unsent = false;
+        this->cut_off_clogged();
+    });
+}
+
+std::size_t inbound_server::state::unsent_bytes() const
+{
+    std::size_t unsent = 0;
+    for (const auto& each : this->ending)
+        unsent += each->stream->unsent_bytes();
+    for (const auto& [id, each] : this->connections)
+        unsent += each->stream->unsent_bytes();
+    return unsent;
+}
+
+std::vector<std::shared_ptr<connection>> inbound_server::state::find_clogged()
 {
     std::vector<std::shared_ptr<connection>> all = this->ending;
     for (const auto& [id, each] : this->connections)
         all.push_back(each);
-    std::size_t unsent = 0;
     std::vector<std::shared_ptr<connection>> found;
     for (const auto& each : all) {
-        unsent += each->stream->unsent_bytes();
         if (this->is_clogged(*each))
             found.push_back(each);
     }
-    if (!found.empty() || unsent <= this->limits.max_all_unsent_bytes)
+    this->counted_unsent_bytes = this->unsent_bytes();
+    this->written_since = 0;
+    if (!found.empty() || this->counted_unsent_bytes <= this->limits.max_all_unsent_bytes)
         return found;
     return {*std::ranges::max_element(
         all, {}, [](const auto& each) { return each->stream->unsent_bytes(); })};
 }
 
+void inbound_server::state::cut_off_clogged()
+{
+    for (const auto& each : this->find_clogged()) {
+        this->report(*each, closing_reason::clogged);
+        each->stream->reset();
+        this->ended(*each);
+    }
+}
+
 void inbound_server::state::sweep()
 {
     const microseconds now = this->on.now();
     this->forget_ended();
     std::vector<std::shared_ptr<connection>> late;
-    const std::vector<std::shared_ptr<connection>> clogged = this->find_clogged();
     for (const auto& [id, each] : this->connections) {
         const microseconds age = now - each->since;
         const bool slow = this->is_slow(*each);
@@ -469,11 +513,7 @@
         }
         this->close(*each);
     }
-    for (const auto& each : clogged) {
-        this->report(*each, closing_reason::clogged);
-        each->stream->reset();
-        this->ended(*each);
-    }
+    this->cut_off_clogged();
     this->sweep_timer = this->on.after(sweep_interval, [this] { this->sweep(); });
 }
 
@@ -601,6 +641,11 @@
     return count;
 }
 
+std::size_t inbound_server::unsent_bytes() const
+{
+    return this->self->unsent_bytes();
+}
+
 void inbound_server::close_all()
 {
     this->self->forget_ended();
--- a/lib/http/outbound.cpp
+++ b/lib/http/outbound.cpp
@@ -408,6 +408,16 @@
     this->sweep_timer = this->on.after(sweep_interval, [this] { this->sweep(); });
 }
 
+std::size_t outbound_client::unsent_bytes() const
+{
+    std::size_t unsent = 0;
+    for (const auto& [exchange, each] : this->self->active) {
+        if (each->stream)
+            unsent += each->stream->unsent_bytes();
+    }
+    return unsent;
+}
+
 const outbound_counters& outbound_client::counters() const
 {
     return this->self->counters;
