--- a/include/ragwortcove/core/warmup_limit.hpp
+++ b/include/ragwortcove/core/warmup_limit.hpp
@@ -48,8 +48,8 @@
     /// Sets the share of the fleet's nodes, from 0 to 1, that this node can reach. The others may
     /// have an owner of their own, which grants requests to the same upstreams.
     void set_fleet_share(double share, time_point now);
-    /// Sets the share of the running nodes, from 0 to 1, that serve as far as this node knows. Nodes
-    /// that start together each take themselves for the owner until they know of each other.
+    /// Sets the share of the running nodes, from 0 to 1, that serve as far as this node knows.
+    /// Nodes that start together each take themselves for the owner until they know of each other.
     void set_serving_share(double share) { this->serving_share = share; }
 
     /// Whether an upstream may be granted a request now.
