--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -86,6 +86,14 @@
         CHECK_FALSE(outcome.settings->cell_waits);
         CHECK(read(valid_settings + "team_shares = perhaps\n").errors.size() == 1);
     }
+    SUBCASE("admission by deadline is switched on by name")
+    {
+        CHECK(outcome.settings->admission == core::admission_mode::by_patience);
+        const auto given = read(valid_settings + "admission = deadline\n");
+        REQUIRE(given.settings.has_value());
+        CHECK(given.settings->admission == core::admission_mode::by_deadline);
+        CHECK(read(valid_settings + "admission = soon\n").errors.size() == 1);
+    }
     SUBCASE("a missing key is named")
     {
         const auto missing = read("[node]\nname = n1\nregion = r\nfailure_domain = a\n[gateway]\n");
