[core] the node that is asked in the stead of a silent owner gets the part of a new one

Cause: entries that do not reach an owner ask the next node, which takes the first one for the owner for up to a second yet, and granted one request in 1.1 s to each upstream meanwhile.

Change: only a former owner, with whom requests still wait that their entries have sent elsewhere, is held to that, for 3 s.

--- a/include/ragwortcove/core/warmup_limit.hpp
+++ b/include/ragwortcove/core/warmup_limit.hpp
@@ -67,6 +67,8 @@
         double rate = 0.0;
         time_point warm_at;
         bool is_owned = false;
+        /// Whether this node was the owner before the present one.
+        bool was_owned = false;
         /// Since when the process has been listed with the same owner, this node or another one.
         time_point owner_since;
         /// Times of the grants within the last window.
--- a/lib/core/warmup_limit.cpp
+++ b/lib/core/warmup_limit.cpp
@@ -21,9 +21,11 @@
 /// together that have become owners lately.
 static constexpr double settled_part = 0.7;
 static constexpr double unsettled_part = 0.3;
-/// Requests in a window that a node grants for a cell of another owner, whom some entries may not
-/// reach. Many nodes can do so at the same time, each for the requests that wait with it.
-static constexpr double foreign_count = 1.0;
+/// Requests in a window that a former owner grants. There can be many of them at the same time,
+/// each with requests that wait with it while their entries have asked the new one, too. A node
+/// that gets requests without having been the owner is likely to be the next one: entries that do
+/// not reach the owner all choose the same.
+static constexpr double former_owner_count = 1.0;
 /// Time within which two owners that cannot reach each other both know so. Nodes that do not
 /// respond are considered dead well before.
 static constexpr duration settling_time = 3s;
@@ -37,6 +39,8 @@
         upstream_state& state = found->second;
         const bool has_started = is_new || state.started_at != each.process.started_at;
         const bool owner_changed = each.is_owned != state.is_owned;
+        if (owner_changed)
+            state.was_owned = state.is_owned;
         if (has_started || owner_changed)
             state.owner_since = now;
         if (has_started)
@@ -76,8 +80,8 @@
     const bool is_settled = state.is_owned && now - state.owner_since >= settling_time;
     const double part = is_settled ? settled_part : unsettled_part;
     double count = bound * std::min({part, this->fleet_share, this->serving_share});
-    if (!state.is_owned)
-        count = std::min(count, foreign_count);
+    if (state.was_owned && now - state.owner_since < settling_time)
+        count = std::min(count, former_owner_count);
     const bool is_warming_up = now < state.warm_at;
     if (is_warming_up)
         count = std::min(count, state.rate);
