--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -165,6 +165,8 @@
     /// Whether waiting requests of one rank are served by their teams' shares. Must be set before
     /// the first request.
     void set_team_shares(bool used) { this->uses_team_shares = used; }
+    /// Whether the load of a cell states the wait for a slot.
+    void set_states_waits(bool stated) { this->states_waits = stated; }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -358,6 +360,7 @@
     /// them as in flight again.
     std::map<placement_id, time_point> recently_ended;
     bool uses_team_shares = false;
+    bool states_waits = false;
     team_weights weights;
     placement_counts within_share;
     placement_counts over_share;
--- a/lib/core/placement_load.cpp
+++ b/lib/core/placement_load.cpp
@@ -29,7 +29,8 @@
         if (!state.info.leaving && state.in_flight < max_count)
             created.free_slots += static_cast<std::uint32_t>(max_count - state.in_flight);
     }
-    created.wait = this->on_time_wait(own_cell, rank, now);
+    if (this->states_waits)
+        created.wait = this->on_time_wait(own_cell, rank, now);
     return created;
 }
 
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -30,6 +30,7 @@
       quotas(this->env.tolerance)
 {
     this->scheduler.set_team_shares(this->env.team_shares);
+    this->scheduler.set_states_waits(this->env.cell_waits);
     this->cells.set_uses_waits(this->env.cell_waits);
 }
 
--- a/unittests/core/fleet_load.hpp
+++ b/unittests/core/fleet_load.hpp
@@ -181,6 +181,7 @@
     {
         auto made = std::make_unique<placement_scheduler>();
         made->set_team_shares(this->options.team_shares);
+        made->set_states_waits(this->options.cell_waits);
         made->set_upstreams(this->upstreams, this->rules.get());
         return made;
     }
