--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -33,6 +33,7 @@
     this->scheduler.set_options(this->env.options);
     this->scheduler.set_admission(this->env.admission);
     this->scheduler.set_team_shares(this->env.team_shares);
+    this->scheduler.set_states_waits(this->env.cell_waits);
     this->cells.set_uses_waits(this->env.cell_waits);
 }
 
