[core] a request leaves its failure domain only when that pays

Distance was a constant of 3 ms: under light load, requests went to another failure domain for a slightly faster upstream, and nothing decided how much to send.

The owner of a cell now prefers upstreams of the entry's domain that are in time. A request leaves for a clear saving, for a cached prompt, or when it would be late or wait longer than the way and the price of its bytes. Slots for which own callers wait go to others only in so far as those are served worse, so that callers of a short domain get their share and nobody spills in circles when all are full. Entries measure the way by round trips to owners. Switched on by `[gateway] spill = auto`; the log and two counters say what left and why.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -4,6 +4,7 @@
 /// in flight, and estimates of each upstream's speed and health.
 #pragma once
 
+#include "ragwortcove/core/domain_spill.hpp"
 #include "ragwortcove/core/engine_places.hpp"
 #include "ragwortcove/core/placement_cells.hpp"
 #include "ragwortcove/core/rank_service.hpp"
@@ -74,6 +75,7 @@
     cell_load load;
     /// Prompt tokens of earlier requests that the upstream has to compute before.
     std::uint64_t ahead_tokens = 0;
+    departure left_domain = departure::none;
     bool operator==(const placement_grant&) const = default;
 };
 
@@ -149,6 +151,7 @@
     /// Whether a request waits for an engine on which its response ends before its caller gives up,
     /// rather than begin on a slower one.
     bool paced_places = false;
+    spill_settings spill;
 };
 
 /// Scheduler of the cells that this node owns. Functions append their grants and denials to `out`.
@@ -166,6 +169,12 @@
     /// nodes may place requests on the same upstreams.
     void set_fleet_share(double share) { this->fleet_share = share; }
     void set_options(const placement_options& given) { this->options = given; }
+    /// Records the way between two failure domains, as an entry measured it.
+    void record_way(const failure_domain_name& from, const failure_domain_name& to, duration way,
+                    time_point now)
+    {
+        this->ways.record(from, to, way, now);
+    }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -209,6 +218,7 @@
         time_point granted_at;
         /// When the entry last reported that the request is in flight.
         time_point reported_at;
+        departure left_domain = departure::none;
     };
     struct cached_part {
         std::uint32_t tokens = 0;
@@ -242,6 +252,8 @@
         time_point counts_updated_at;
         time_point ejected_until;
         std::uint32_t ejections = 0;
+        /// Why the request that was last chosen for the upstream left its failure domain.
+        departure chosen_as = departure::none;
         std::map<std::uint64_t, cached_part> cache;
         std::uint64_t cached_tokens = 0;
     };
@@ -268,12 +280,16 @@
         speed_estimates estimates;
         bool has_free_slot = false;
         const usual_work* usual = nullptr;
+        const domain_demand* domains = nullptr;
+        /// Additional time to reach the upstream from the domain of the request considered.
+        double way_us = 0.0;
     };
     struct cell {
         std::vector<std::unique_ptr<queued_request>> queue;
         std::vector<upstream_name> members;
         rank_service service;
         usual_work usual;
+        domain_demand domains;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
@@ -287,7 +303,33 @@
         bool is_canary = false;
     };
 
-    [[nodiscard]] std::vector<candidate> list_candidates(const cell& own_cell, time_point now);
+    [[nodiscard]] std::vector<candidate> list_candidates(cell& own_cell, time_point now);
+    void set_ways(std::span<candidate> candidates, const placement_request& request,
+                  time_point now) const;
+    /// Counts the queued requests of each failure domain.
+    static void count_waiting(cell& own_cell, bool keeps_slots, time_point now);
+    /// The free upstream with the shortest time.
+    struct best_option {
+        const candidate* option = nullptr;
+        double time_us = 0.0;
+        void consider(const candidate& other, double other_time_us);
+    };
+    /// What a request that may leave its failure domain needs to know of the domains.
+    struct domain_view {
+        service_order order;
+        std::map<failure_domain_name, std::uint32_t> free_slots;
+        std::optional<duration> own_wait;
+    };
+    [[nodiscard]] domain_view view_domains(std::span<const candidate> candidates,
+                                           const queued_request& waiting, time_point now) const;
+    /// Chooses between a free slot of the caller's own domain and one elsewhere, of which either
+    /// may be missing. None when the request had better wait.
+    [[nodiscard]] upstream_state* choose_domain(const domain_view& domains, const best_option& own,
+                                                const best_option& elsewhere,
+                                                const queued_request& waiting,
+                                                time_point now) const;
+    [[nodiscard]] domain_offer offer_of(const candidate& option,
+                                        const placement_request& request) const;
     [[nodiscard]] upstream_state* choose(std::span<candidate> candidates,
                                          const queued_request& waiting, time_point now) const;
     [[nodiscard]] bool meets_pause_limit(const candidate& option, const placement_request& request,
@@ -314,6 +356,8 @@
     void grant(cell& own_cell, upstream_state& state, const placement_request& request,
                time_point now, responses& out);
     void grant_waiting(cell& own_cell, time_point now, responses& out);
+    /// Grants what the free slots are worth using for, in the order of service.
+    void grant_in_order(cell& own_cell, time_point now, responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
     void remove_queued(const placement_id& id);
     void remove_in_flight(const placement_id& id);
@@ -345,6 +389,9 @@
     std::uint64_t use_counter = 0;
     double fleet_share = 1.0;
     placement_options options;
+    domain_ways ways;
+    /// Whether slots are kept for queued requests of callers in their own failure domain.
+    bool own_callers_first = true;
     /// Makes nodes that cannot reach each other prefer different upstreams.
     std::uint64_t spread_seed = 0;
 };
--- a/include/ragwortcove/gateway/call_handler.hpp
+++ b/include/ragwortcove/gateway/call_handler.hpp
@@ -127,6 +127,8 @@
     void on_denied(open_call& call, const core::placement_denial& denial);
     void send_to_upstream(open_call& call, const core::announced_upstream& upstream);
     void arm_idle_timer(open_call& call);
+    /// Counts bytes of a request or a response that pass between failure domains.
+    void count_bytes_between_domains(const open_call& call, std::size_t bytes);
     /// Whether the active dispatch may give way to one at another upstream.
     [[nodiscard]] bool may_replace(open_call& call);
     /// Requests a slot at another upstream, while the silent one keeps the request.
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -74,6 +74,8 @@
     [[nodiscard]] std::vector<core::endpoint> entry_addresses() const;
     /// Peer address of a node; port zero when the node is unknown.
     [[nodiscard]] core::endpoint peer_address(const core::node_name& name) const;
+    /// Failure domain of a node; empty when the node is unknown.
+    [[nodiscard]] core::failure_domain_name failure_domain_of(const core::node_name& name) const;
     /// Name of another node chosen at random; empty when there is none.
     [[nodiscard]] core::node_name random_other_node();
     [[nodiscard]] core::incarnation run() const { return this->self.run; }
--- a/include/ragwortcove/gateway/gateway_metrics.hpp
+++ b/include/ragwortcove/gateway/gateway_metrics.hpp
@@ -27,7 +27,8 @@
 
 class gateway_metrics {
 public:
-    void count(std::string_view counter, std::string_view label, std::string_view value);
+    void count(std::string_view counter, std::string_view label, std::string_view value,
+               std::uint64_t amount = 1);
     void observe(std::string_view histogram, std::string_view route, core::duration elapsed);
     [[nodiscard]] std::string render(const std::vector<gauge>& gauges) const;
 
--- a/include/ragwortcove/gateway/open_call.hpp
+++ b/include/ragwortcove/gateway/open_call.hpp
@@ -91,6 +91,7 @@
     std::uint32_t uncached_tokens = 0;
     /// Prompt tokens that the upstream computes before those.
     std::uint64_t ahead_tokens = 0;
+    core::departure left_domain = core::departure::none;
     std::uint32_t stale_grants = 0;
     core::call_history history;
     std::vector<core::upstream_name> avoid;
--- a/include/ragwortcove/gateway/placement_service.hpp
+++ b/include/ragwortcove/gateway/placement_service.hpp
@@ -47,6 +47,9 @@
     std::function<std::size_t()> lost_node_count;
     core::quota_tolerance tolerance;
     core::placement_options options;
+    core::failure_domain_name failure_domain;
+    /// Failure domain of another node; empty when the node is unknown.
+    std::function<core::failure_domain_name(const core::node_name&)> domain_of;
 };
 
 /// Time after which a request without a response from its owner is sent again.
@@ -107,6 +110,9 @@
         core::time_point last_seen_at;
         core::time_point first_sent_at;
         std::uint32_t unanswered_count = 0;
+        /// The owner that was asked last, and when it was first asked; no time once it responded.
+        core::node_name asked_owner;
+        std::optional<core::time_point> asked_at;
         /// Whether the request was withdrawn from a cell in which it was queued.
         bool withdrawn_from_queue = false;
         /// Set once an upstream has been granted.
@@ -138,6 +144,10 @@
     void deliver_responses(core::placement_scheduler::responses& responses);
     void on_own_response(placement_number number, const core::placement_response& response);
     void report_in_flight(const core::node_name& owner);
+    /// Records the time that an owner took for its first response to a request.
+    void record_round_trip(tracked_request& request);
+    void add_ways(wire::PeerDatagram& report) const;
+    void read_ways(const wire::PeerDatagram& report);
     void tick_requests(core::time_point now);
     void tick_quotas(core::time_point now);
     /// Reports the units that this node has granted on its own to the owners of the quotas.
@@ -183,6 +193,10 @@
     std::map<core::target_name, core::time_point> congested_until;
     placement_number last_number = 0;
     core::time_point next_report_at;
+    core::round_trips trips;
+    core::time_point next_ways_at;
+    /// Whether the reports sent now contain the measured ways.
+    bool reports_ways = false;
     std::set<core::node_name> reported_to;
     /// A decision that was sent to another node, kept in case the same request arrives again.
     struct sent_decision {
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -21,8 +21,6 @@
 static constexpr double uneven_traffic = 1.5;
 /// How much slower an upstream may look to one partitioned node than to another, as a fraction.
 static constexpr double max_spread = 1.0;
-/// Additional time to reach an upstream in another failure domain.
-static constexpr double cross_domain_us = 3'000.0;
 
 bool placement_scheduler::is_allowed(const upstream_state& state, const placement_request& request)
 {
@@ -57,8 +55,8 @@
 
 // Lists the upstreams that accept requests. When all of them are ejected, the ejections are
 // unlikely to be right: then all are listed, and each gets one request at a time.
-std::vector<placement_scheduler::candidate>
-placement_scheduler::list_candidates(const cell& own_cell, time_point now)
+std::vector<placement_scheduler::candidate> placement_scheduler::list_candidates(cell& own_cell,
+                                                                                 time_point now)
 {
     const speed_estimates typical_values = this->typical_estimates(own_cell);
     const bool all_ejected = std::all_of(own_cell.members.begin(), own_cell.members.end(),
@@ -66,6 +64,8 @@
                                              const upstream_state& state = this->upstreams.at(name);
                                              return state.info.leaving || state.ejected_until > now;
                                          });
+    if (this->options.spill.enabled)
+        count_waiting(own_cell, this->own_callers_first, now);
     std::vector<candidate> listed;
     listed.reserve(own_cell.members.size());
     for (const upstream_name& name : own_cell.members) {
@@ -92,6 +92,7 @@
             estimate_or_scaled(state.event_us, typical_values.event_us),
             state.service_us > 0.0 ? state.service_us : typical_values.service_us};
         created.usual = &own_cell.usual;
+        created.domains = &own_cell.domains;
         const std::uint32_t max_count = all_ejected ? 1 : this->max_placed(state);
         created.has_free_slot = state.in_flight < max_count;
         listed.push_back(created);
@@ -121,18 +122,13 @@
     return 1.0 + max_spread * static_cast<double>(hash_step) / static_cast<double>(steps);
 }
 
-static double distance_us(const announced_upstream& upstream, const placement_request& request)
-{
-    return upstream.failure_domain == request.failure_domain ? 0.0 : cross_domain_us;
-}
-
 double placement_scheduler::first_event_us(const candidate& option,
                                            const placement_request& request,
                                            std::uint64_t ahead) const
 {
     const double tokens =
         static_cast<double>(ahead + this->count_uncached_tokens(*option.state, request));
-    return distance_us(option.state->info, request) + option.estimates.first_event_us +
+    return option.way_us + option.estimates.first_event_us +
            tokens * option.estimates.prefill_us_per_token;
 }
 
@@ -144,7 +140,7 @@
     if (!state.is_engine) {
         const double share =
             static_cast<double>(state.in_flight + 1) / static_cast<double>(state.slots);
-        return distance_us(state.info, request) + option.estimates.service_us * (1.0 + share);
+        return option.way_us + option.estimates.service_us * (1.0 + share);
     }
     // Every other running request makes each token a little slower.
     const double crowding = 1.0 + 0.02 * static_cast<double>(state.in_flight);
@@ -178,6 +174,7 @@
 {
     const placement_request& request = waiting.request;
     const double budget_us = to_us(waiting.latency_deadline - now) * safe_share;
+    this->set_ways(candidates, request, now);
     bool any_in_time = false;
     bool any_meets_pause_limit = false;
     for (const candidate& each : candidates) {
@@ -188,10 +185,13 @@
     }
     const bool is_waiting_better =
         this->options.paced_places && this->is_worth_waiting(candidates, waiting, now);
-    upstream_state* best = nullptr;
-    double best_time = 0.0;
+    const bool may_spill = this->options.spill.enabled;
+    const domain_view domains =
+        may_spill ? this->view_domains(candidates, waiting, now) : domain_view{};
+    best_option own;
+    best_option elsewhere;
     for (const candidate& each : candidates) {
-        upstream_state& state = *each.state;
+        const upstream_state& state = *each.state;
         if (!each.has_free_slot || !is_allowed(state, request))
             continue;
         if (any_in_time && this->first_event_us(each, request, state.backlog_tokens) > budget_us)
@@ -202,13 +202,17 @@
             continue;
         if (is_waiting_better && !this->ends_in_time(each, waiting, now))
             continue;
-        const double time = this->completion_us(each, request) * this->spread_factor(state);
-        if (best != nullptr && time >= best_time)
+        const failure_domain_name& there = state.info.failure_domain;
+        const bool leaves = may_spill && there != request.failure_domain;
+        if (leaves && !each.domains->may_take(request.failure_domain, domains.order, there,
+                                              domains.free_slots.at(there), now))
             continue;
-        best = &state;
-        best_time = time;
+        const double time = this->completion_us(each, request) * this->spread_factor(state);
+        (leaves ? elsewhere : own).consider(each, time);
     }
-    return best;
+    if (may_spill)
+        return this->choose_domain(domains, own, elsewhere, waiting, now);
+    return own.option == nullptr ? nullptr : own.option->state;
 }
 
 } // namespace ragwortcove::core
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -157,9 +157,9 @@
     // An entry without a response repeats its request, which must be queued and granted only once.
     const auto granted = this->in_flight_by_id.find(message.id);
     if (granted != this->in_flight_by_id.end()) {
-        out.emplace_back(placement_grant{message.id, granted->second.upstream,
-                                         granted->second.uncached_tokens, this->load_for(message),
-                                         granted->second.ahead_tokens});
+        out.emplace_back(placement_grant{
+            message.id, granted->second.upstream, granted->second.uncached_tokens,
+            this->load_for(message), granted->second.ahead_tokens, granted->second.left_domain});
         return;
     }
     cell& own_cell = this->cells[this->key_of(message)];
@@ -186,6 +186,7 @@
         own_cell.grants_start_at = now + takeover_wait;
     }
     own_cell.service.record_request(message.rank, now);
+    own_cell.domains.record_request(message.failure_domain, now);
     const duration wait = this->estimated_wait(own_cell, message);
     if (wait > message.max_wait && !own_cell.service.is_starved(message.rank)) {
         out.emplace_back(placement_denial{message.id, denial_reason::overloaded, retry_hint(wait),
@@ -213,7 +214,7 @@
     return late ? deadline < other_deadline : deadline > other_deadline;
 }
 
-void placement_scheduler::grant_waiting(cell& own_cell, time_point now, responses& out)
+void placement_scheduler::grant_in_order(cell& own_cell, time_point now, responses& out)
 {
     if (now < own_cell.grants_start_at || own_cell.queue.empty())
         return;
@@ -230,22 +231,28 @@
                                                  right->priority, right->latency_deadline, now);
                      });
     // If several requests of a rank could not be placed on the free slots, the rest of the rank
-    // hardly can either, and is skipped to save time.
+    // hardly can either, and is skipped to save time. With spill-over, callers of other domains
+    // may still be placed.
     std::uint32_t rank = 0;
-    std::size_t passed_over = 0;
+    std::map<failure_domain_name, std::size_t> passed_over;
+    const failure_domain_name all_domains;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const queued_request& waiting = **at;
         if (waiting.priority != rank) {
             rank = waiting.priority;
-            passed_over = 0;
+            passed_over.clear();
         }
+        std::size_t& passed =
+            passed_over[this->options.spill.enabled ? waiting.request.failure_domain : all_domains];
         upstream_state* chosen =
-            passed_over < max_passed_over ? this->choose(candidates, waiting, now) : nullptr;
+            passed < max_passed_over ? this->choose(candidates, waiting, now) : nullptr;
         if (chosen == nullptr) {
-            ++passed_over;
+            ++passed;
             ++at;
             continue;
         }
+        own_cell.domains.record_grant(waiting.request.failure_domain,
+                                      {waiting.request.rank, waiting.latency_deadline <= now}, now);
         this->grant(own_cell, *chosen, waiting.request, now, out);
         at = own_cell.queue.erase(at);
         for (candidate& each : candidates) {
@@ -271,13 +278,16 @@
     state.backlog_tokens += created.uncached_tokens;
     ++state.in_flight;
     this->update_cache(state, request);
+    const bool leaves = request.failure_domain != state.info.failure_domain;
+    created.left_domain = leaves ? state.chosen_as : departure::none;
     own_cell.service.record_placement(request.rank, now);
     const double elapsed_us = to_us(now - own_cell.rate_updated_at);
     const double retained = std::exp(-elapsed_us / to_us(rate_window));
     own_cell.grant_rate = own_cell.grant_rate * retained + 1e6 / to_us(rate_window);
     own_cell.rate_updated_at = now;
     out.emplace_back(placement_grant{request.id, created.upstream, created.uncached_tokens,
-                                     this->load_of(own_cell), created.ahead_tokens});
+                                     this->load_of(own_cell), created.ahead_tokens,
+                                     created.left_domain});
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
@@ -338,6 +348,7 @@
         return;
     cell& own_cell = this->cells[{pool_of(state->second.info), state->second.cell}];
     update_end_estimates(state->second, message);
+    own_cell.domains.record_release(state->second.info.failure_domain, now);
     this->update_health(state->second, own_cell, message.outcome, now);
     this->grant_waiting(own_cell, now, out);
 }
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -394,6 +394,7 @@
         call.placement = number;
         call.uncached_tokens = grant.uncached_tokens;
         call.ahead_tokens = grant.ahead_tokens;
+        call.left_domain = grant.left_domain;
         this->send_to_upstream(call, *upstream);
         return;
     }
@@ -491,7 +492,12 @@
                        {"waited_ms", to_ms_text(at - call.placement_started_at)},
                        {"age_ms", to_ms_text(at - call.arrived_at)},
                        {"uncached_tokens", std::to_string(call.uncached_tokens)},
+                       {"left_domain", std::string(core::to_string(call.left_domain))},
                        {"rules", std::to_string(call.rules->rules().version)}});
+    if (call.left_domain != core::departure::none)
+        this->env.metrics.count("requests_left_domain", "reason",
+                                core::to_string(call.left_domain));
+    this->count_bytes_between_domains(call, call.request.body.size());
     this->env.metrics.observe("placement_wait", call.route->name.value,
                               at - call.placement_started_at);
     this->observe(call, core::rollout_observation::event_kind::sent);
--- a/lib/gateway/call_observations.cpp
+++ b/lib/gateway/call_observations.cpp
@@ -80,4 +80,11 @@
     this->observe(call, kind_of(outcome, had_time));
 }
 
+void call_handler::count_bytes_between_domains(const open_call& call, std::size_t bytes)
+{
+    if (call.left_domain != core::departure::none)
+        this->env.metrics.count("bytes_left_domain", "reason", core::to_string(call.left_domain),
+                                bytes);
+}
+
 } // namespace ragwortcove::gateway
--- a/lib/gateway/call_responses.cpp
+++ b/lib/gateway/call_responses.cpp
@@ -159,6 +159,7 @@
     open_call* const call = this->find(exchange);
     if (call == nullptr || !call->active_dispatch)
         return;
+    this->count_bytes_between_domains(*call, bytes.size());
     if (!this->is_streaming(*call)) {
         this->on_upstream_progress(*call);
         call->active_dispatch->body.append(bytes);
--- a/lib/gateway/datagram_bounds.cpp
+++ b/lib/gateway/datagram_bounds.cpp
@@ -14,6 +14,9 @@
 
 /// Longest time that a message can state. Times are added to others, and must not overflow.
 static constexpr core::duration max_time = 24h * 365 * 100;
+/// Longest time that a request may take to another failure domain, and number of such domains.
+static constexpr core::duration max_way = 10s;
+static constexpr int max_ways = 64;
 /// Most units of a quota that a message can state.
 static constexpr double max_units = 1e15;
 
@@ -59,6 +62,17 @@
     return is_time(body.order_age()) && is_time(body.counted_for());
 }
 
+static bool is_way(const wire::PlacementHeld::Way& body)
+{
+    return body.way() >= 0 && body.way() <= max_way.count();
+}
+
+static bool is_within_bounds(const wire::PlacementHeld& body)
+{
+    return body.ways_size() <= max_ways &&
+           std::all_of(body.ways().begin(), body.ways().end(), is_way);
+}
+
 bool is_within_bounds(const wire::PeerDatagram& message)
 {
     switch (message.body_case()) {
@@ -68,6 +82,8 @@
         return is_time(message.denial().retry_after());
     case wire::PeerDatagram::kStarted:
         return is_time(message.started().after());
+    case wire::PeerDatagram::kHeld:
+        return is_within_bounds(message.held());
     case wire::PeerDatagram::kRelease:
         return is_within_bounds(message.release());
     case wire::PeerDatagram::kQuotaAsk:
@@ -87,7 +103,6 @@
     case wire::PeerDatagram::kGrant:
     case wire::PeerDatagram::kQueued:
     case wire::PeerDatagram::kWithdrawal:
-    case wire::PeerDatagram::kHeld:
     case wire::PeerDatagram::kRolloutDirective:
     case wire::PeerDatagram::kUpstreamLeaving:
     case wire::PeerDatagram::kPartRecords:
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -201,6 +201,12 @@
     return known == nullptr ? core::endpoint{} : known->claim.peers;
 }
 
+core::failure_domain_name fleet::failure_domain_of(const core::node_name& name) const
+{
+    const core::member* known = this->view.nodes().find(name);
+    return known == nullptr ? core::failure_domain_name{} : known->claim.failure_domain;
+}
+
 core::node_name fleet::random_other_node()
 {
     const std::vector<const core::member*> others = this->view.nodes().others();
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -123,6 +123,10 @@
     placement_functions.lost_node_count = [this] { return this->nodes->lost_node_count(); };
     placement_functions.tolerance = given.quotas;
     placement_functions.options = given.placement;
+    placement_functions.failure_domain = given.failure_domain;
+    placement_functions.domain_of = [this](const core::node_name& name) {
+        return this->nodes->failure_domain_of(name);
+    };
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -15,10 +15,10 @@
 }
 
 void gateway_metrics::count(std::string_view counter, std::string_view label,
-                            std::string_view value)
+                            std::string_view value, std::uint64_t amount)
 {
     const auto found = this->counters.try_emplace(std::string(counter)).first;
-    ++found->second[make_label(label, value)];
+    found->second[make_label(label, value)] += amount;
 }
 
 void gateway_metrics::observe(std::string_view histogram, std::string_view route,
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -194,6 +194,15 @@
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.placement.paced_places);
               }},
+    known_key{"gateway", "spill", false, "auto or off",
+              [](gateway_settings& into, std::string_view text) {
+                  into.placement.spill.enabled = text == "auto";
+                  return text == "auto" || text == "off";
+              }},
+    known_key{"gateway", "spill_cost", false, expected_duration,
+              [](gateway_settings& into, std::string_view text) {
+                  return read_duration(text, into.placement.spill.cost_per_kilobyte);
+              }},
     known_key{"gateway", "trusted_network", false, "true or false",
               [](gateway_settings& into, std::string_view text) {
                   return read_flag(text, into.trusted_network);
--- a/lib/gateway/placement_inbox.cpp
+++ b/lib/gateway/placement_inbox.cpp
@@ -44,6 +44,7 @@
         report.started = each.started();
         reports.push_back(std::move(report));
     }
+    this->read_ways(message);
     core::placement_scheduler::responses responses;
     this->scheduler.reconcile(from, run, reports, this->env.now(), responses);
     this->deliver_responses(responses);
@@ -74,18 +75,22 @@
         const bool is_withdrawn = found->second.withdrawn_from_queue && found->second.owner != from;
         if (is_withdrawn)
             return; // The withdrawal was already sent to that owner.
+        if (found->second.owner == from)
+            this->record_round_trip(found->second);
         found->second.owner = from;
         this->on_own_response(number, core::placement_grant{found->second.details.id,
                                                             {message.grant().upstream()},
                                                             message.grant().uncached_tokens(),
                                                             read_load(message.grant().load()),
-                                                            message.grant().ahead_tokens()});
+                                                            message.grant().ahead_tokens(),
+                                                            read_departure(message.grant())});
         return;
     }
     case wire::PeerDatagram::kQueued: {
         const auto found = this->requests.find(message.queued().sequence());
         if (found == this->requests.end() || found->second.owner != from)
             return;
+        this->record_round_trip(found->second);
         found->second.unanswered_count = 0;
         this->record_load(found->second, read_load(message.queued().load()));
         return;
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -1,5 +1,7 @@
 #include "placement_messages.hpp"
 
+#include <algorithm>
+
 namespace ragwortcove::gateway {
 
 using core::duration;
@@ -61,4 +63,10 @@
     return {from.free_places(), from.waiting()};
 }
 
+core::departure read_departure(const wire::PlacementGrant& from)
+{
+    const auto last = static_cast<std::uint32_t>(core::departure::cached);
+    return static_cast<core::departure>(std::min(from.left_domain(), last));
+}
+
 } // namespace ragwortcove::gateway
--- a/lib/gateway/placement_messages.hpp
+++ b/lib/gateway/placement_messages.hpp
@@ -12,5 +12,6 @@
                                                              const wire::PlacementAsk& from);
 void write_load(const core::cell_load& from, wire::CellLoad& to);
 [[nodiscard]] core::cell_load read_load(const wire::CellLoad& from);
+[[nodiscard]] core::departure read_departure(const wire::PlacementGrant& from);
 
 } // namespace ragwortcove::gateway
--- a/lib/gateway/placement_service.cpp
+++ b/lib/gateway/placement_service.cpp
@@ -20,6 +20,8 @@
 static constexpr duration report_interval = 400ms;
 /// A request placed within this time is considered to have found a free slot without waiting.
 static constexpr duration prompt_response_time = 40ms;
+/// Interval at which owners are sent the measured ways to other failure domains.
+static constexpr duration ways_interval = 5s;
 /// How long a target counts as congested after a request had to wait or was denied.
 static constexpr duration congestion_duration = 500ms;
 /// Maximum number of requests in one report, so that it fits into a datagram.
@@ -151,6 +153,10 @@
         return;
     }
     ++request.unanswered_count;
+    if (request.asked_owner != request.owner) {
+        request.asked_owner = request.owner;
+        request.asked_at = now;
+    }
     wire::PeerDatagram message;
     write_placement_request(current, *message.mutable_ask());
     this->env.send(request.owner, message);
@@ -175,6 +181,7 @@
             body.set_upstream(grant->upstream.value);
             body.set_uncached_tokens(grant->uncached_tokens);
             body.set_ahead_tokens(grant->ahead_tokens);
+            body.set_left_domain(static_cast<std::uint32_t>(grant->left_domain));
             write_load(grant->load, *body.mutable_load());
         }
         if (const auto* denial = std::get_if<core::placement_denial>(&response)) {
@@ -305,6 +312,8 @@
         added.set_uncached_tokens(request.grant->uncached_tokens);
         added.set_started(request.started);
     }
+    if (this->reports_ways)
+        this->add_ways(message);
     this->env.send(owner, message);
 }
 
@@ -415,6 +424,9 @@
     if (now < this->next_report_at)
         return;
     this->next_report_at = now + report_interval;
+    this->reports_ways = this->env.options.spill.enabled && now >= this->next_ways_at;
+    if (this->reports_ways)
+        this->next_ways_at = now + ways_interval;
     std::set<core::node_name> owners;
     for (const auto& [number, request] : this->requests)
         owners.insert(request.owner);
@@ -424,6 +436,7 @@
     this->reported_to = owners;
     for (const core::node_name& owner : recipients)
         this->report_in_flight(owner);
+    this->reports_ways = false;
 }
 
 } // namespace ragwortcove::gateway
--- a/unittests/core/engine_fleet.hpp
+++ b/unittests/core/engine_fleet.hpp
@@ -55,6 +55,10 @@
     /// Additional time that a request from one domain takes to reach an upstream in another.
     std::function<duration(const failure_domain_name&, const failure_domain_name&)> way =
         [](const auto&, const auto&) { return duration{0}; };
+    /// Tokens that left one domain for another.
+    std::map<std::pair<failure_domain_name, failure_domain_name>, double> tokens_between;
+    /// How old the scheduler's knowledge of beginnings and ends is.
+    duration report_age{0};
     /// Earlier requests do not count: the estimates have not settled yet.
     time_point counted_from{std::chrono::hours{1}};
 
@@ -222,10 +226,11 @@
             this->engines, [&](const engine& each) { return each.info.name == grant.upstream; });
         running made{grant.id, what, static_cast<double>(grant.uncached_tokens), 0, this->now};
         const duration distance = this->way(what.domain, found->info.failure_domain);
-        const bool leaves = what.domain != found->info.failure_domain;
-        if (leaves && what.at >= this->counted_from)
-            this->by_domain[what.domain].tokens_away +=
-                what.kind.prompt_tokens + what.events * event_tokens;
+        const double tokens = what.kind.prompt_tokens + what.events * event_tokens;
+        if (what.domain != found->info.failure_domain && what.at >= this->counted_from) {
+            this->by_domain[what.domain].tokens_away += tokens;
+            this->tokens_between[{what.domain, found->info.failure_domain}] += tokens;
+        }
         // The way counts for the caller only, not for the engine.
         made.what.at -= distance;
         made.dispatched_at -= distance;
@@ -295,7 +300,7 @@
         const auto take_due = [this](std::vector<std::pair<time_point, running>>& from) {
             std::vector<std::pair<time_point, running>> due;
             std::erase_if(from, [&](const auto& each) {
-                if (each.first > this->now)
+                if (each.first + this->report_age > this->now)
                     return false;
                 due.push_back(each);
                 return true;
--- a/unittests/gateway/datagram_bounds_test.cpp
+++ b/unittests/gateway/datagram_bounds_test.cpp
@@ -25,6 +25,15 @@
 TEST_CASE("a message with a time or a number of units that no node can mean is out of bounds")
 {
     wire::PeerDatagram message;
+    SUBCASE("of the way to another failure domain")
+    {
+        wire::PlacementHeld& held = *message.mutable_held();
+        held.add_ways()->set_way(1000);
+        CHECK(is_within_bounds(message));
+        held.mutable_ways(0)->set_way(-1);
+        CHECK_FALSE(is_within_bounds(message));
+        held.mutable_ways(0)->set_way(never);
+    }
     SUBCASE("of a request to an owner")
     {
         message.mutable_ask()->set_goal_left(long_ago);
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -44,6 +44,12 @@
         REQUIRE(given.settings.has_value());
         CHECK(given.settings->placement.paced_places);
         CHECK(read(valid_settings + "pace_places = maybe\n").errors.size() == 1);
+        CHECK_FALSE(outcome.settings->placement.spill.enabled);
+        const auto spilling = read(valid_settings + "spill = auto\nspill_cost = 5ms\n");
+        REQUIRE(spilling.settings.has_value());
+        CHECK(spilling.settings->placement.spill.enabled);
+        CHECK(spilling.settings->placement.spill.cost_per_kilobyte == std::chrono::milliseconds(5));
+        CHECK(read(valid_settings + "spill = always\n").errors.size() == 1);
     }
     SUBCASE("what a new version may get is read, and bounded")
     {
