--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "ragwortcove/core/admission_policy.hpp"
+#include "ragwortcove/core/domain_spill.hpp"
 #include "ragwortcove/core/engine_memory.hpp"
 #include "ragwortcove/core/engine_places.hpp"
 #include "ragwortcove/core/placement_cells.hpp"
@@ -81,6 +82,7 @@
     cell_load load;
     /// Prompt tokens of earlier requests that the upstream has to compute before.
     std::uint64_t ahead_tokens = 0;
+    departure left_domain = departure::none;
     bool operator==(const placement_grant&) const = default;
 };
 
@@ -156,6 +158,7 @@
     /// Whether a request waits for an engine on which its response ends before its caller gives up,
     /// rather than begin on a slower one.
     bool paced_places = false;
+    spill_settings spill;
 };
 
 /// Placements and denials of one class of requests.
@@ -196,6 +199,12 @@
     void set_team_shares(bool used) { this->uses_team_shares = used; }
     /// Whether the load of a cell states the wait for a slot.
     void set_states_waits(bool stated) { this->states_waits = stated; }
+    /// Records the way between two failure domains, as an entry measured it.
+    void record_way(const failure_domain_name& from, const failure_domain_name& to, duration way,
+                    time_point now)
+    {
+        this->ways.record(from, to, way, now);
+    }
     /// Discards the cache contents and the health history of an upstream, which restarted.
     void forget(const upstream_name& name);
 
@@ -258,6 +267,7 @@
         bool was_late = false;
         /// Whether this owner granted it; other requests are known from reports only.
         bool is_own = false;
+        departure left_domain = departure::none;
     };
     struct cached_part {
         std::uint32_t tokens = 0;
@@ -295,6 +305,8 @@
         time_point counts_updated_at;
         time_point ejected_until;
         std::uint32_t ejections = 0;
+        /// Why the request that was last chosen for the upstream left its failure domain.
+        departure chosen_as = departure::none;
         std::map<std::uint64_t, cached_part> cache;
         std::uint64_t cached_tokens = 0;
     };
@@ -337,6 +349,9 @@
         speed_estimates estimates;
         bool has_free_slot = false;
         const usual_work* usual = nullptr;
+        const domain_demand* domains = nullptr;
+        /// Additional time to reach the upstream from the domain of the request considered.
+        double way_us = 0.0;
     };
     struct cell {
         std::vector<std::unique_ptr<queued_request>> queue;
@@ -345,6 +360,7 @@
         usual_work usual;
         admission_policy admission;
         team_shares shares;
+        domain_demand domains;
         /// Grants per second, averaged over the last seconds.
         double grant_rate = 0.0;
         time_point rate_updated_at;
@@ -359,7 +375,33 @@
         bool is_canary = false;
     };
 
-    [[nodiscard]] std::vector<candidate> list_candidates(const cell& own_cell, time_point now);
+    [[nodiscard]] std::vector<candidate> list_candidates(cell& own_cell, time_point now);
+    void set_ways(std::span<candidate> candidates, const placement_request& request,
+                  time_point now) const;
+    /// Counts the queued requests of each failure domain.
+    static void count_waiting(cell& own_cell, bool keeps_slots, time_point now);
+    /// The free upstream with the shortest time.
+    struct best_option {
+        const candidate* option = nullptr;
+        double time_us = 0.0;
+        void consider(const candidate& other, double other_time_us);
+    };
+    /// What a request that may leave its failure domain needs to know of the domains.
+    struct domain_view {
+        service_order order;
+        std::map<failure_domain_name, std::uint32_t> free_slots;
+        std::optional<duration> own_wait;
+    };
+    [[nodiscard]] domain_view view_domains(std::span<const candidate> candidates,
+                                           const queued_request& waiting, time_point now) const;
+    /// Chooses between a free slot of the caller's own domain and one elsewhere, of which either
+    /// may be missing. None when the request had better wait.
+    [[nodiscard]] upstream_state* choose_domain(const domain_view& domains, const best_option& own,
+                                                const best_option& elsewhere,
+                                                const queued_request& waiting,
+                                                time_point now) const;
+    [[nodiscard]] domain_offer offer_of(const candidate& option,
+                                        const placement_request& request) const;
     [[nodiscard]] upstream_state* choose(std::span<candidate> candidates,
                                          const queued_request& waiting, time_point now) const;
     [[nodiscard]] bool meets_pause_limit(const candidate& option, const placement_request& request,
@@ -416,8 +458,11 @@
                                                       const queued_request& waiting,
                                                       std::uint32_t reserve, time_point now) const;
     /// Denies the queued requests that are not expected to get a slot in time.
-    void deny_hopeless(cell& own_cell, std::span<const candidate> candidates, time_point now,
-                       responses& out);
+    void deny_hopeless(cell& own_cell, time_point now, responses& out);
+    /// Group of the queue in which the request is skipped when others could not be placed.
+    [[nodiscard]] const failure_domain_name& domain_of_queue(const queued_request& waiting) const;
+    /// Grants what the free slots are worth using for, in the order of service.
+    void grant_in_order(cell& own_cell, time_point now, responses& out);
     void expire(cell& own_cell, time_point now, responses& out);
     /// Sets the team's account and the expected slot time of a new request.
     void assign_account(cell& own_cell, queued_request& waiting, time_point now) const;
@@ -478,6 +523,9 @@
     placement_options options;
     admission_mode admission = admission_mode::by_patience;
     admission_counts admission_numbers;
+    domain_ways ways;
+    /// Whether slots are kept for queued requests of callers in their own failure domain.
+    bool own_callers_first = true;
     /// Makes nodes that cannot reach each other prefer different upstreams.
     std::uint64_t spread_seed = 0;
 };
--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -22,8 +22,6 @@
 /// Longest time for which a late request is held: whether it gets a slot is uncertain, and its
 /// caller is better told when to come back.
 static constexpr duration max_late_wait = 500ms;
-/// Requests of one rank that may fail to be placed before the rest of the rank is skipped.
-static constexpr std::size_t max_passed_over = 6;
 
 static duration from_us(double value)
 {
@@ -105,7 +103,9 @@
     const placement_request& request = created.request;
     if (request.time_left > 0s)
         created.gives_up_at = now + request.time_left;
-    created.latest_start = this->latest_start_of(created, this->list_candidates(own_cell, now));
+    std::vector<candidate> candidates = this->list_candidates(own_cell, now);
+    this->set_ways(candidates, request, now);
+    created.latest_start = this->latest_start_of(created, candidates);
     if (created.latest_start > now)
         own_cell.admission.record_on_time(request.rank, now);
     else
@@ -171,7 +171,7 @@
     // On-time requests that wait although an engine has a free slot: it reads other prompts first.
     std::vector<std::uint32_t> wanted(candidates.size(), 0);
     std::uint32_t priority = 0;
-    std::size_t passed_over = 0;
+    failed_placements failed;
     bool was_late = false;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const bool any_free = std::any_of(candidates.begin(), candidates.end(),
@@ -181,20 +181,22 @@
         const queued_request& waiting = **at;
         const bool yields = waiting.yields();
         if (waiting.priority != priority || yields != was_late)
-            passed_over = 0;
+            failed.clear();
         priority = waiting.priority;
         was_late = yields;
+        const failure_domain_name& domain = this->domain_of_queue(waiting);
+        const bool may_try = failed.may_try(domain);
         upstream_state* chosen = nullptr;
-        if (passed_over < max_passed_over && yields) {
+        if (may_try && yields) {
             std::vector<candidate> left =
                 this->leftover_for(candidates, wanted, waiting, reserve, now);
             chosen = this->choose(left, waiting, now);
         }
-        else if (passed_over < max_passed_over) {
+        else if (may_try) {
             chosen = this->choose(candidates, waiting, now);
         }
         if (chosen == nullptr) {
-            ++passed_over;
+            failed.add(domain);
             for (std::size_t index = 0; !yields && index < candidates.size(); ++index)
                 wanted[index] += this->is_suitable(candidates[index], waiting, now) ? 1 : 0;
             ++at;
@@ -207,15 +209,14 @@
                 each.has_free_slot = this->has_room(*chosen, this->max_placed(*chosen), now);
         }
     }
-    this->deny_hopeless(own_cell, candidates, now, out);
 }
 
-void placement_scheduler::deny_hopeless(cell& own_cell, std::span<const candidate> candidates,
-                                        time_point now, responses& out)
+void placement_scheduler::deny_hopeless(cell& own_cell, time_point now, responses& out)
 {
     const cell_slots slots = this->slots_of(own_cell, now);
     if (slots.free * 2 > slots.all)
         return;
+    const std::vector<candidate> candidates = this->list_candidates(own_cell, now);
     admission_policy& policy = own_cell.admission;
     const double all_on_time = policy.on_time_load(now);
     double work = 0.0;
--- a/lib/core/placement_limits.hpp
+++ b/lib/core/placement_limits.hpp
@@ -4,7 +4,9 @@
 
 #include "ragwortcove/core/types.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 
 namespace ragwortcove::core {
 
@@ -31,4 +33,22 @@
     return is_engine ? slots : slots + service_overlap;
 }
 
+/// Counts the queued requests of each failure domain that could not be placed on the free slots.
+/// When several could not, the others of their rank hardly can either, and are skipped to save
+/// time.
+class failed_placements {
+public:
+    [[nodiscard]] bool may_try(const failure_domain_name& domain) const
+    {
+        const auto found = this->by_domain.find(domain);
+        return found == this->by_domain.end() || found->second < max_failed;
+    }
+    void add(const failure_domain_name& domain) { ++this->by_domain[domain]; }
+    void clear() { this->by_domain.clear(); }
+
+private:
+    static constexpr std::size_t max_failed = 6;
+    std::map<failure_domain_name, std::size_t> by_domain;
+};
+
 } // namespace ragwortcove::core
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -25,8 +25,6 @@
 /// Shortest and longest time after which a denied request may be sent again.
 static constexpr duration min_retry = 200ms;
 static constexpr duration max_retry = 3s;
-/// Requests of one rank that may fail to be placed before the rest of the rank is skipped.
-static constexpr std::size_t max_passed_over = 6;
 
 static duration from_us(double value)
 {
@@ -138,9 +136,10 @@
     // An entry without a response repeats its request, which must be queued and granted only once.
     const auto granted = this->in_flight_by_id.find(message.id);
     if (granted != this->in_flight_by_id.end()) {
-        out.emplace_back(
-            placement_grant{message.id, granted->second.upstream, granted->second.uncached_tokens,
-                            this->load_for(message, now), granted->second.ahead_tokens});
+        out.emplace_back(placement_grant{message.id, granted->second.upstream,
+                                         granted->second.uncached_tokens,
+                                         this->load_for(message, now), granted->second.ahead_tokens,
+                                         granted->second.left_domain});
         return;
     }
     cell& own_cell = this->cells[this->key_of(message)];
@@ -176,6 +175,7 @@
     created->expires_at = now + message.max_wait;
     created->refreshed_at = now;
     this->assign_account(own_cell, *created, now);
+    own_cell.domains.record_request(message.failure_domain, now);
     if (this->admits_by_deadline(own_cell)) {
         this->record_arrival(own_cell, *created, now);
     }
@@ -206,14 +206,8 @@
     return late ? deadline < other_deadline : deadline > other_deadline;
 }
 
-void placement_scheduler::grant_waiting(cell& own_cell, time_point now, responses& out)
+void placement_scheduler::grant_in_order(cell& own_cell, time_point now, responses& out)
 {
-    if (now < own_cell.grants_start_at || own_cell.queue.empty())
-        return;
-    if (this->admits_by_deadline(own_cell)) {
-        this->grant_by_deadline(own_cell, now, out);
-        return;
-    }
     std::vector<candidate> candidates = this->list_candidates(own_cell, now);
     const auto has_free_slot = [](const candidate& each) { return each.has_free_slot; };
     if (std::none_of(candidates.begin(), candidates.end(), has_free_slot))
@@ -229,20 +223,19 @@
                                                  right->priority, right->latency_deadline, now);
                      });
     this->order_by_shares(own_cell, now);
-    // If several requests of a rank could not be placed on the free slots, the rest of the rank
-    // hardly can either, and is skipped to save time.
     std::uint32_t rank = 0;
-    std::size_t passed_over = 0;
+    failed_placements failed;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const queued_request& waiting = **at;
         if (waiting.priority != rank) {
             rank = waiting.priority;
-            passed_over = 0;
+            failed.clear();
         }
+        const failure_domain_name& domain = this->domain_of_queue(waiting);
         upstream_state* chosen =
-            passed_over < max_passed_over ? this->choose(candidates, waiting, now) : nullptr;
+            failed.may_try(domain) ? this->choose(candidates, waiting, now) : nullptr;
         if (chosen == nullptr) {
-            ++passed_over;
+            failed.add(domain);
             ++at;
             continue;
         }
@@ -279,6 +272,10 @@
     ++state.in_flight;
     this->warmup.record_grant(created.upstream, now);
     this->update_cache(state, request);
+    const bool leaves = request.failure_domain != state.info.failure_domain;
+    created.left_domain = leaves ? state.chosen_as : departure::none;
+    own_cell.domains.record_grant(request.failure_domain,
+                                  {request.rank, waiting.latency_deadline <= now}, now);
     own_cell.service.record_placement(request.rank, now);
     if (waiting.account != nullptr) {
         const bool is_over = waiting.account->is_over_share;
@@ -291,7 +288,7 @@
     own_cell.rate_updated_at = now;
     out.emplace_back(placement_grant{request.id, created.upstream, created.uncached_tokens,
                                      this->load_of(own_cell, request.rank, now),
-                                     created.ahead_tokens});
+                                     created.ahead_tokens, created.left_domain});
     this->in_flight_by_id.emplace(request.id, std::move(created));
 }
 
@@ -353,6 +350,7 @@
         return;
     cell& own_cell = this->cells[{pool_of(state->second.info), state->second.cell}];
     update_end_estimates(state->second, message);
+    own_cell.domains.record_release(state->second.info.failure_domain, now);
     this->update_health(state->second, own_cell, message.outcome, now);
     this->record_slot_time(own_cell, ended_request, message.outcome, now);
     this->grant_waiting(own_cell, now, out);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -128,6 +128,10 @@
     placement_functions.admission = given.admission;
     placement_functions.team_shares = given.team_shares;
     placement_functions.cell_waits = given.cell_waits;
+    placement_functions.failure_domain = given.failure_domain;
+    placement_functions.domain_of = [this](const core::node_name& name) {
+        return this->nodes->failure_domain_of(name);
+    };
     this->placement = std::make_unique<placement_service>(std::move(placement_functions));
     this->rollouts = std::make_unique<rollout_service>(this->make_rollout_dependencies());
 
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -76,4 +76,10 @@
     return result;
 }
 
+core::departure read_departure(const wire::PlacementGrant& from)
+{
+    const auto last = static_cast<std::uint32_t>(core::departure::cached);
+    return static_cast<core::departure>(std::min(from.left_domain(), last));
+}
+
 } // namespace ragwortcove::gateway
