[core, gateway, cli, http, docs] what two first-time readers of the diff found

- gateway: upstream_warms_up is logged once for a restart; a call at its deadline is not one without a limit; an unknown reason for leaving a domain is none; settings take no infinity.
- http: what is written in chunks is counted with its framing.

--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -72,7 +72,7 @@
     [[nodiscard]] rollout_dependencies make_rollout_dependencies();
     void store_rollout_state(const core::rollout_order& order, core::rollout_state state,
                              state_write_handler&& done);
-    void log_warmups(const std::vector<core::upstream_name>& names) const;
+    void log_warmups(const std::set<core::upstream_name>& names) const;
     void on_directory_changed(const core::directory_changes& changes);
     /// Handles that an upstream has said in a response that it leaves; `from` is the node that
     /// received the response.
--- a/lib/cli/drain_session.cpp
+++ b/lib/cli/drain_session.cpp
@@ -51,6 +51,14 @@
     return std::nullopt;
 }
 
+/// Whether the name can be that of a domain, and stand in a path of the store.
+static bool is_domain_name(const core::failure_domain_name& domain)
+{
+    const bool is_readable = std::holds_alternative<core::failure_domain_name>(
+        adapter::read_drain_document(adapter::write_drain_document(domain)));
+    return is_readable && domain.value.find_first_of("/?#% ") == std::string::npos;
+}
+
 /// Whether a call failed in a way in which it would fail again.
 static bool is_final(const adapter::store_error& error)
 {
@@ -61,9 +69,9 @@
 // wanted.
 drain_result drain_session::drain(const core::failure_domain_name& domain)
 {
-    const adapter::store_document order = adapter::write_drain_document(domain);
-    if (std::holds_alternative<adapter::document_error>(adapter::read_drain_document(order)))
+    if (!is_domain_name(domain))
         return drain_result::invalid_name;
+    const adapter::store_document order = adapter::write_drain_document(domain);
     const std::string kind(adapter::store_name(document_kind::domain_drains));
     do {
         const auto written = this->store.call(adapter::create_document{kind, order});
@@ -79,6 +87,8 @@
 
 drain_result drain_session::undo(const core::failure_domain_name& domain)
 {
+    if (!is_domain_name(domain))
+        return drain_result::invalid_name;
     const std::string kind(adapter::store_name(document_kind::domain_drains));
     do {
         const auto removed =
--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -170,20 +170,21 @@
         own_cell.admission.reserve(this->slots_of(own_cell, now).all, now);
     // On-time requests that wait although an engine has a free slot: it reads other prompts first.
     std::vector<std::uint32_t> wanted(candidates.size(), 0);
-    std::uint32_t priority = 0;
+    std::uint32_t last_priority = 0;
+    bool last_yields = false;
     failed_placements failed;
-    bool was_late = false;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const bool any_free = std::any_of(candidates.begin(), candidates.end(),
                                           [](const candidate& each) { return each.has_free_slot; });
         if (!any_free)
             break;
         const queued_request& waiting = **at;
+        this->set_ways(candidates, waiting.request, now);
         const bool yields = waiting.yields();
-        if (waiting.priority != priority || yields != was_late)
+        if (waiting.priority != last_priority || yields != last_yields)
             failed.clear();
-        priority = waiting.priority;
-        was_late = yields;
+        last_priority = waiting.priority;
+        last_yields = yields;
         const failure_domain_name& domain = this->domain_of_queue(waiting);
         const bool may_try = failed.may_try(domain);
         upstream_state* chosen = nullptr;
@@ -216,12 +217,15 @@
     const cell_slots slots = this->slots_of(own_cell, now);
     if (slots.free * 2 > slots.all)
         return;
-    const std::vector<candidate> candidates = this->list_candidates(own_cell, now);
+    std::vector<candidate> candidates = this->list_candidates(own_cell, now);
+    if (candidates.empty())
+        return; // Upstreams may come back while the requests may still wait.
     admission_policy& policy = own_cell.admission;
     const double all_on_time = policy.on_time_load(now);
     double work = 0.0;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const queued_request& waiting = **at;
+        this->set_ways(candidates, waiting.request, now);
         const double own_work = policy.slot_seconds(waiting.request.rank);
         if (own_work <= 0.0)
             return; // Nothing is known yet.
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -24,6 +24,9 @@
 
 bool placement_scheduler::is_allowed(const upstream_state& state, const placement_request& request)
 {
+    const std::uint64_t tokens = tokens_in_memory(request.prompt_tokens, request.output_tokens);
+    if (!state.memory.could_hold(tokens))
+        return false;
     return std::find(request.avoid.begin(), request.avoid.end(), state.info.name) ==
            request.avoid.end();
 }
--- a/lib/core/placement_pace.cpp
+++ b/lib/core/placement_pace.cpp
@@ -42,7 +42,7 @@
             !this->ends_in_time(each, waiting, now))
             continue;
         // Prompts are computed there now, so the slot is free for this request soon.
-        if (each.has_free_slot)
+        if (each.has_free_slot && has_memory_for(*each.state, waiting.request))
             return true;
         const speed_estimates& known = each.estimates;
         releases += releases_per_second(
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -154,9 +154,7 @@
     const bool any_allowed = std::any_of(
         own_cell.members.begin(), own_cell.members.end(), [&](const upstream_name& name) {
             const upstream_state& state = this->upstreams.at(name);
-            return !state.info.leaving && is_allowed(state, message) &&
-                   state.memory.could_hold(
-                       tokens_in_memory(message.prompt_tokens, message.output_tokens));
+            return !state.info.leaving && is_allowed(state, message);
         });
     if (!any_allowed) {
         out.emplace_back(placement_denial{message.id, denial_reason::no_upstream, 1s,
@@ -416,11 +414,14 @@
         const bool is_over = waiting.account->is_over_share;
         ++(is_over ? this->over_share : this->within_share).denied;
     }
-    duration retry_after = retry_hint(this->estimated_wait(own_cell, waiting, now));
+    duration retry_after{0};
     if (this->admits_by_deadline(own_cell)) {
         own_cell.admission.record_denial(now);
         retry_after = own_cell.admission.retry_after(now);
     }
+    else {
+        retry_after = retry_hint(this->estimated_wait(own_cell, waiting, now));
+    }
     out.emplace_back(placement_denial{waiting.request.id, reason, retry_after,
                                       this->load_of(own_cell, waiting.request.rank, now)});
 }
--- a/lib/core/team_shares.cpp
+++ b/lib/core/team_shares.cpp
@@ -22,6 +22,8 @@
 static constexpr double tolerated_excess = 2.0;
 /// Interval at which the teams are compared with their shares.
 static constexpr duration compare_interval = 100ms;
+/// A team without a request for this long does not compete for slots.
+static constexpr duration active_time = 2s;
 /// How long an account is kept without a request.
 static constexpr duration account_retention = 10s;
 /// Bounds of a weight, so that a very small quota still gets a request through now and then.
@@ -124,11 +126,17 @@
     this->compared_at = now;
     std::map<std::uint32_t, sums> by_rank;
     for (const auto& [key, each] : this->accounts) {
+        if (now - each.asked_at > active_time)
+            continue;
         sums& rank = by_rank[each.rank];
         rank.asked_us += decayed_request_time(each, now);
         rank.weight += each.weight;
     }
     for (auto& [key, each] : this->accounts) {
+        if (now - each.asked_at > active_time) {
+            each.is_over_share = false;
+            continue;
+        }
         const sums& rank = by_rank.at(each.rank);
         const double share_us = rank.asked_us * each.weight / rank.weight;
         each.is_over_share = decayed_request_time(each, now) > tolerated_excess * share_us;
--- a/lib/gateway/call_endings.cpp
+++ b/lib/gateway/call_endings.cpp
@@ -285,8 +285,7 @@
     this->end_call(call);
 }
 
-// Callers honour up to a third of the time that they have left. The returns are spread out, since a
-// burst of refusals would otherwise come back as a burst.
+// The returns are spread out, since a burst of refusals would otherwise come back as a burst.
 duration call_handler::retry_after_denial(const open_call& call,
                                           const core::placement_denial& denial)
 {
@@ -294,7 +293,8 @@
     const bool is_engine = rule != nullptr && rule->is_engine;
     if (!is_engine || this->env.placement.admission() == core::admission_mode::by_patience)
         return denial.retry_after;
-    const duration honoured = (call.deadline - this->now()) / honoured_retry_divisor;
+    const duration time_left = std::max(duration{0}, call.deadline - this->now());
+    const duration honoured = time_left / honoured_retry_divisor;
     const double longest = static_cast<double>(std::min(denial.retry_after, honoured).count());
     const double share = 1.0 - retry_spread * core::uniform(this->random);
     return duration{static_cast<duration::rep>(longest * share)};
--- a/lib/gateway/call_handler.cpp
+++ b/lib/gateway/call_handler.cpp
@@ -247,7 +247,7 @@
     request.max_wait =
         core::max_placement_wait(*call.route, call.deadline - at, call.history.response_started);
     request.longest_pause = call.route->longest_pause;
-    request.time_left = call.deadline - at;
+    request.time_left = std::max(duration{1}, call.deadline - at); // Zero would mean no limit.
     request.returned = call.earlier_attempts_time > duration{0};
     request.failure_domain = this->env.failure_domain;
     request.avoid = call.avoid;
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/gateway/gateway.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 // How a gateway handles documents: which nodes read the store, how nodes exchange revisions and
@@ -306,7 +307,7 @@
     this->on_directory_changed(changes);
 }
 
-void gateway::log_warmups(const std::vector<core::upstream_name>& names) const
+void gateway::log_warmups(const std::set<core::upstream_name>& names) const
 {
     const core::time_point at = this->now();
     for (const core::upstream_name& name : names) {
@@ -342,9 +343,10 @@
     log_changes(changes.leaving, "leaving");
     log_changes(changes.removed, "gone");
     log_changes(changes.restarted, "restarted");
-    this->log_warmups(changes.added);
-    this->log_warmups(changes.restarted);
-    this->log_warmups(changes.warming);
+    std::set<core::upstream_name> warming(changes.added.begin(), changes.added.end());
+    warming.insert(changes.restarted.begin(), changes.restarted.end());
+    warming.insert(changes.warming.begin(), changes.warming.end());
+    this->log_warmups(warming);
     for (const core::upstream_name& name : changes.restarted) {
         this->parts->on_process_gone(name);
         this->placement->forget_upstream(name);
--- a/lib/gateway/gateway_settings.cpp
+++ b/lib/gateway/gateway_settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <string_view>
@@ -77,7 +78,7 @@
 {
     const char* end = text.data() + text.size();
     const auto read = std::from_chars(text.data(), end, into);
-    return read.ec == std::errc{} && read.ptr == end && into >= 0.0;
+    return read.ec == std::errc{} && read.ptr == end && std::isfinite(into) && into >= 0.0;
 }
 
 static bool read_count(std::string_view text, std::uint32_t& into)
--- a/lib/gateway/placement_messages.cpp
+++ b/lib/gateway/placement_messages.cpp
@@ -79,7 +79,8 @@
 core::departure read_departure(const wire::PlacementGrant& from)
 {
     const auto last = static_cast<std::uint32_t>(core::departure::cached);
-    return static_cast<core::departure>(std::min(from.left_domain(), last));
+    return from.left_domain() <= last ? static_cast<core::departure>(from.left_domain())
+                                      : core::departure::none;
 }
 
 } // namespace ragwortcove::gateway
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -350,9 +350,9 @@
 {
     if (bytes.empty() || of.is_head_request)
         return;
-    this->on_written(bytes.size());
     if (!of.chunked) {
         of.stream->write(bytes);
+        this->on_written(bytes.size());
         return;
     }
     std::array<char, 24> size{};
@@ -364,6 +364,7 @@
     framed += bytes;
     framed += "\r\n";
     of.stream->write(framed);
+    this->on_written(framed.size());
 }
 
 void inbound_server::state::finish(connection& of)
--- a/tools/ragwortcove/domains.cpp
+++ b/tools/ragwortcove/domains.cpp
@@ -54,7 +54,7 @@
     cli::command_line line("drain-domain",
                            "Orders that upstreams of a failure domain get no more requests, at all "
                            "daemons; those in flight there end as usual.",
-                           "ragwortcove drain-domain zone-a -p 127.0.0.1:7000");
+                           "ragwortcove drain-domain domain-a -p 127.0.0.1:7000");
     TCLAP::UnlabeledValueArg<std::string> name("domain", "name of the failure domain", true, "",
                                                "DOMAIN", line.arguments());
     TCLAP::SwitchArg undo("", "undo", "take the order back: the upstreams are used again",
--- a/unittests/cli/drain_session_test.cpp
+++ b/unittests/cli/drain_session_test.cpp
@@ -45,18 +45,18 @@
     REQUIRE(listed.has_value());
     CHECK(listed->drains.empty());
 
-    CHECK(session.drain({"zone-a"}) == drain_result::done);
-    CHECK(session.drain({"zone-a"}) == drain_result::unchanged);
-    CHECK(session.drain({"zone-b"}) == drain_result::done);
+    CHECK(session.drain({"domain-a"}) == drain_result::done);
+    CHECK(session.drain({"domain-a"}) == drain_result::unchanged);
+    CHECK(session.drain({"domain-b"}) == drain_result::done);
     listed = session.list();
     REQUIRE(listed.has_value());
     REQUIRE(listed->drains.size() == 2);
-    CHECK(listed->drains[0].domain.value == "zone-a");
+    CHECK(listed->drains[0].domain.value == "domain-a");
     CHECK(listed->drains[0].upstreams == 0);
     CHECK(listed->drains[1].at > listed->drains[0].at);
 
-    CHECK(session.undo({"zone-a"}) == drain_result::done);
-    CHECK(session.undo({"zone-a"}) == drain_result::unchanged);
+    CHECK(session.undo({"domain-a"}) == drain_result::done);
+    CHECK(session.undo({"domain-a"}) == drain_result::unchanged);
     listed = session.list();
     REQUIRE(listed.has_value());
     CHECK(listed->drains.size() == 1);
@@ -68,6 +68,10 @@
     drain_session session(store.address(), 5s);
     CHECK(session.drain({""}) == drain_result::invalid_name);
     CHECK(session.drain({"a\r\nb"}) == drain_result::invalid_name);
+    CHECK(session.drain({"a/b"}) == drain_result::invalid_name);
+    CHECK(session.undo({""}) == drain_result::invalid_name);
+    CHECK(session.undo({"a/../.."}) == drain_result::invalid_name);
+    CHECK(session.undo({"a?b"}) == drain_result::invalid_name);
     const auto listed = session.list();
     REQUIRE(listed.has_value());
     CHECK(listed->drains.empty());
@@ -78,6 +82,6 @@
     const core::endpoint nobody{"127.0.0.1", 1};
     drain_session session(nobody, 100ms);
     CHECK_FALSE(session.list().has_value());
-    CHECK(session.drain({"zone-a"}) == drain_result::unreachable);
-    CHECK(session.undo({"zone-a"}) == drain_result::unreachable);
+    CHECK(session.drain({"domain-a"}) == drain_result::unreachable);
+    CHECK(session.undo({"domain-a"}) == drain_result::unreachable);
 }
--- a/unittests/core/team_shares_test.cpp
+++ b/unittests/core/team_shares_test.cpp
@@ -100,9 +100,13 @@
     {
         for (int count = 0; count != 20; ++count)
             shares.record_request(second, 10s, now + 30s + count * 100ms);
-        shares.forget_idle(now + 30s);
-        shares.record_request(second, 10s, now + 33s);
         CHECK_FALSE(second.is_over_share);
+        SUBCASE("after another team has asked for nothing for some seconds")
+        {
+            shares.record_request(first, 10s, now + 32s);
+            shares.record_request(second, 10s, now + 35s);
+            CHECK_FALSE(second.is_over_share);
+        }
     }
     SUBCASE("not by what its weight grants")
     {
--- a/unittests/gateway/gateway_settings_test.cpp
+++ b/unittests/gateway/gateway_settings_test.cpp
@@ -71,6 +71,7 @@
         CHECK(outcome.settings->warmups == core::warmup_tolerance{1.0, 0.0});
         CHECK(read(valid_settings + "warmup_overrun = 0.9\n").errors.size() == 1);
         CHECK(read(valid_settings + "warmup_slack = -1\n").errors.size() == 1);
+        CHECK(read(valid_settings + "warmup_overrun = inf\n").errors.size() == 1);
     }
     SUBCASE("a key of the template that a deployment does not state keeps its default")
     {
