--- a/unittests/gateway/placement_ways_test.cpp
+++ b/unittests/gateway/placement_ways_test.cpp
@@ -50,6 +50,7 @@
                 this->send(name, run, to.value, message);
             };
             made.serving_node_count = [] { return std::size_t{3}; };
+            made.running_node_count = [] { return std::size_t{3}; };
             made.lost_node_count = [] { return std::size_t{0}; };
             made.options.spill.enabled = spills;
             made.failure_domain.value = name.substr(0, 1);
