[core] the values that depend on a request are set once for the estimates of its candidates

Admission by deadline and spill-over estimate a request on each upstream several times; each estimate looked the prompt's parts up in the upstream's cache anew, and each list of candidates looked every member of the cell up by name six times. A candidate now keeps the request's uncached tokens beside its way, a cell points to its members, a request keeps the slots that suited it when it arrived, and requests that are skipped are not estimated at all.

--- a/include/ragwortcove/core/placement_scheduler.hpp
+++ b/include/ragwortcove/core/placement_scheduler.hpp
@@ -330,6 +330,8 @@
         time_point latest_start;
         /// When the caller gives up; the end of time if unknown.
         time_point gives_up_at = time_point::max();
+        /// Slots of the engines that suited the request when it arrived.
+        std::uint32_t suitable_slots = 0;
         /// Whether the request can no longer be in time; set when the queue is ordered.
         bool is_late = false;
         /// Whether the request is later than others of its rank, but must be served like them.
@@ -352,10 +354,13 @@
         const domain_demand* domains = nullptr;
         /// Additional time to reach the upstream from the domain of the request considered.
         double way_us = 0.0;
+        /// Prompt tokens of that request that the engine would have to compute.
+        std::uint32_t uncached_tokens = 0;
     };
     struct cell {
         std::vector<std::unique_ptr<queued_request>> queue;
-        std::vector<upstream_name> members;
+        /// Elements of `upstreams`.
+        std::vector<upstream_state*> members;
         rank_service service;
         usual_work usual;
         admission_policy admission;
@@ -376,8 +381,9 @@
     };
 
     [[nodiscard]] std::vector<candidate> list_candidates(cell& own_cell, time_point now);
-    void set_ways(std::span<candidate> candidates, const placement_request& request,
-                  time_point now) const;
+    /// Sets the values of the candidates that depend on the request.
+    void prepare(std::span<candidate> candidates, const placement_request& request,
+                 time_point now) const;
     /// Counts the queued requests of each failure domain.
     static void count_waiting(cell& own_cell, bool keeps_slots, time_point now);
     /// The free upstream with the shortest time.
@@ -406,8 +412,7 @@
                                          const queued_request& waiting, time_point now) const;
     [[nodiscard]] bool meets_pause_limit(const candidate& option, const placement_request& request,
                                          std::uint64_t ahead) const;
-    [[nodiscard]] double first_event_us(const candidate& option, const placement_request& request,
-                                        std::uint64_t ahead) const;
+    [[nodiscard]] static double first_event_us(const candidate& option, std::uint64_t ahead);
     [[nodiscard]] double completion_us(const candidate& option,
                                        const placement_request& request) const;
     /// Whether a response that begins now ends before its caller gives up.
@@ -417,8 +422,9 @@
     /// while the request may still wait.
     [[nodiscard]] bool is_worth_waiting(std::span<const candidate> candidates,
                                         const queued_request& waiting, time_point now) const;
-    [[nodiscard]] engine_work work_of(const upstream_state& state,
-                                      const placement_request& request) const;
+    [[nodiscard]] static engine_work work_on(const upstream_state& state,
+                                             std::uint32_t output_tokens,
+                                             std::uint32_t uncached_tokens);
     [[nodiscard]] static bool is_allowed(const upstream_state& state,
                                          const placement_request& request);
     /// Whether an upstream has memory for a request beside those in flight.
--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -33,14 +33,14 @@
 bool placement_scheduler::admits_by_deadline(const cell& own_cell) const
 {
     return this->admission == admission_mode::by_deadline && !own_cell.members.empty() &&
-           this->upstreams.at(own_cell.members.front()).is_engine;
+           own_cell.members.front()->is_engine;
 }
 
 cell_slots placement_scheduler::slots_of(const cell& own_cell, time_point now) const
 {
     cell_slots counted;
-    for (const upstream_name& name : own_cell.members) {
-        const upstream_state& state = this->upstreams.at(name);
+    for (const upstream_state* const each : own_cell.members) {
+        const upstream_state& state = *each;
         if (state.info.leaving || state.ejected_until > now)
             continue;
         const std::uint32_t most = this->max_placed(state);
@@ -68,7 +68,7 @@
     for (const candidate& each : candidates) {
         if (!is_allowed(*each.state, waiting.request))
             continue;
-        const double time_us = this->first_event_us(each, waiting.request, 0);
+        const double time_us = first_event_us(each, 0);
         shortest_us = std::min(shortest_us.value_or(time_us), time_us);
     }
     return waiting.latency_deadline - from_us(shortest_us.value_or(0.0) / start_margin);
@@ -104,12 +104,17 @@
     if (request.time_left > 0s)
         created.gives_up_at = now + request.time_left;
     std::vector<candidate> candidates = this->list_candidates(own_cell, now);
-    this->set_ways(candidates, request, now);
+    this->prepare(candidates, request, now);
     created.latest_start = this->latest_start_of(created, candidates);
-    if (created.latest_start > now)
-        own_cell.admission.record_on_time(request.rank, now);
-    else
+    created.is_late = created.latest_start <= now;
+    for (const candidate& each : candidates) {
+        if (this->is_suitable(each, created, now))
+            created.suitable_slots += this->max_placed(*each.state);
+    }
+    if (created.is_late)
         own_cell.admission.record_late(request.rank, now);
+    else
+        own_cell.admission.record_on_time(request.rank, now);
 }
 
 bool placement_scheduler::is_suitable(const candidate& option, const queued_request& waiting,
@@ -121,8 +126,8 @@
     if (waiting.gives_up_at != time_point::max() &&
         this->completion_us(option, request) > to_us(waiting.gives_up_at - now))
         return false;
-    return waiting.is_late || this->first_event_us(option, request, 0) <=
-                                  to_us(waiting.latency_deadline - now) * start_margin;
+    return waiting.is_late ||
+           first_event_us(option, 0) <= to_us(waiting.latency_deadline - now) * start_margin;
 }
 
 static std::uint32_t free_slots_of(std::uint32_t most, std::size_t in_flight)
@@ -179,21 +184,24 @@
         if (!any_free)
             break;
         const queued_request& waiting = **at;
-        this->set_ways(candidates, waiting.request, now);
         const bool yields = waiting.yields();
         if (waiting.priority != last_priority || yields != last_yields)
             failed.clear();
         last_priority = waiting.priority;
         last_yields = yields;
         const failure_domain_name& domain = this->domain_of_queue(waiting);
-        const bool may_try = failed.may_try(domain);
+        if (!failed.may_try(domain)) {
+            ++at;
+            continue;
+        }
+        this->prepare(candidates, waiting.request, now);
         upstream_state* chosen = nullptr;
-        if (may_try && yields) {
+        if (yields) {
             std::vector<candidate> left =
                 this->leftover_for(candidates, wanted, waiting, reserve, now);
             chosen = this->choose(left, waiting, now);
         }
-        else if (may_try) {
+        else {
             chosen = this->choose(candidates, waiting, now);
         }
         if (chosen == nullptr) {
@@ -225,34 +233,31 @@
     double work = 0.0;
     for (auto at = own_cell.queue.begin(); at != own_cell.queue.end();) {
         const queued_request& waiting = **at;
-        this->set_ways(candidates, waiting.request, now);
         const double own_work = policy.slot_seconds(waiting.request.rank);
         if (own_work <= 0.0)
             return; // Nothing is known yet.
         const bool yields = waiting.yields();
         const bool is_new = waiting.arrived_at == now;
-        cell_slots suitable;
-        for (const candidate& each : candidates) {
-            if (!this->is_suitable(each, waiting, now))
-                continue;
-            const std::uint32_t most = this->max_placed(*each.state);
-            suitable.all += most;
-            suitable.free += free_slots_of(most, each.state->in_flight);
-        }
-        if (suitable.all == 0)
-            suitable = slots;
+        const std::uint32_t suitable =
+            waiting.suitable_slots == 0 ? slots.all : waiting.suitable_slots;
         const double load_before = waiting.priority == 0
                                        ? 0.0
                                        : std::min(policy.load_before(waiting.request.rank, now),
-                                                  max_load_share * suitable.all);
+                                                  max_load_share * suitable);
         const std::optional<duration> wait = admission_policy::time_to_serve(
-            work + own_work, yields ? all_on_time : load_before, suitable.all);
+            work + own_work, yields ? all_on_time : load_before, suitable);
         const time_point until =
             waiting.is_late ? std::min(waiting.arrived_at + max_late_wait, waiting.expires_at)
                             : std::min(waiting.latest_start, waiting.expires_at);
         const double share = is_new && !waiting.is_late ? max_arrival_wait_share : 1.0;
         const bool is_soon = wait && to_us(*wait) <= to_us(until - now) * share;
-        if (is_soon || (!yields && suitable.free > 0)) {
+        const auto suits_free_slot = [&] {
+            this->prepare(candidates, waiting.request, now);
+            return std::any_of(candidates.begin(), candidates.end(), [&](const candidate& each) {
+                return each.has_free_slot && this->is_suitable(each, waiting, now);
+            });
+        };
+        if (is_soon || (!yields && slots.free > 0 && suits_free_slot())) {
             work += own_work;
             ++at;
             continue;
--- a/lib/core/placement_choice.cpp
+++ b/lib/core/placement_choice.cpp
@@ -43,8 +43,8 @@
 {
     double total = 0.0;
     std::size_t known = 0;
-    for (const upstream_name& name : own_cell.members) {
-        const double value = this->upstreams.at(name).*estimate;
+    for (const upstream_state* const each : own_cell.members) {
+        const double value = each->*estimate;
         if (value <= 0.0)
             continue;
         total += value;
@@ -70,16 +70,15 @@
 {
     const speed_estimates typical_values = this->typical_estimates(own_cell);
     const bool all_ejected = std::all_of(own_cell.members.begin(), own_cell.members.end(),
-                                         [&](const upstream_name& name) {
-                                             const upstream_state& state = this->upstreams.at(name);
-                                             return state.info.leaving || state.ejected_until > now;
+                                         [&](const upstream_state* each) {
+                                             return each->info.leaving || each->ejected_until > now;
                                          });
     if (this->options.spill.enabled)
         count_waiting(own_cell, this->own_callers_first, now);
     std::vector<candidate> listed;
     listed.reserve(own_cell.members.size());
-    for (const upstream_name& name : own_cell.members) {
-        upstream_state& state = this->upstreams.at(name);
+    for (upstream_state* const each : own_cell.members) {
+        upstream_state& state = *each;
         if (state.info.leaving || (state.ejected_until > now && !all_ejected))
             continue;
         // An engine that is slow in one respect is slow in the others, too. An estimate that is
@@ -132,12 +131,9 @@
     return 1.0 + max_spread * static_cast<double>(hash_step) / static_cast<double>(steps);
 }
 
-double placement_scheduler::first_event_us(const candidate& option,
-                                           const placement_request& request,
-                                           std::uint64_t ahead) const
+double placement_scheduler::first_event_us(const candidate& option, std::uint64_t ahead)
 {
-    const double tokens =
-        static_cast<double>(ahead + this->count_uncached_tokens(*option.state, request));
+    const auto tokens = static_cast<double>(ahead + option.uncached_tokens);
     return option.way_us + option.estimates.first_event_us +
            tokens * option.estimates.prefill_us_per_token;
 }
@@ -155,7 +151,7 @@
     // Every other running request makes each token a little slower.
     const double crowding = 1.0 + 0.02 * static_cast<double>(state.in_flight);
     const double events = static_cast<double>(request.output_tokens) / state.event_tokens;
-    return this->first_event_us(option, request, state.backlog_tokens) +
+    return first_event_us(option, state.backlog_tokens) +
            option.estimates.event_us * crowding * events;
 }
 
@@ -168,9 +164,8 @@
 {
     if (!option.state->is_engine || request.longest_pause <= 0s)
         return true;
-    const std::uint64_t tokens =
-        std::min<std::uint64_t>(ahead + this->count_uncached_tokens(*option.state, request),
-                                option.state->event_tokens * typical_chunk_tokens);
+    const std::uint64_t tokens = std::min<std::uint64_t>(
+        ahead + option.uncached_tokens, option.state->event_tokens * typical_chunk_tokens);
     const double pause = option.estimates.event_us +
                          static_cast<double>(tokens) * option.estimates.prefill_us_per_token;
     return pause <= to_us(request.longest_pause) * safe_share;
@@ -184,13 +179,13 @@
 {
     const placement_request& request = waiting.request;
     const double budget_us = to_us(waiting.latency_deadline - now) * safe_share;
-    this->set_ways(candidates, request, now);
+    this->prepare(candidates, request, now);
     bool any_in_time = false;
     bool any_meets_pause_limit = false;
     for (const candidate& each : candidates) {
         if (!each.state->is_engine || !is_allowed(*each.state, request))
             continue;
-        any_in_time = any_in_time || this->first_event_us(each, request, 0) <= budget_us;
+        any_in_time = any_in_time || first_event_us(each, 0) <= budget_us;
         any_meets_pause_limit = any_meets_pause_limit || this->meets_pause_limit(each, request, 0);
     }
     const bool is_waiting_better =
@@ -204,7 +199,7 @@
         const upstream_state& state = *each.state;
         if (!each.has_free_slot || !is_allowed(state, request) || !has_memory_for(state, request))
             continue;
-        if (any_in_time && this->first_event_us(each, request, state.backlog_tokens) > budget_us)
+        if (any_in_time && first_event_us(each, state.backlog_tokens) > budget_us)
             continue;
         const bool is_idle = state.in_flight == 0;
         if (any_meets_pause_limit && !is_idle &&
--- a/lib/core/placement_estimates.cpp
+++ b/lib/core/placement_estimates.cpp
@@ -107,8 +107,8 @@
     }
     double peer_failures = 0.0;
     double peer_total = 0.0;
-    for (const upstream_name& name : own_cell.members) {
-        const upstream_state& peer = this->upstreams.at(name);
+    for (const upstream_state* const each : own_cell.members) {
+        const upstream_state& peer = *each;
         if (&peer == &state)
             continue;
         peer_failures += peer.failures;
--- a/lib/core/placement_load.cpp
+++ b/lib/core/placement_load.cpp
@@ -23,8 +23,8 @@
 {
     cell_load created;
     created.waiting = static_cast<std::uint32_t>(own_cell.queue.size());
-    for (const upstream_name& name : own_cell.members) {
-        const upstream_state& state = this->upstreams.at(name);
+    for (const upstream_state* const each : own_cell.members) {
+        const upstream_state& state = *each;
         const std::size_t max_count = this->max_placed(state);
         if (!state.info.leaving && state.in_flight < max_count)
             created.free_slots += static_cast<std::uint32_t>(max_count - state.in_flight);
--- a/lib/core/placement_pace.cpp
+++ b/lib/core/placement_pace.cpp
@@ -7,12 +7,12 @@
 
 using namespace std::chrono_literals;
 
-engine_work placement_scheduler::work_of(const upstream_state& state,
-                                         const placement_request& request) const
+engine_work placement_scheduler::work_on(const upstream_state& state, std::uint32_t output_tokens,
+                                         std::uint32_t uncached_tokens)
 {
     engine_work created;
-    created.uncached_tokens = this->count_uncached_tokens(state, request);
-    created.output_events = static_cast<double>(request.output_tokens) / state.event_tokens;
+    created.uncached_tokens = uncached_tokens;
+    created.output_events = static_cast<double>(output_tokens) / state.event_tokens;
     created.ahead_tokens = static_cast<double>(state.backlog_tokens);
     created.running = static_cast<std::uint32_t>(state.in_flight);
     return created;
@@ -27,8 +27,8 @@
     const speed_estimates& known = option.estimates;
     const engine_pace pace{known.first_event_us, known.event_us, known.prefill_us_per_token};
     const duration left = waiting.arrived_at + request.time_left - now;
-    return completion_time_us(pace, this->work_of(*option.state, request)) <=
-           to_us(left) * safe_share;
+    const engine_work work = work_on(*option.state, request.output_tokens, option.uncached_tokens);
+    return completion_time_us(pace, work) <= to_us(left) * safe_share;
 }
 
 // The wait is estimated as if no other request wanted those slots: one that waits in vain begins on
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -54,7 +54,7 @@
         state.warmup_time = rule == nullptr ? duration{0} : rule->warmup_time;
         state.memory.set_limits(state.is_engine ? state.cache_tokens : 0, state.slots);
         cell& own_cell = this->cells[{pool_of(upstream), state.cell}];
-        own_cell.members.push_back(upstream.name);
+        own_cell.members.push_back(&state);
         own_cell.is_canary = pool_of(upstream) != upstream.target;
     }
     std::erase_if(this->upstreams, [&](const auto& each) { return !present.contains(each.first); });
@@ -152,9 +152,8 @@
     // After a change of the number of cells, an entry sends a request that waits to another cell.
     this->remove_queued(message.id);
     const bool any_allowed = std::any_of(
-        own_cell.members.begin(), own_cell.members.end(), [&](const upstream_name& name) {
-            const upstream_state& state = this->upstreams.at(name);
-            return !state.info.leaving && is_allowed(state, message);
+        own_cell.members.begin(), own_cell.members.end(), [&](const upstream_state* each) {
+            return !each->info.leaving && is_allowed(*each, message);
         });
     if (!any_allowed) {
         out.emplace_back(placement_denial{message.id, denial_reason::no_upstream, 1s,
@@ -263,7 +262,7 @@
     created.reported_at = now;
     created.ahead_tokens = state.backlog_tokens;
     if (state.is_engine)
-        own_cell.usual.record(this->work_of(state, request));
+        own_cell.usual.record(work_on(state, request.output_tokens, created.uncached_tokens));
     state.backlog_tokens += created.uncached_tokens;
     created.memory_tokens = tokens_in_memory(request.prompt_tokens, request.output_tokens);
     state.memory.add(created.memory_tokens);
--- a/lib/core/placement_shares.cpp
+++ b/lib/core/placement_shares.cpp
@@ -32,7 +32,7 @@
     if (own_cell.members.empty())
         return default_slot_time;
     const speed_estimates typical = this->typical_estimates(own_cell);
-    const upstream_state& any = this->upstreams.at(own_cell.members.front());
+    const upstream_state& any = *own_cell.members.front();
     double time_us = typical.service_us;
     if (any.is_engine)
         time_us = typical.first_event_us + request.prompt_tokens * typical.prefill_us_per_token +
--- a/lib/core/placement_spill.cpp
+++ b/lib/core/placement_spill.cpp
@@ -15,12 +15,16 @@
     this->time_us = other_time_us;
 }
 
-void placement_scheduler::set_ways(std::span<candidate> candidates,
-                                   const placement_request& request, time_point now) const
+// The estimates of one request ask for these values many times.
+void placement_scheduler::prepare(std::span<candidate> candidates, const placement_request& request,
+                                  time_point now) const
 {
-    for (candidate& each : candidates)
+    for (candidate& each : candidates) {
+        const upstream_state& state = *each.state;
         each.way_us =
-            to_us(this->ways.between(request.failure_domain, each.state->info.failure_domain, now));
+            to_us(this->ways.between(request.failure_domain, state.info.failure_domain, now));
+        each.uncached_tokens = state.is_engine ? this->count_uncached_tokens(state, request) : 0;
+    }
 }
 
 // A slot that no caller of its own failure domain can use is not kept for them.
@@ -87,8 +91,7 @@
     const double completion = this->completion_us(option, request);
     if (!state.is_engine)
         return {completion, completion, 0};
-    return {this->first_event_us(option, request, state.backlog_tokens), completion,
-            this->count_uncached_tokens(state, request)};
+    return {first_event_us(option, state.backlog_tokens), completion, option.uncached_tokens};
 }
 
 placement_scheduler::upstream_state*
--- a/lib/core/placement_warmup.cpp
+++ b/lib/core/placement_warmup.cpp
@@ -8,14 +8,14 @@
     std::vector<limited_upstream> limited;
     for (const auto& [key, own_cell] : this->cells) {
         std::optional<bool> is_own_cell;
-        for (const upstream_name& name : own_cell.members) {
-            const upstream_state& state = this->upstreams.at(name);
+        for (const upstream_state* const each : own_cell.members) {
+            const upstream_state& state = *each;
             if (state.warmup_rate <= 0.0)
                 continue;
             // Owners are found by hashing all nodes, which is not worth it without a limit.
             if (!is_own_cell)
                 is_own_cell = is_owned(key.pool, key.index);
-            limited.push_back({{name, state.info.started_at},
+            limited.push_back({{state.info.name, state.info.started_at},
                                state.warmup_rate,
                                state.warmup_time,
                                state.info.warm_at,
