--- a/unittests/core/domain_spill_test.cpp
+++ b/unittests/core/domain_spill_test.cpp
@@ -184,9 +184,7 @@
     scheduler.release(
         {std::get<placement_grant>(out.front()).id, placement_outcome::completed, 15ms, {}}, now,
         out);
-    std::vector<placement_grant> own;
-    for (int count = 0; count < 2; ++count)
-        own.push_back(ask("a"));
+    const std::array own{ask("a"), ask("a")};
     for (const placement_grant& each : own) {
         CHECK(each.upstream.value == "s-a");
         CHECK(each.left_domain == departure::none);
