[core] conversions and the free slots of an upstream stand once

placement_admission.cpp wrote again what placement_scheduler.cpp and placement_limits.hpp have: the conversion from microseconds, and the margin of estimated times under another name; the free slots of an upstream were worked out twice in it. They are in placement_limits.hpp now.

--- a/lib/core/placement_admission.cpp
+++ b/lib/core/placement_admission.cpp
@@ -10,9 +10,6 @@
 
 using namespace std::chrono_literals;
 
-/// Share of the time until the latest start that an estimated time to the first event may use, as a
-/// margin for estimation errors.
-static constexpr double start_margin = 0.9;
 /// Share of the time until its latest start that a new request is expected to wait at most. A
 /// request that is admitted should not be denied later because others took longer than estimated.
 static constexpr double max_arrival_wait_share = 0.5;
@@ -23,11 +20,6 @@
 /// caller is better told when to come back.
 static constexpr duration max_late_wait = 500ms;
 
-static duration from_us(double value)
-{
-    return duration{static_cast<duration::rep>(value)};
-}
-
 // Plain services respond within a few milliseconds; a slot that a late request takes there is free
 // again before it could make another request late.
 bool placement_scheduler::admits_by_deadline(const cell& own_cell) const
@@ -45,8 +37,7 @@
             continue;
         const std::uint32_t most = this->max_placed(state);
         counted.all += most;
-        if (state.in_flight < most)
-            counted.free += most - static_cast<std::uint32_t>(state.in_flight);
+        counted.free += free_slots_of(most, state.in_flight);
     }
     return counted;
 }
@@ -71,7 +62,7 @@
         const double time_us = first_event_us(each, 0);
         shortest_us = std::min(shortest_us.value_or(time_us), time_us);
     }
-    return waiting.latency_deadline - from_us(shortest_us.value_or(0.0) / start_margin);
+    return waiting.latency_deadline - from_us(shortest_us.value_or(0.0) / safe_share);
 }
 
 // On-time requests of all ranks precede late ones. A rank whose requests all arrive late would
@@ -127,12 +118,7 @@
         this->completion_us(option, request) > to_us(waiting.gives_up_at - now))
         return false;
     return waiting.is_late ||
-           first_event_us(option, 0) <= to_us(waiting.latency_deadline - now) * start_margin;
-}
-
-static std::uint32_t free_slots_of(std::uint32_t most, std::size_t in_flight)
-{
-    return in_flight < most ? most - static_cast<std::uint32_t>(in_flight) : 0;
+           first_event_us(option, 0) <= to_us(waiting.latency_deadline - now) * safe_share;
 }
 
 // The reserve is kept on the faster engines: those that are slower than usual are in time for few
--- a/lib/core/placement_limits.hpp
+++ b/lib/core/placement_limits.hpp
@@ -27,6 +27,17 @@
     return static_cast<double>(span.count());
 }
 
+inline duration from_us(double value)
+{
+    return duration{static_cast<duration::rep>(value)};
+}
+
+/// Slots that are free while this many requests are in flight.
+inline std::uint32_t free_slots_of(std::uint32_t slots, std::size_t in_flight)
+{
+    return in_flight < slots ? slots - static_cast<std::uint32_t>(in_flight) : 0;
+}
+
 /// Number of requests that an upstream with this many slots may have in flight.
 inline std::uint32_t max_in_flight(bool is_engine, std::uint32_t slots)
 {
--- a/lib/core/placement_scheduler.cpp
+++ b/lib/core/placement_scheduler.cpp
@@ -26,11 +26,6 @@
 static constexpr duration min_retry = 200ms;
 static constexpr duration max_retry = 3s;
 
-static duration from_us(double value)
-{
-    return duration{static_cast<duration::rep>(value)};
-}
-
 void placement_scheduler::set_upstreams(std::span<const announced_upstream> all,
                                         const rule_index* rules)
 {
