--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -112,6 +112,7 @@
         self.connections = set()
         # Called with (label of the listener, method, kind, query) before a call is carried out.
         self.on_call = None
+        # When a watch was open last, by the label of the listener.
         self.watching = {}
 
     async def listen(self, label, address, port):
@@ -201,14 +202,14 @@
 
     async def _watch(self, label, kind, after, wait_ms):
         until = time.monotonic() + wait_ms / 1000
-        self.watching[label] = self.watching.get(label, 0) + (wait_ms > 0)
         while True:
             events = [event for at, of, event in self.history if at > after and of == kind]
             left = until - time.monotonic()
             if events or left <= 0:
                 break
+            self.watching[label] = time.monotonic()
             try:
-                await asyncio.wait_for(self.changed.wait(), left)
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.5))
             except asyncio.TimeoutError:
                 pass
         made = 200, {"events": events, "current_rev": self.revision}
