--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -59,12 +59,17 @@
         raise CannotRun("no free addresses")
 
     def _is_free(self):
-        with socket.socket() as probe:
-            try:
-                probe.bind((self.address(0, 1), self.port))
-                return True
-            except OSError:
-                return False
+        """Whether machines, stores and servers can listen there."""
+        wanted = [(self.address(0, 10 + index), port, kind) for index in range(8)
+                  for port in (9464, *range(self.port, self.port + 4)) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        wanted += [(self.address(block, 1), self.port, socket.SOCK_STREAM) for block in (1, 100, 101, 102, 103)]
+        for address, port, kind in wanted:
+            with socket.socket(socket.AF_INET, kind) as probe:
+                try:
+                    probe.bind((address, port))
+                except OSError:
+                    return False
+        return True
 
     def address(self, block, host):
         return f"127.{self.net}.{block}.{host}"
