[http] a response with a status below 100 is none

What callers saw: a success whose body was not the server's. The body of a message with status 000 stood in front of the body of the message after it on the same connection. The client of the platform's store took a list in the same way.

Cause: the reader took every status below 200 for an announcement (100 to 199) and waited for the final response. Announcements have no body, so nothing kept the body of such a message apart; with no length, the end of its connection completed a response whose head was never handed on.

Change: the reader refuses a status line below 100 as malformed. Its head is not handed on, nothing after it on the connection is read, and a request that may have run gets 502. Statuses from 600 on are still passed on as the server gave them and treated as failures, as HTTP asks.

The fuzz target now requires a final status.

Why it works: all that reads upstreams, the store and other nodes over plain HTTP reads with this reader, also the look at a response that has not been read yet (peek_head).

--- a/fuzz/upstream_response_fuzzer.cpp
+++ b/fuzz/upstream_response_fuzzer.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::string_view attempt = "id";
+constexpr int first_final_status = 200;
 
 /// What a caller would get of a response.
 struct outcome {
@@ -37,6 +38,7 @@
     std::optional<http::response_reader> reader;
     http::response_reader::handlers handlers;
     handlers.head = [&](http::status_line_and_headers&& head) {
+        require(head.status >= first_final_status);
         const adapter::response_facts facts = adapter::read_response_headers(head, attempt);
         require(!facts.not_run || facts.is_for_attempt);
         require(!facts.pause || facts.pause->count() >= 0);
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -20,6 +20,8 @@
 namespace beast = boost::beast;
 using error_code = boost::system::error_code;
 
+/// The lowest status of HTTP. What has a lower one is no response, and nothing tells where it ends.
+static constexpr int first_status = 100;
 /// Status below which a response only announces another one.
 static constexpr int first_final_status = 200;
 /// Header bytes of a response that is still taken, with those of the announcements before it.
@@ -66,6 +68,8 @@
     {
         this->head.status = status;
         error = {};
+        if (status < first_status)
+            error = beast::http::error::bad_status;
     }
     void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value,
                        error_code& error) override
--- a/unittests/adapter/store_client_test.cpp
+++ b/unittests/adapter/store_client_test.cpp
@@ -37,4 +37,41 @@
     CHECK(sent.load() < max_taken);
 }
 
+// Guards against a list that is not the store's: the body of an answer with status 000 went in
+// front of the next one's.
+TEST_CASE("a store's answer that is none gives no list")
+{
+    const std::string entries = R"({"entries":[],"has_more":false,"current_rev":7})";
+    const std::string sound =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(entries.size()) + "\r\n\r\n" +
+        entries;
+    std::string answer;
+    bool is_sound = false;
+    SUBCASE("a sound one gives its list")
+    {
+        answer = sound;
+        is_sound = true;
+    }
+    SUBCASE("a status below those of HTTP")
+    {
+        answer = "HTTP/1.1 000 Odd\r\nContent-Length: 1\r\n\r\n " + sound;
+    }
+    raw_server store([&](raw_connection& connection) {
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        connection.send(answer);
+        static_cast<void>(connection.receive_all());
+    });
+    http::loop event_loop;
+    http::outbound_client connections{event_loop, 3s};
+    store_client client{event_loop, connections, {{"127.0.0.1", store.port()}, 10s}};
+    bool ended = false;
+    client.list(document_kind::rules, [&](const document_list* list, const store_error& error) {
+        CHECK((list != nullptr) == is_sound);
+        if (!is_sound)
+            CHECK(error.failure == store_failure::unreachable);
+        ended = true;
+    });
+    REQUIRE(run_until(event_loop, [&] { return ended; }));
+}
+
 } // namespace ragwortcove::adapter
--- /dev/null
+++ b/unittests/gateway/call_broken_answers_test.cpp
@@ -0,0 +1,82 @@
+#include "call_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+// What upstreams in trouble send in place of an answer.
+
+namespace ragwortcove::gateway::test {
+
+namespace {
+
+const std::string signed_headers = "X-Attempt-Id: id7\r\nX-Server-Signature: s\r\n";
+const std::string broken_body = "broken body";
+
+/// A response of this status line and these further lines, framed in each way that a body can be.
+std::vector<std::string> frame_in_all_ways(const std::string& status_line, const std::string& lines)
+{
+    const std::string head = "HTTP/1.1 " + status_line + "\r\n" + signed_headers + lines;
+    return {head + "Content-Length: " + std::to_string(broken_body.size()) + "\r\n\r\n" +
+                broken_body,
+            head + "Transfer-Encoding: chunked\r\n\r\n" + make_chunk(broken_body) + last_chunk,
+            head + "\r\n" + broken_body,
+            head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: " + broken_body + "\n\n"};
+}
+
+/// An upstream that sends the same bytes to each request, and closes in order.
+struct broken_upstream {
+    std::string response;
+    std::atomic<int> request_count{0};
+    raw_server server{[this](raw_connection& connection) {
+        if (connection.receive_until("\r\n\r\n").empty())
+            return;
+        ++this->request_count;
+        connection.send(this->response);
+    }};
+};
+
+/// Expects that no caller gets anything of a response: a request that may run once fails without a
+/// promise that it has not run, and one that may be repeated is answered by another upstream.
+void check_reaches_no_caller(const std::vector<std::string>& responses)
+{
+    for (const std::string& response : responses) {
+        CAPTURE(response);
+        gateway_fixture node;
+        broken_upstream broken;
+        broken.response = response;
+        node.add_upstream("i-1", broken.server);
+        for (const std::string path : {"/once/", "/stream/"}) {
+            const std::string got = node.send_request(path);
+            CHECK(got.starts_with("HTTP/1.1 502 "));
+            CHECK_FALSE(contains(got, "broken"));
+            CHECK_FALSE(contains(got, "X-Server-Signature"));
+        }
+        scripted_upstream sound({make_response(200, "sound")});
+        node.add_upstream("i-2", sound.server);
+        std::string got;
+        while (sound.request_count == 0 && !contains(got, "broken"))
+            got = node.send_request("/again/");
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(contains(got, "sound"));
+        CHECK_FALSE(contains(got, "broken"));
+        CHECK(node.is_empty());
+    }
+}
+
+} // namespace
+
+TEST_CASE("an answer with a status below those of HTTP reaches no caller")
+{
+    for (const std::string line : {"000 Odd", "000 ", "001 Odd", "099 Odd"}) {
+        std::vector<std::string> responses = frame_in_all_ways(line, "");
+        check_reaches_no_caller(responses);
+        // What follows on the connection is no answer either.
+        for (std::string& response : responses)
+            response += make_response(200, "broken answer");
+        check_reaches_no_caller(responses);
+    }
+}
+
+} // namespace ragwortcove::gateway::test
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,89 @@
     CHECK(reader.is_complete());
 }
 
+namespace {
+
+/// What a reader hands on of the bytes of a connection.
+struct reading {
+    message_fault fault = message_fault::none;
+    int heads = 0;
+    int status = 0;
+    std::string body;
+    bool is_complete = false;
+};
+
+/// Reads bytes in pieces of that length, up to the first fault.
+reading read_in_pieces(std::string_view bytes, std::size_t piece)
+{
+    reading seen;
+    response_reader::handlers handlers;
+    handlers.head = [&](status_line_and_headers&& head) {
+        ++seen.heads;
+        seen.status = head.status;
+    };
+    handlers.body = [&](std::string_view part) { seen.body += part; };
+    handlers.complete = [&] { seen.is_complete = true; };
+    response_reader reader(false, std::move(handlers));
+    for (std::size_t at = 0; at < bytes.size() && seen.fault == message_fault::none; at += piece)
+        seen.fault = reader.take(bytes.substr(at, piece));
+    return seen;
+}
+
+/// In single bytes, and in one piece.
+constexpr std::array<std::size_t, 2> piece_sizes{1, 4096};
+
+const std::string sound_response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+} // namespace
+
+// Guards against an answer that is none: one with status 000 counted as an announcement, and its
+// body went in front of the next answer's.
+TEST_CASE("a response with a status below those of HTTP is none")
+{
+    for (const std::string status : {"000", "007", "099"}) {
+        const std::string line = "HTTP/1.1 " + status + " Odd\r\n";
+        const std::array<std::string, 4> responses{
+            line + "Content-Length: 4\r\n\r\nodd!", line + "Content-Length: 0\r\n\r\n",
+            line + "Transfer-Encoding: chunked\r\n\r\n4\r\nodd!\r\n0\r\n\r\n", line + "\r\nodd!"};
+        for (const std::string& response : responses) {
+            for (const std::size_t piece : piece_sizes) {
+                CAPTURE(response);
+                CAPTURE(piece);
+                const reading seen = read_in_pieces(response + sound_response, piece);
+                CHECK(seen.fault == message_fault::malformed);
+                CHECK(seen.heads == 0);
+                CHECK(seen.body.empty());
+                CHECK_FALSE(seen.is_complete);
+            }
+        }
+    }
+}
+
+TEST_CASE("a status has three digits")
+{
+    for (const std::string status : {"0200", "20", "2000", "-20", "+200", "2 0", "0x0", ""}) {
+        CAPTURE(status);
+        const std::string response = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n";
+        for (const std::size_t piece : piece_sizes)
+            CHECK(read_in_pieces(response, piece).heads == 0);
+    }
+}
+
+TEST_CASE("every final status of HTTP is handed on, also one that no page lists")
+{
+    for (const int status : {200, 204, 299, 304, 404, 429, 503, 599, 600, 999}) {
+        CAPTURE(status);
+        const std::string response =
+            "HTTP/1.1 " + std::to_string(status) + " Any\r\nContent-Length: 0\r\n\r\n";
+        for (const std::size_t piece : piece_sizes) {
+            const reading seen = read_in_pieces(response, piece);
+            CHECK(seen.fault == message_fault::none);
+            CHECK(seen.is_complete);
+            CHECK(seen.status == status);
+        }
+    }
+}
+
 TEST_CASE("a request whose framing has no end is refused before it fills the memory")
 {
     constexpr std::size_t max_taken = 1U << 20U;
