[http, gateway] tests: a field whose name is no token makes a head none

Answers with a blank or a control byte in the name of a field reach no caller of the gateway, and no list of the platform's store is read from one. The code did so before: its reader takes only tokens for names.

--- a/unittests/adapter/store_client_test.cpp
+++ b/unittests/adapter/store_client_test.cpp
@@ -56,6 +56,11 @@
     {
         answer = "HTTP/1.1 000 Odd\r\nContent-Length: 1\r\n\r\n " + sound;
     }
+    SUBCASE("a field whose name holds a blank")
+    {
+        answer = sound;
+        answer.insert(answer.find("\r\n") + 2, "X Odd: 1\r\n");
+    }
     raw_server store([&](raw_connection& connection) {
         static_cast<void>(connection.receive_until("\r\n\r\n"));
         connection.send(answer);
--- a/unittests/gateway/call_broken_answers_test.cpp
+++ b/unittests/gateway/call_broken_answers_test.cpp
@@ -79,4 +79,17 @@
     }
 }
 
+TEST_CASE("an answer in whose head a field has no proper name reaches no caller")
+{
+    std::vector<std::string> lines{"X Odd: 1\r\n",           "X-Odd : 1\r\n",
+                                   "X\tOdd: 1\r\n",          "X\x01Odd: 1\r\n",
+                                   "X-Odd\x7f: 1\r\n",       "\x02: 1\r\n",
+                                   "Content-Length : 3\r\n", "Transfer-Encoding : chunked\r\n"};
+    lines.push_back(std::string("X") + '\0' + "Odd: 1\r\n");
+    for (const std::string& line : lines) {
+        CAPTURE(line);
+        check_reaches_no_caller(frame_in_all_ways("200 OK", line));
+    }
+}
+
 } // namespace ragwortcove::gateway::test
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -212,6 +212,61 @@
     }
 }
 
+// Guards against a line of a head that callers or their libraries read as another one, or that
+// hides how long the body is.
+TEST_CASE("a response in whose head the name of a field is no token is none")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nX-First: 1\r\n";
+    const std::string rest = ": 3\r\nContent-Length: 3\r\n\r\nown";
+    const auto check = [](const std::string& response, bool is_sound) {
+        for (const std::size_t piece : piece_sizes) {
+            CAPTURE(response);
+            CAPTURE(piece);
+            const reading seen = read_in_pieces(response, piece);
+            CHECK(seen.fault == (is_sound ? message_fault::none : message_fault::malformed));
+            CHECK(seen.heads == (is_sound ? 1 : 0));
+            CHECK(seen.is_complete == is_sound);
+        }
+    };
+    SUBCASE("each byte inside a name, at its end and at its start")
+    {
+        static constexpr std::string_view token_signs = "!#$%&'*+-.^_`|~";
+        const auto is_token = [](char sign) {
+            const bool is_letter = (sign >= 'a' && sign <= 'z') || (sign >= 'A' && sign <= 'Z');
+            const bool is_digit = sign >= '0' && sign <= '9';
+            return is_letter || is_digit || token_signs.find(sign) != std::string_view::npos;
+        };
+        for (int code = 0; code < 256; ++code) {
+            const char sign = static_cast<char>(code);
+            // A colon ends the name, and what follows is the value.
+            if (sign == ':')
+                continue;
+            check(start + "X-A" + sign + "B" + rest, is_token(sign));
+            check(start + "X-A" + sign + rest, is_token(sign));
+            // A line that begins with a blank goes on with the one before.
+            if (sign != ' ' && sign != '\t')
+                check(start + sign + "X-A" + rest, is_token(sign));
+        }
+    }
+    SUBCASE("a first line that begins with a blank")
+    {
+        check("HTTP/1.1 200 OK\r\n X-A" + rest, false);
+    }
+    SUBCASE("no name")
+    {
+        check(start + rest, false);
+    }
+    SUBCASE("no colon")
+    {
+        check(start + "no colon\r\nX-A" + rest, false);
+    }
+    SUBCASE("a blank behind the name of a field that frames the body")
+    {
+        check(start + "Content-Length : 1\r\nX-A" + rest, false);
+        check(start + "Transfer-Encoding\t: chunked\r\nX-A" + rest, false);
+    }
+}
+
 TEST_CASE("a request whose framing has no end is refused before it fills the memory")
 {
     constexpr std::size_t max_taken = 1U << 20U;
