[http] a stream that was reset never ends in order

What callers saw: a part of an answer as all of it. A server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written; the caller gets that part as a whole answer.

Cause: the kernel tells of a reset once, to whichever call comes first. Here that was the write of the upload, whose error was dropped; the read after it met an end as if the other side had closed, and such an end completes a body without a length. The two looks at a connection that take nothing from it (is_quiet, peek) dropped the error in the same way.

Change: a stream keeps the failure that any of its calls has met, and a read that meets the end ends the stream with it. A broken pipe is none: the kernel gives it where the other side had closed in order before it refused more bytes, so such an answer stays whole, as HTTP has it.

A request that may have run gets 502.

Why it works: the end of a body without a length is taken from the stream alone, for upstreams, the store and other nodes.

--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -37,6 +37,8 @@
     std::string unsent;
     std::size_t unsent_from = 0;
     std::uint64_t sent = 0;
+    /// How the connection has failed, if a call other than the read of its end met that first.
+    std::optional<stream_end> failure;
     bool opening = false;
     bool closing = false;
     bool open = true;
@@ -117,6 +119,26 @@
         ended(how);
 }
 
+static bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK;
+}
+
+static stream_end end_of(int error)
+{
+    return error == ETIMEDOUT ? stream_end::silent : stream_end::broken;
+}
+
+// The kernel tells of a failure once, to whichever call comes first, and the reads after it meet an
+// end as if the other side had closed. A broken pipe is no failure of what was received: the other
+// side had closed in order before it refused more bytes.
+static void keep_failure(tcp_stream::state& self, int error)
+{
+    const bool is_failure = !would_block(error) && error != EINTR && error != EPIPE;
+    if (is_failure && !self.failure)
+        self.failure = end_of(error);
+}
+
 /// Reads at most `max_reads` times; ends the stream at its end. What is left is read when the loop
 /// tells of it again.
 static void read_some(const state_pointer& self, int max_reads)
@@ -132,13 +154,13 @@
             continue;
         }
         if (count == 0) {
-            end(self, stream_end::orderly);
+            end(self, self->failure.value_or(stream_end::orderly));
             return;
         }
         if (errno == EINTR)
             continue;
-        if (errno != EAGAIN && errno != EWOULDBLOCK)
-            end(self, errno == ETIMEDOUT ? stream_end::silent : stream_end::broken);
+        if (!would_block(errno))
+            end(self, end_of(errno));
         return;
     }
 }
@@ -150,8 +172,9 @@
                                      count_unsent(*self), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count < 0 && errno == EINTR)
             continue;
-        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        if (count < 0 && !would_block(errno)) {
             // What the other end sent before it closed may still be there to read.
+            keep_failure(*self, errno);
             clear_unsent(*self);
             return;
         }
@@ -323,7 +346,9 @@
         return false;
     char byte = 0;
     const ssize_t count = ::recv(this->self->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count < 0)
+        keep_failure(*this->self, errno);
+    return count < 0 && would_block(errno);
 }
 
 std::string tcp_stream::peek(std::size_t max_bytes) const
@@ -333,6 +358,8 @@
     std::string bytes(max_bytes, '\0');
     const ssize_t count =
         ::recv(this->self->descriptor, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0)
+        keep_failure(*this->self, errno);
     bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
     return bytes;
 }
--- a/unittests/gateway/call_broken_answers_test.cpp
+++ b/unittests/gateway/call_broken_answers_test.cpp
@@ -65,6 +65,22 @@
     }
 }
 
+/// Sends a request with a long body as a caller and returns the bytes of the response.
+std::string upload(gateway_fixture& node, const std::string& path)
+{
+    const std::string body(7U << 20U, 'b');
+    std::string response;
+    raw_client caller(node.callers->port(), [&](raw_connection& connection) {
+        connection.send("POST " + path +
+                        " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id7\r\nX-Deadline-Ms: 5000\r\n"
+                        "Authorization: Bearer k\r\nConnection: close\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+        response = connection.receive_all();
+    });
+    REQUIRE(node.run([&] { return caller.done(); }));
+    return response;
+}
+
 } // namespace
 
 TEST_CASE("an answer with a status below those of HTTP reaches no caller")
@@ -92,4 +108,57 @@
     }
 }
 
+// Guards against a part of an answer that a caller gets as all of it: its upstream answers an
+// upload at once, and resets the connection while the upload is still being written.
+TEST_CASE("an early answer without a length is whole only if its connection ends in order")
+{
+    gateway_fixture node;
+    set_route_timeout(node, 10s);
+    const std::string early = "HTTP/1.1 200 OK\r\n" + signed_headers + "\r\nsome";
+    bool is_reset = true;
+    raw_server upstream([&](raw_connection& connection) {
+        if (connection.receive_until("\r\n\r\n").empty())
+            return;
+        connection.send(early);
+        if (!is_reset)
+            connection.end_sending();
+        std::this_thread::sleep_for(50ms);
+        connection.reset();
+    });
+    node.add_upstream("i-1", upstream);
+    SUBCASE("reset, to a request that may run once")
+    {
+        const std::string got = upload(node, "/once/");
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+        CHECK_FALSE(contains(got, "some"));
+    }
+    SUBCASE("reset, to a request that may be repeated")
+    {
+        raw_server sound([](raw_connection& connection) {
+            if (connection.receive_until("\r\n\r\n").empty())
+                return;
+            connection.send(make_response(200, "all of it"));
+            static_cast<void>(connection.receive_all());
+        });
+        node.add_upstream("i-2", sound);
+        const std::string got = upload(node, "/again/");
+        CHECK(contains(got, "all of it"));
+        CHECK_FALSE(contains(got, "some"));
+    }
+    SUBCASE("reset, to a request for a stream")
+    {
+        const std::string got = upload(node, "/stream/");
+        CHECK_FALSE(contains(got, " 200 "));
+        CHECK_FALSE(contains(got, "some"));
+    }
+    SUBCASE("closed in order")
+    {
+        is_reset = false;
+        const std::string got = upload(node, "/once/");
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(got.ends_with("\r\n\r\nsome"));
+    }
+    CHECK(node.is_empty());
+}
+
 } // namespace ragwortcove::gateway::test
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -156,6 +156,9 @@
         }
     }
 
+    /// Closes this side in order; the other side may still send.
+    void end_sending() const { ::shutdown(this->descriptor, SHUT_WR); }
+
     /// Closes with a reset.
     void reset()
     {
--- a/unittests/http/outbound_test.cpp
+++ b/unittests/http/outbound_test.cpp
@@ -254,6 +254,68 @@
     CHECK(calling.ask(upstream.port()).complete);
 }
 
+// Guards against a part of an answer that counts as all of it: the failed write took the reset from
+// the socket, so the read after it met the end of a connection that seemed closed in order.
+TEST_CASE("an answer that comes while a long body is written ends as its connection ends")
+{
+    calling_client calling;
+    const std::string long_body(32U << 20U, 'b');
+    SUBCASE("a reset leaves it a part")
+    {
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            connection.reset();
+        });
+        const outcome got = calling.ask(upstream.port(), long_body);
+        CHECK_FALSE(got.complete);
+        CHECK(got.failure == outbound_failure::connection_lost);
+    }
+    SUBCASE("a reset that comes with the answer leaves it a part")
+    {
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
+            connection.reset();
+        });
+        const outcome got = calling.ask(upstream.port(), long_body);
+        CHECK_FALSE(got.complete);
+        CHECK(got.failure == outbound_failure::connection_lost);
+    }
+    SUBCASE("a connection closed with bytes of the body unread is reset as well")
+    {
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        });
+        const outcome got = calling.ask(upstream.port(), long_body);
+        CHECK_FALSE(got.complete);
+        CHECK(got.failure == outbound_failure::connection_lost);
+    }
+    SUBCASE("the end of the upstream's side makes it whole, though its reset follows")
+    {
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nall of it");
+            connection.end_sending();
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            connection.reset();
+        });
+        const outcome got = calling.ask(upstream.port(), long_body);
+        CHECK(got.complete);
+        CHECK(got.body == "all of it");
+    }
+    SUBCASE("one with a length is whole with its last byte, though a reset follows")
+    {
+        raw_server upstream([](raw_connection& connection) {
+            answer_once(connection, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            connection.reset();
+        });
+        const outcome got = calling.ask(upstream.port(), long_body);
+        CHECK(got.complete);
+        CHECK(got.body == "all of it");
+    }
+}
+
 TEST_CASE("an answer that comes before a long body was read leaves no connection behind")
 {
     calling_client calling;
