[http] the client reads responses with the shared reader

What callers of the product's own interface saw: a success with a body that was not the service's. In an answer with "transfer-encoding : chunked" and a length the blank hid the framing, so the body came with the lines of its chunks in it. An answer in whose head the name of a field held any blank or control byte was taken as if that line were not there.

Cause: the client read with libwebsockets' own parser, which takes such names, and gives no way to see them. It also took 0200 or 200x for 200, two lengths that differ, a length 8x, control bytes in values, and announcements (100, 103) for the final response; it refused trailers, and lost an answer with a length that came before its long request was out.

Why it works: one reader decides what a response is, whichever way it came. The command line, the load tool, probes and reports of upstreams use this client.

--- a/include/ragwortcove/http/message.hpp
+++ b/include/ragwortcove/http/message.hpp
@@ -11,7 +11,7 @@
 namespace ragwortcove::http {
 
 /// Besides the common headers of HTTP, only those of the list in lib/http/known_headers.cpp are
-/// read from a message.
+/// read from a request; all are read from a response.
 struct header {
     /// Lower-case name without a colon.
     std::string name;
--- a/unittests/daemon/cluster.hpp
+++ b/unittests/daemon/cluster.hpp
@@ -248,12 +248,12 @@
 
     /// Declares one tier, one team, the engine, an engine's route `chat`, a service's route
     /// `lookup` and a service's route `payment`, whose calls may not be repeated.
-    void declare_all() { this->declare_all(this->engine.port()); }
-    /// The same with another engine.
-    void declare_all(std::uint16_t engine_port)
+    void declare_all() { this->declare_all(this->engine.port(), this->service.port()); }
+    /// The same with another engine and another service.
+    void declare_all(std::uint16_t engine_port, std::uint16_t service_port)
     {
         using core::object_kind;
-        const std::string service_address = "127.0.0.1:" + std::to_string(this->service.port());
+        const std::string service_address = "127.0.0.1:" + std::to_string(service_port);
         this->declare(object_kind::tier, "first", {{"rank", "0"}});
         this->declare(object_kind::team, "default", {{"weight", "1"}});
         this->declare(object_kind::version, "v1", {{"target", "model-a"}});
--- a/unittests/daemon/upstream_faults_test.cpp
+++ b/unittests/daemon/upstream_faults_test.cpp
@@ -1,3 +1,4 @@
+#include "../http/loopback.hpp"
 #include "cluster.hpp"
 #include "ragwortcove/http/event_stream.hpp"
 
@@ -123,7 +124,7 @@
     static constexpr int tokens = 40;
     cluster here;
     const dying_engine first;
-    here.declare_all(first.port());
+    here.declare_all(first.port(), here.service.port());
     const reply& open = here.start(
         here.port, cluster::make_message("POST", "/v1/chat/completions", chat_body(tokens, false)));
     here.declare_engine("engine-2", here.engine.port());
@@ -159,3 +160,34 @@
         CHECK(boost::json::parse(counts.body).at("runs").as_int64() == 1);
     }
 }
+
+// Guards against a body that is not the service's: its frame stood in it, since a blank behind the
+// name of a field hid that the body comes in chunks.
+TEST_CASE("a service's answer that is not HTTP reaches no caller")
+{
+    std::string head;
+    SUBCASE("a blank in the name of a field")
+    {
+        head = "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n";
+    }
+    SUBCASE("a control byte in the name of a field")
+    {
+        head = "HTTP/1.1 200 OK\r\nx-o\x01ud: 1\r\n";
+    }
+    SUBCASE("a status below those of HTTP")
+    {
+        head = "HTTP/1.1 000 Odd\r\n";
+    }
+    http::test::raw_server service([&](http::test::raw_connection& connection) {
+        const std::string asked = connection.receive_until("\r\n\r\n");
+        const bool is_probe = asked.starts_with("GET /healthz ");
+        connection.send(is_probe ? "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+                                 : head + "content-length: 8\r\n\r\n3\r\nodd\r\n");
+    });
+    cluster here;
+    here.declare_all(here.engine.port(), service.port());
+    const reply& got = here.call("POST", "/v1/services/payment/pay", "10");
+    CHECK(got.status == 502);
+    CHECK(got.body.find("odd") == std::string::npos);
+    CHECK(got.body.find(R"("verdict":"may_have_run")") != std::string::npos);
+}
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -161,6 +161,154 @@
     }
 }
 
+/// What a client hears of an upstream that sends these bytes to each request and closes in order.
+static heard ask_upstream_that_sends(const std::string& bytes)
+{
+    loop on;
+    client calling(on, {});
+    heard result;
+    raw_server upstream([&](raw_connection& connection) {
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        connection.send(bytes);
+    });
+    calling.start(request_to(upstream.port(), "GET", "/"), handlers_into(result, [] {}));
+    REQUIRE(run_until(on, [&] { return result.over(); }));
+    return result;
+}
+
+// Guards against answers that callers take for an upstream's: a line of the head that hides how the
+// body is framed leaves the bytes of the frame in the body.
+TEST_CASE("an answer with a head that is not HTTP is none")
+{
+    const std::string length = "content-length: 8\r\n";
+    const std::string framed = "\r\n3\r\nown\r\n";
+    std::vector<std::string> heads;
+    SUBCASE("a field whose name holds a blank or a control byte")
+    {
+        for (const std::string line :
+             {"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X\x01Odd: 1", "\x02: 1", "X-Odd\x7f: 1",
+              "content-type : text/html", "content length: 3", "transfer-encoding : chunked",
+              "transfer-encoding\t: chunked", "transfer-encoding\x01: chunked", " : 1", "no colon"})
+            heads.push_back("200 OK\r\n" + line + "\r\n" + length);
+    }
+    SUBCASE("a status below those of HTTP, or one that is not three digits")
+    {
+        for (const std::string status : {"000", "007", "099", "0200", "200x", "20", " 200"})
+            heads.push_back(status + " Odd\r\n" + length);
+    }
+    SUBCASE("a control byte in a value or in the status line")
+    {
+        heads = {"200 O\x01K\r\n" + length, "200 OK\r\nx-odd: \x01\r\n" + length};
+    }
+    SUBCASE("lengths that are none, or that differ")
+    {
+        heads = {"200 OK\r\ncontent-length: 8x\r\n", "200 OK\r\ncontent-length: -8\r\n",
+                 "200 OK\r\ncontent-length: 3\r\n" + length};
+    }
+    for (const std::string& head : heads) {
+        CAPTURE(head);
+        const heard got = ask_upstream_that_sends("HTTP/1.1 " + head + framed);
+        CHECK_FALSE(got.ended);
+        CHECK(got.error == client_error::malformed);
+        CHECK(got.head.headers.empty());
+        CHECK(got.body.empty());
+    }
+}
+
+TEST_CASE("what HTTP allows beside an answer leaves it whole")
+{
+    heard got;
+    SUBCASE("announcements before it")
+    {
+        got = ask_upstream_that_sends("HTTP/1.1 100 Continue\r\n\r\n"
+                                      "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" +
+                                      whole_answer);
+    }
+    SUBCASE("a trailer after it")
+    {
+        got = ask_upstream_that_sends("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                                      "2\r\nok\r\n0\r\nx-sum: 7\r\n\r\n");
+    }
+    SUBCASE("fields with names of all signs that a token may have")
+    {
+        got = ask_upstream_that_sends("HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9: x\r\n"
+                                      "content-length: 2\r\n\r\nok");
+    }
+    SUBCASE("no reason, and values with blanks around them")
+    {
+        got = ask_upstream_that_sends("HTTP/1.1 200 \r\ncontent-length: \t2 \r\n\r\nok");
+    }
+    CHECK(got.ended);
+    CHECK(got.head.status == 200);
+    CHECK(got.body == "ok");
+}
+
+TEST_CASE("an early answer without a length is no whole one when its connection is reset")
+{
+    loop on;
+    client calling(on, {});
+    heard got;
+    raw_server upstream([](raw_connection& connection) {
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        connection.send("HTTP/1.1 200 OK\r\n\r\nsome");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        connection.reset();
+    });
+    calling.start(request_to(upstream.port(), "POST", "/", std::string(8U << 20U, 'b')),
+                  handlers_into(got, [] {}));
+    REQUIRE(run_until(on, [&] { return got.over(); }));
+    CHECK_FALSE(got.ended);
+    CHECK(got.error == client_error::connection_lost);
+}
+
+TEST_CASE("an early answer with a length is whole, and its connection is not used again")
+{
+    loop on;
+    client calling(on, {});
+    std::vector<heard> answers(2);
+    raw_server upstream([](raw_connection& connection) {
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        connection.send(whole_answer);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    });
+    for (heard& each : answers) {
+        calling.start(request_to(upstream.port(), "POST", "/", std::string(8U << 20U, 'b')),
+                      handlers_into(each, [] {}));
+        REQUIRE(run_until(on, [&] { return each.over(); }));
+        CHECK(each.body == "ok");
+    }
+    CHECK(upstream.accepted() == 2);
+}
+
+TEST_CASE("bytes after an answer belong to no exchange")
+{
+    loop on;
+    client calling(on, {});
+    std::vector<heard> answers(2);
+    const std::string extra = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra";
+    std::chrono::milliseconds pause{0};
+    SUBCASE("with it") {}
+    SUBCASE("while the connection is kept")
+    {
+        pause = std::chrono::milliseconds{20};
+    }
+    raw_server upstream([&](raw_connection& connection) {
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+        connection.send(whole_answer);
+        std::this_thread::sleep_for(pause);
+        connection.send(extra);
+        static_cast<void>(connection.receive_until("\r\n\r\n"));
+    });
+    for (heard& each : answers) {
+        calling.start(request_to(upstream.port(), "GET", "/"), handlers_into(each, [] {}));
+        REQUIRE(run_until(on, [&] { return each.over(); }));
+        CHECK(each.body == "ok");
+        static_cast<void>(run_until(
+            on, [] { return false; }, std::chrono::milliseconds(50)));
+    }
+    CHECK(upstream.accepted() == 2);
+}
+
 TEST_CASE("more exchanges than pooled connections are served beside long streams")
 {
     loop on;
--- a/unittests/http/tls_test.cpp
+++ b/unittests/http/tls_test.cpp
@@ -45,6 +45,44 @@
         CHECK(names == std::vector<std::string>{""});
     }
 
+    SUBCASE("exchanges in turn, long ones too, are answered over kept connections")
+    {
+        client calling(on, trusting);
+        for (const std::size_t length : {std::size_t{1}, std::size_t{3} << 20U, std::size_t{0}}) {
+            heard result;
+            calling.start(request_to(serving.port(), "POST", "/", std::string(length, 'b')),
+                          handlers_into(result, [] {}));
+            REQUIRE(run_until(on, [&] { return result.over(); }));
+            CHECK(result.ended);
+            CHECK(result.body == std::string(length, 'b'));
+        }
+    }
+
+    SUBCASE("a client whose authority can't be read sends nothing")
+    {
+        trusting.authority_file = folder.file("none.pem");
+        CHECK(get_over_tls(on, serving.port(), trusting).error == client_error::not_sent);
+        CHECK(names.empty());
+    }
+
+    SUBCASE("a server of another address gets no byte of the request")
+    {
+        // Its certificate states 127.0.0.1.
+        settings.address = "127.0.0.2";
+        const server elsewhere(
+            on, settings, [&](server_exchange, request&&) { names.emplace_back("elsewhere"); },
+            [](server_exchange) {});
+        REQUIRE(elsewhere.listening());
+        heard result;
+        client calling(on, trusting);
+        client_request wanted = request_to(elsewhere.port(), "GET", "/");
+        wanted.address = settings.address;
+        calling.start(std::move(wanted), handlers_into(result, [] {}));
+        REQUIRE(run_until(on, [&] { return result.over(); }));
+        CHECK(result.error == client_error::not_sent);
+        CHECK(names.empty());
+    }
+
     SUBCASE("a client's certificate names it")
     {
         const certificate_files operator_files = authority.issue(folder, "operator", "operator-7");
