[http] a response that changes the protocol is none

What callers saw: the message after a 101 as the answer to their request, though no request of ours asks for another protocol and what follows a 101 is not HTTP.

Cause: the reader took 101 for an announcement like 100 or 103.

Change: a response with status 101 is malformed. All other announcements still go before the final response and are none.

Why it works: hop-by-hop headers, Upgrade among them, are never passed on, so no proper server can answer 101.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -22,6 +22,8 @@
 
 /// The lowest status of HTTP. What has a lower one is no response, and nothing tells where it ends.
 static constexpr int first_status = 100;
+/// What follows a response with this status is of another protocol. No request here asks for one.
+static constexpr int status_switching_protocols = 101;
 /// Status below which a response only announces another one.
 static constexpr int first_final_status = 200;
 /// Header bytes of a response that is still taken, with those of the announcements before it.
@@ -68,7 +70,7 @@
     {
         this->head.status = status;
         error = {};
-        if (status < first_status)
+        if (status < first_status || status == status_switching_protocols)
             error = beast::http::error::bad_status;
     }
     void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value,
--- a/unittests/gateway/call_broken_answers_test.cpp
+++ b/unittests/gateway/call_broken_answers_test.cpp
@@ -95,6 +95,14 @@
     }
 }
 
+TEST_CASE("an answer in another protocol reaches no caller")
+{
+    std::vector<std::string> responses = frame_in_all_ways("200 OK", "");
+    for (std::string& response : responses)
+        response.insert(0, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n\r\n");
+    check_reaches_no_caller(responses);
+}
+
 TEST_CASE("an answer in whose head a field has no proper name reaches no caller")
 {
     std::vector<std::string> lines{"X Odd: 1\r\n",           "X-Odd : 1\r\n",
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -212,6 +212,23 @@
     }
 }
 
+// Guards against bytes of another protocol that are read as an answer: what follows such a response
+// is no HTTP, and no request of ours asks for another protocol.
+TEST_CASE("a response that changes the protocol is none")
+{
+    const std::string changed = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n\r\n";
+    for (const std::size_t piece : piece_sizes) {
+        CAPTURE(piece);
+        const reading seen = read_in_pieces(changed + sound_response, piece);
+        CHECK(seen.fault == message_fault::malformed);
+        CHECK(seen.heads == 0);
+        const reading other = read_in_pieces(
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 199 Any\r\n\r\n" + sound_response, piece);
+        CHECK(other.is_complete);
+        CHECK(other.status == 200);
+    }
+}
+
 // Guards against a line of a head that callers or their libraries read as another one, or that
 // hides how long the body is.
 TEST_CASE("a response in whose head the name of a field is no token is none")
