[http] a response in a transfer coding other than chunks is none

What callers saw: coded bytes, or the lines of chunks, as the body of a success. A server answers "Transfer-Encoding: gzip", "gzip, chunked", "chunked, chunked" or "chunked, gzip"; the field concerns one connection and isn't passed on, so nothing tells the caller of the coding.

Cause: the reader took off one layer of chunks, or none, and handed on the rest. Found while looking at what else in a head can hide how a body is framed.

Change: a response with any transfer coding but one "chunked", or "identity" (which changes nothing), is malformed.

Why it works: no request that is passed on asks for a coding (TE is a hop-by-hop field), so no proper server answers in one.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -38,6 +38,27 @@
 /// Responses that are dropped before the awaited one.
 static constexpr int max_skipped_responses = 4;
 
+// Other codings than chunks are named only in a field that concerns one connection, and no request
+// here asks for one: whoever gets the body next would take the coded bytes for it.
+static bool is_in_known_coding(const std::vector<header>& headers)
+{
+    int count_of_codings = 0;
+    for (const header& each : headers) {
+        if (!same_header_name(each.name, "Transfer-Encoding"))
+            continue;
+        const beast::http::opt_token_list named{
+            beast::string_view(each.value.data(), each.value.size())};
+        if (!beast::http::validate_list(named))
+            return false;
+        for (const beast::string_view coding : named) {
+            ++count_of_codings;
+            if (!beast::iequals(coding, "chunked") && !beast::iequals(coding, "identity"))
+                return false;
+        }
+    }
+    return count_of_codings <= 1;
+}
+
 namespace {
 
 /// What both kinds of parser collect.
@@ -83,6 +104,10 @@
     void on_header_impl(error_code& error) override
     {
         error = {};
+        if (!IsRequest && !is_in_known_coding(this->head.headers)) {
+            error = beast::http::error::bad_transfer_encoding;
+            return;
+        }
         this->on_head();
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code& error) override
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -229,6 +229,35 @@
     }
 }
 
+// Guards against a body that is not the upstream's: the coding is named in a field that concerns
+// one connection, so callers get the coded bytes without its name.
+TEST_CASE("a response in a transfer coding other than chunks is none")
+{
+    const std::string chunks = "\r\n\r\n3\r\nown\r\n0\r\n\r\n";
+    const std::string field = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+    for (const std::size_t piece : piece_sizes) {
+        CAPTURE(piece);
+        for (const std::string coding :
+             {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "x", "chunked;q=1",
+              "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: chunked"}) {
+            CAPTURE(coding);
+            const reading seen = read_in_pieces(field + coding + chunks, piece);
+            CHECK(seen.fault == message_fault::malformed);
+            CHECK(seen.heads == 0);
+        }
+        for (const std::string coding : {"chunked", "Chunked", " chunked ", ", chunked"}) {
+            CAPTURE(coding);
+            const reading seen = read_in_pieces(field + coding + chunks, piece);
+            CHECK(seen.is_complete);
+            CHECK(seen.body == "own");
+        }
+        const reading plain =
+            read_in_pieces(field + "identity\r\nContent-Length: 3\r\n\r\nown", piece);
+        CHECK(plain.is_complete);
+        CHECK(plain.body == "own");
+    }
+}
+
 // Guards against a line of a head that callers or their libraries read as another one, or that
 // hides how long the body is.
 TEST_CASE("a response in whose head the name of a field is no token is none")
