[tests] stand-ins that end connections stand once, and coded answers go through the gateway

The cases of ends and resets shared their steps by copy; one server and one stream with its handlers now serve them, each case says only what differs.

The search for another upstream in call_broken_answers_test has no loop that could go on without end.

--- a/unittests/gateway/call_broken_answers_test.cpp
+++ b/unittests/gateway/call_broken_answers_test.cpp
@@ -9,6 +9,8 @@
 
 namespace ragwortcove::gateway::test {
 
+using http::test::join;
+
 namespace {
 
 const std::string signed_headers = "X-Attempt-Id: id7\r\nX-Server-Signature: s\r\n";
@@ -55,9 +57,7 @@
         }
         scripted_upstream sound({make_response(200, "sound")});
         node.add_upstream("i-2", sound.server);
-        std::string got;
-        while (sound.request_count == 0 && !contains(got, "broken"))
-            got = node.send_request("/again/");
+        const std::string got = node.send_request("/again/");
         CHECK(got.starts_with("HTTP/1.1 200 "));
         CHECK(contains(got, "sound"));
         CHECK_FALSE(contains(got, "broken"));
@@ -103,6 +103,15 @@
     check_reaches_no_caller(responses);
 }
 
+TEST_CASE("an answer in a transfer coding other than chunks reaches no caller")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + signed_headers + "Transfer-Encoding: ";
+    std::vector<std::string> responses;
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked"})
+        responses.push_back(join({head, coding, "\r\n\r\n", make_chunk(broken_body), last_chunk}));
+    check_reaches_no_caller(responses);
+}
+
 TEST_CASE("an answer in whose head a field has no proper name reaches no caller")
 {
     std::vector<std::string> lines{"X Odd: 1\r\n",           "X-Odd : 1\r\n",
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -189,12 +189,12 @@
              {"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X\x01Odd: 1", "\x02: 1", "X-Odd\x7f: 1",
               "content-type : text/html", "content length: 3", "transfer-encoding : chunked",
               "transfer-encoding\t: chunked", "transfer-encoding\x01: chunked", " : 1", "no colon"})
-            heads.push_back("200 OK\r\n" + line + "\r\n" + length);
+            heads.push_back(join({"200 OK\r\n", line, "\r\n", length}));
     }
     SUBCASE("a status below those of HTTP, or one that is not three digits")
     {
         for (const std::string status : {"000", "007", "099", "0200", "200x", "20", " 200"})
-            heads.push_back(status + " Odd\r\n" + length);
+            heads.push_back(join({status, " Odd\r\n", length}));
     }
     SUBCASE("a control byte in a value or in the status line")
     {
@@ -207,7 +207,7 @@
     }
     for (const std::string& head : heads) {
         CAPTURE(head);
-        const heard got = ask_upstream_that_sends("HTTP/1.1 " + head + framed);
+        const heard got = ask_upstream_that_sends(join({"HTTP/1.1 ", head, framed}));
         CHECK_FALSE(got.ended);
         CHECK(got.error == client_error::malformed);
         CHECK(got.head.headers.empty());
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -6,17 +6,28 @@
 #include "ragwortcove/http/server.hpp"
 
 #include <doctest/doctest.h>
+#include <initializer_list>
 
 #include <arpa/inet.h>
 #include <atomic>
 #include <netinet/in.h>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
 namespace ragwortcove::http::test {
 
+/// The parts of a message as one text.
+inline std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 /// What a client's handlers heard of one exchange.
 struct heard {
     response_head head;
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -1,13 +1,17 @@
+#include "loopback.hpp"
 #include "ragwortcove/http/message_reader.hpp"
 
 #include <doctest/doctest.h>
 
 #include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwortcove::http {
 
+using test::join;
+
 namespace {
 
 /// Bytes after which a reader that takes everything is stopped.
@@ -241,13 +245,13 @@
              {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "x", "chunked;q=1",
               "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: chunked"}) {
             CAPTURE(coding);
-            const reading seen = read_in_pieces(field + coding + chunks, piece);
+            const reading seen = read_in_pieces(join({field, coding, chunks}), piece);
             CHECK(seen.fault == message_fault::malformed);
             CHECK(seen.heads == 0);
         }
         for (const std::string coding : {"chunked", "Chunked", " chunked ", ", chunked"}) {
             CAPTURE(coding);
-            const reading seen = read_in_pieces(field + coding + chunks, piece);
+            const reading seen = read_in_pieces(join({field, coding, chunks}), piece);
             CHECK(seen.is_complete);
             CHECK(seen.body == "own");
         }
@@ -287,11 +291,12 @@
             // A colon ends the name, and what follows is the value.
             if (sign == ':')
                 continue;
-            check(start + "X-A" + sign + "B" + rest, is_token(sign));
-            check(start + "X-A" + sign + rest, is_token(sign));
+            const std::string_view inserted(&sign, 1);
+            check(join({start, "X-A", inserted, "B", rest}), is_token(sign));
+            check(join({start, "X-A", inserted, rest}), is_token(sign));
             // A line that begins with a blank goes on with the one before.
             if (sign != ' ' && sign != '\t')
-                check(start + sign + "X-A" + rest, is_token(sign));
+                check(join({start, inserted, "X-A", rest}), is_token(sign));
         }
     }
     SUBCASE("a first line that begins with a blank")
--- a/unittests/http/outbound_test.cpp
+++ b/unittests/http/outbound_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -258,62 +259,54 @@
 // the socket, so the read after it met the end of a connection that seemed closed in order.
 TEST_CASE("an answer that comes while a long body is written ends as its connection ends")
 {
+    constexpr std::chrono::milliseconds time_to_read{50};
     calling_client calling;
-    const std::string long_body(32U << 20U, 'b');
+    std::string answer = "HTTP/1.1 200 OK\r\n\r\nsome";
+    std::function<void(raw_connection&)> end;
+    bool is_whole = false;
     SUBCASE("a reset leaves it a part")
     {
-        raw_server upstream([](raw_connection& connection) {
-            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        end = [&](raw_connection& connection) {
+            std::this_thread::sleep_for(time_to_read);
             connection.reset();
-        });
-        const outcome got = calling.ask(upstream.port(), long_body);
-        CHECK_FALSE(got.complete);
-        CHECK(got.failure == outbound_failure::connection_lost);
+        };
     }
     SUBCASE("a reset that comes with the answer leaves it a part")
     {
-        raw_server upstream([](raw_connection& connection) {
-            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
-            connection.reset();
-        });
-        const outcome got = calling.ask(upstream.port(), long_body);
-        CHECK_FALSE(got.complete);
-        CHECK(got.failure == outbound_failure::connection_lost);
+        end = [](raw_connection& connection) { connection.reset(); };
     }
     SUBCASE("a connection closed with bytes of the body unread is reset as well")
     {
-        raw_server upstream([](raw_connection& connection) {
-            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nsome");
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        });
-        const outcome got = calling.ask(upstream.port(), long_body);
-        CHECK_FALSE(got.complete);
-        CHECK(got.failure == outbound_failure::connection_lost);
+        end = [&](raw_connection&) { std::this_thread::sleep_for(time_to_read); };
     }
     SUBCASE("the end of the upstream's side makes it whole, though its reset follows")
     {
-        raw_server upstream([](raw_connection& connection) {
-            answer_once(connection, "HTTP/1.1 200 OK\r\n\r\nall of it");
+        is_whole = true;
+        end = [&](raw_connection& connection) {
             connection.end_sending();
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            std::this_thread::sleep_for(time_to_read);
             connection.reset();
-        });
-        const outcome got = calling.ask(upstream.port(), long_body);
-        CHECK(got.complete);
-        CHECK(got.body == "all of it");
+        };
     }
     SUBCASE("one with a length is whole with its last byte, though a reset follows")
     {
-        raw_server upstream([](raw_connection& connection) {
-            answer_once(connection, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        is_whole = true;
+        answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nsome";
+        end = [&](raw_connection& connection) {
+            std::this_thread::sleep_for(time_to_read);
             connection.reset();
-        });
-        const outcome got = calling.ask(upstream.port(), long_body);
-        CHECK(got.complete);
-        CHECK(got.body == "all of it");
+        };
     }
+    raw_server upstream([&](raw_connection& connection) {
+        answer_once(connection, answer);
+        end(connection);
+    });
+    const outcome got = calling.ask(upstream.port(), std::string(32U << 20U, 'b'));
+    CHECK(got.complete == is_whole);
+    if (is_whole)
+        CHECK(got.body == "some");
+    else
+        CHECK(got.failure == outbound_failure::connection_lost);
 }
 
 TEST_CASE("an answer that comes before a long body was read leaves no connection behind")
--- a/unittests/http/tcp_stream_test.cpp
+++ b/unittests/http/tcp_stream_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,97 +67,114 @@
     CHECK(stream->unsent_bytes() == 0);
 }
 
+namespace {
+
+/// One stream, and what its handlers heard.
+struct watched_stream {
+    loop on;
+    std::atomic<bool> is_open{false};
+    std::string received;
+    std::optional<stream_end> end;
+    std::unique_ptr<tcp_stream> stream;
+
+    explicit watched_stream(std::uint16_t port)
+    {
+        tcp_stream_handlers handlers;
+        handlers.opened = [this] { this->is_open = true; };
+        handlers.received = [this](std::string_view bytes) { this->received += bytes; };
+        handlers.ended = [this](stream_end how) { this->end = how; };
+        this->stream = tcp_stream::connect(this->on, {"127.0.0.1", port}, std::move(handlers));
+        REQUIRE(this->stream);
+        REQUIRE(run_until(this->on, [this] { return this->is_open.load(); }));
+    }
+    stream_end wait_for_end()
+    {
+        REQUIRE(run_until(this->on, [this] { return this->end.has_value(); }));
+        return *this->end;
+    }
+};
+
+/// The other end of a stream. Its steps follow when they are allowed to, so that the loop stands
+/// still meanwhile, as it does while it handles something else.
+struct ending_server {
+    std::atomic<bool> may_go_on{false};
+    std::atomic<bool> has_ended{false};
+    raw_server server;
+
+    explicit ending_server(std::function<void(raw_connection&)> ends)
+        : server([this, ends = std::move(ends)](raw_connection& connection) {
+              while (!this->may_go_on)
+                  std::this_thread::sleep_for(1ms);
+              ends(connection);
+              this->has_ended = true;
+          })
+    {
+    }
+    void go_on_without_the_loop()
+    {
+        this->may_go_on = true;
+        while (!this->has_ended)
+            std::this_thread::sleep_for(1ms);
+        std::this_thread::sleep_for(20ms);
+    }
+};
+
+} // namespace
+
 // Guards against a connection that seems closed in order although it was reset: the kernel tells of
 // a reset once, to whichever call comes first.
 TEST_CASE("a stream that was reset ends as broken, whichever call met the reset")
 {
-    std::atomic<bool> is_reset{false};
-    raw_server resetting([&](raw_connection& connection) {
-        connection.send("some");
-        std::this_thread::sleep_for(20ms);
-        connection.reset();
-        is_reset = true;
-    });
-    loop on;
-    std::string received;
-    std::optional<stream_end> end;
-    tcp_stream_handlers handlers;
-    handlers.received = [&](std::string_view bytes) { received += bytes; };
-    handlers.ended = [&](stream_end how) { end = how; };
-    const auto stream =
-        tcp_stream::connect(on, {"127.0.0.1", resetting.port()}, std::move(handlers));
-    REQUIRE(stream);
-    REQUIRE(run_until(on, [&] { return received == "some"; }));
-    // The loop stands still meanwhile, as it does while it handles something else.
-    while (!is_reset)
-        std::this_thread::sleep_for(1ms);
-    std::this_thread::sleep_for(20ms);
+    ending_server other([](raw_connection& connection) { connection.reset(); });
+    watched_stream own(other.server.port());
+    other.go_on_without_the_loop();
     SUBCASE("the loop's own read") {}
     SUBCASE("a write")
     {
-        stream->write("x");
+        own.stream->write("x");
     }
     SUBCASE("two writes")
     {
-        stream->write("x");
-        stream->write("y");
+        own.stream->write("x");
+        own.stream->write("y");
     }
     SUBCASE("a question whether anything has come")
     {
-        CHECK_FALSE(stream->is_quiet());
+        CHECK_FALSE(own.stream->is_quiet());
     }
     SUBCASE("a look at what has come")
     {
-        CHECK(stream->peek(10).empty());
+        CHECK(own.stream->peek(10).empty());
     }
     SUBCASE("a look, then a write")
     {
-        CHECK(stream->peek(10).empty());
-        stream->write("x");
+        CHECK(own.stream->peek(10).empty());
+        own.stream->write("x");
     }
-    REQUIRE(run_until(on, [&] { return end.has_value(); }));
-    CHECK(end == stream_end::broken);
+    CHECK(own.wait_for_end() == stream_end::broken);
 }
 
 TEST_CASE("a stream whose other end has closed ends in order, though that end then refuses bytes")
 {
-    std::atomic<bool> is_open{false};
-    std::atomic<bool> is_reset{false};
-    raw_server closing([&](raw_connection& connection) {
-        while (!is_open)
-            std::this_thread::sleep_for(1ms);
+    ending_server other([](raw_connection& connection) {
         connection.send("all");
         connection.end_sending();
         std::this_thread::sleep_for(20ms);
         connection.reset();
-        is_reset = true;
     });
-    loop on;
-    std::string received;
-    std::optional<stream_end> end;
-    tcp_stream_handlers handlers;
-    handlers.opened = [&] {
-        is_open = true;
-        on.stop();
-    };
-    handlers.received = [&](std::string_view bytes) { received += bytes; };
-    handlers.ended = [&](stream_end how) { end = how; };
-    const auto stream = tcp_stream::connect(on, {"127.0.0.1", closing.port()}, std::move(handlers));
-    REQUIRE(stream);
-    on.run();
-    REQUIRE(is_open);
-    SUBCASE("the end is read first") {}
+    watched_stream own(other.server.port());
+    SUBCASE("the end is read first")
+    {
+        other.may_go_on = true;
+    }
     SUBCASE("a write meets the refusal first")
     {
-        while (!is_reset)
-            std::this_thread::sleep_for(1ms);
-        std::this_thread::sleep_for(20ms);
-        stream->write("x");
-        stream->write("y");
+        other.go_on_without_the_loop();
+        own.stream->write("x");
+        own.stream->write("y");
     }
-    REQUIRE(run_until(on, [&] { return end.has_value(); }));
-    CHECK(end == stream_end::orderly);
-    CHECK(received == "all");
+    CHECK(own.wait_for_end() == stream_end::orderly);
+    CHECK(own.received == "all");
 }
 
 } // namespace ragwortcove::http::test
