[gateway, http, daemon] a start that fails or waits, and a process that ends by itself, say why

On the log could not tell the hypotheses apart.

- listen_failed: a line for each address, with its key, the address and the system's error.
Before: two of five addresses, no error.
- start_delayed (new, every 2 s while a node has not been ready): the documents that it waits for, or the other nodes' held-back parts; gauge documents_awaited.
- platform_lost: the reason (no connection, no answer in time, refused, unreadable response), and after how long.
- accept_failed (new) and counter accept_failures: connections that wait and cannot be accepted.
Before, no line.
- process_failed (new): an exception that nothing handles, and a loop that cannot wait for events any more, which ended the process with code 0 and without a line; it ends with 1 now.

--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -34,6 +34,9 @@
     lines_left_out = 116,
     incarnation_raised = 117,
     process_ended = 118,
+    accept_failed = 119,
+    start_delayed = 120,
+    process_failed = 121,
 
     request_placed = 200,
     request_queued = 201,
--- a/include/ragwortcove/daemon/process_support.hpp
+++ b/include/ragwortcove/daemon/process_support.hpp
@@ -4,12 +4,18 @@
 
 #include "ragwortcove/core/types.hpp"
 
+#include <string>
+
 namespace ragwortcove::daemon {
 
 /// A number that no two runs share; a later run has a greater one unless the clock was set back.
 [[nodiscard]] core::incarnation make_incarnation();
+/// Text of one of the system's error numbers.
+[[nodiscard]] std::string describe_error(int error);
 /// Blocks the signals that a daemon handles and gives a descriptor to read them from.
 [[nodiscard]] int open_signals();
+/// From now on an exception that nothing handles is logged before it ends the process.
+void log_unhandled_exceptions();
 /// Writes what the log still holds, and ends the process without the destructors of static objects.
 [[noreturn]] void end_process(int exit_code);
 
--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -73,6 +73,8 @@
     [[nodiscard]] core::store_position position_of(adapter::document_kind kind) const;
     /// Whether every kind has been read at least once.
     [[nodiscard]] bool is_complete() const;
+    /// Kinds that have not been read yet.
+    [[nodiscard]] std::vector<adapter::document_kind> missing_kinds() const;
     /// Whether the last call to the store succeeded for every kind.
     [[nodiscard]] bool is_store_available() const;
 
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -38,6 +38,8 @@
     fleet& operator=(const fleet&) = delete;
 
     [[nodiscard]] bool listening() const { return this->datagram_socket >= 0; }
+    /// The system's error number if the datagram address cannot be bound, otherwise zero.
+    [[nodiscard]] int listen_error() const { return this->bind_error; }
     /// Fills in the sender. Drops messages to unknown nodes.
     void send(const core::node_name& to, wire::PeerDatagram& message);
     void send_to_all(wire::PeerDatagram& message);
@@ -98,6 +100,7 @@
     core::fleet_view view;
     bool was_settled = false;
     int datagram_socket = -1;
+    int bind_error = 0;
     http::timer_id timer = 0;
 };
 
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -26,6 +26,8 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string_view>
+#include <vector>
 
 namespace ragwortcove::wire {
 class DocumentDelta;
@@ -34,6 +36,15 @@
 
 namespace ragwortcove::gateway {
 
+/// An address of the settings that cannot be listened on.
+struct unavailable_address {
+    /// Key of the address in the settings.
+    std::string_view key;
+    core::endpoint address;
+    /// The system's error number.
+    int error = 0;
+};
+
 class gateway {
 public:
     /// Calls `on_drained` when a graceful shutdown is complete.
@@ -44,7 +55,8 @@
     gateway& operator=(const gateway&) = delete;
 
     /// Whether the servers at all addresses of the settings accept connections.
-    [[nodiscard]] bool listening() const;
+    [[nodiscard]] bool listening() const { return this->unavailable_addresses().empty(); }
+    [[nodiscard]] std::vector<unavailable_address> unavailable_addresses() const;
     /// Starts a graceful shutdown; further calls have no effect.
     void drain();
     /// Applies those changed settings that are safe to change while running.
@@ -53,6 +65,7 @@
 private:
     [[nodiscard]] core::time_point now() const { return core::time_point{this->event_loop.now()}; }
     [[nodiscard]] bool ready() const;
+    void on_accept_failed(std::string_view key, int error);
     void tick();
     void check_drain();
     void apply_documents(const document_update& update);
@@ -104,6 +117,10 @@
     void serve_peer(http::inbound_server& server, http::inbound_exchange exchange,
                     http::inbound_request&& request);
     void refresh_readiness();
+    /// What this node needs before it is ready, and does not have yet.
+    [[nodiscard]] std::string awaited() const;
+    /// Logs what this node waits for while it has not been ready.
+    void report_delayed_start();
     [[nodiscard]] std::string render_metrics() const;
 
     http::loop& event_loop;
@@ -137,10 +154,12 @@
     core::time_point next_reader_digest_at;
     core::time_point next_part_storing_at;
     core::time_point started_at;
+    core::time_point next_delay_report_at;
     core::time_point next_reading_check_at;
     core::time_point drain_started_at;
     bool draining = false;
     bool was_ready = false;
+    bool has_been_ready = false;
 };
 
 /// Runs a gateway until a graceful shutdown is complete; returns the process's exit code.
--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -98,6 +98,8 @@
     std::function<void(int status)> rejected;
     /// This end closes a connection other than at the end of its use; comes before `abandoned`.
     std::function<void(const connection_closing&)> closing;
+    /// Clients wait whose connections cannot be accepted; `error` is the system's error number.
+    std::function<void(int error)> accept_failed;
 };
 
 class inbound_server {
@@ -109,6 +111,8 @@
     inbound_server& operator=(const inbound_server&) = delete;
 
     [[nodiscard]] bool listening() const;
+    /// As `tcp_listener::error()`.
+    [[nodiscard]] int listen_error() const;
     [[nodiscard]] std::uint16_t port() const;
     /// Takes effect for messages that begin later, and a lowered idle time for connections that
     /// become idle later.
--- a/include/ragwortcove/http/loop.hpp
+++ b/include/ragwortcove/http/loop.hpp
@@ -38,8 +38,10 @@
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
 
-    /// Runs until `stop()`.
+    /// Runs until `stop()`, or until the system cannot wait for events any more.
     void run();
+    /// The system's error number if `run()` has ended without `stop()`, otherwise zero.
+    [[nodiscard]] int error() const;
     void stop();
     /// Runs `work` on the loop's thread, soon; may be called from any thread.
     void post(std::function<void()> work);
--- a/include/ragwortcove/http/tcp_stream.hpp
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -73,23 +73,31 @@
     std::shared_ptr<state> self;
 };
 
+struct tcp_listener_handlers {
+    /// A connection was accepted; the handler owns its descriptor.
+    std::function<void(int descriptor)> accepted;
+    /// Connections wait that cannot be accepted; `error` is the system's error number.
+    std::function<void(int error)> accept_failed;
+};
+
 /// Accepts connections on one address.
 class tcp_listener {
 public:
-    using accept_handler = std::function<void(int descriptor)>;
-
-    tcp_listener(loop& on, const socket_address& at, accept_handler accepted);
+    tcp_listener(loop& on, const socket_address& at, tcp_listener_handlers&& handlers);
     ~tcp_listener();
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
     [[nodiscard]] bool listening() const { return this->watched != 0; }
+    /// The system's error number if the address cannot be listened on, otherwise zero.
+    [[nodiscard]] int error() const { return this->listen_error; }
     /// The port that is listened on, also when any free one was asked for.
     [[nodiscard]] std::uint16_t port() const { return this->bound_port; }
 
 private:
     loop& on;
     descriptor_id watched = 0;
+    int listen_error = 0;
     std::uint16_t bound_port = 0;
 };
 
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -14,8 +14,9 @@
                     "an address takes connections", "none"},
     log_event_entry{log_event::listen_failed, "listen_failed", log_level::error,
                     "an address of the settings cannot be listened on; the daemon ends",
-                    "free the port, or correct `[node] callers`, `[node] peers` or an embedded "
-                    "`[platform] address`"},
+                    "see `error`: free the port, wait until the VM has the address, or correct "
+                    "`key` of the settings (`[node] callers`, `[node] peers` or an embedded "
+                    "`[platform] address` of a daemon without a gateway)"},
     log_event_entry{log_event::drain_started, "drain_started", log_level::info,
                     "a graceful shutdown was asked for; no new caller is sent here", "none"},
     log_event_entry{log_event::drain_finished, "drain_finished", log_level::info,
@@ -61,6 +62,16 @@
     log_event_entry{log_event::process_ended, "process_ended", log_level::info,
                     "the gateway has closed what it held, and the process ends",
                     "a process that is still there after this line is held up by the VM"},
+    log_event_entry{log_event::accept_failed, "accept_failed", log_level::error,
+                    "connections wait at the address of `key` and cannot be accepted",
+                    "see `error`; with too many open files, look for callers that keep many "
+                    "connections, or raise the process's limit of descriptors"},
+    log_event_entry{log_event::start_delayed, "start_delayed", log_level::warning,
+                    "this node has not been ready since its start; `awaits` is what it lacks",
+                    "for documents see `platform_lost`; the node goes on trying"},
+    log_event_entry{log_event::process_failed, "process_failed", log_level::error,
+                    "the process ends because of an error that nothing handles",
+                    "report `reason` with the lines before it"},
 
     log_event_entry{log_event::request_placed, "request_placed", log_level::info,
                     "a request goes to an upstream", "none"},
--- a/lib/daemon/process.cpp
+++ b/lib/daemon/process.cpp
@@ -66,6 +66,7 @@
     daemon_settings settings = read;
     settings.node.run = make_incarnation();
     configure_log(settings.log);
+    log_unhandled_exceptions();
     const int signals = open_signals();
     http::loop loop;
     const std::unique_ptr<standin::platform_server> store = open_embedded_store(loop, settings);
@@ -83,7 +84,11 @@
                                      {"peers", format_endpoint(settings.node.peers)}});
     loop.watch_datagrams(signals, [&] { take_signals(signals, settings_path, running); });
     loop.run();
-    return EXIT_SUCCESS;
+    if (loop.error() == 0)
+        return EXIT_SUCCESS;
+    write_log(log_event::process_failed,
+              {{"reason", "waiting for events: " + describe_error(loop.error())}});
+    return EXIT_FAILURE;
 }
 
 } // namespace ragwortcove::daemon
--- a/lib/daemon/process_support.cpp
+++ b/lib/daemon/process_support.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <random>
 #include <sys/signalfd.h>
+#include <system_error>
 
 namespace ragwortcove::daemon {
 
@@ -22,6 +24,11 @@
     return {(static_cast<std::uint64_t>(millis) << random_bits) | low};
 }
 
+std::string describe_error(int error)
+{
+    return std::generic_category().message(error);
+}
+
 int open_signals()
 {
     sigset_t handled;
@@ -35,6 +42,30 @@
     return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
+[[noreturn]] static void log_and_abort()
+{
+    std::string reason = "terminated without an exception";
+    if (const std::exception_ptr thrown = std::current_exception()) {
+        try {
+            std::rethrow_exception(thrown);
+        }
+        catch (const std::exception& known) {
+            reason = known.what();
+        }
+        catch (...) {
+            reason = "an exception of an unknown type";
+        }
+    }
+    write_log(log_event::process_failed, {{"reason", reason}});
+    flush_log();
+    std::abort();
+}
+
+void log_unhandled_exceptions()
+{
+    std::set_terminate(log_and_abort);
+}
+
 // The logging library's destructors wait for its threads, which may never end.
 void end_process(int exit_code)
 {
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -347,6 +347,17 @@
     });
 }
 
+/// How a call to the store has failed.
+static std::string_view describe_failure(const adapter::store_error& error)
+{
+    constexpr int status_ok = 200;
+    if (error.status == status_ok)
+        return "unreadable response";
+    if (error.status != 0)
+        return "refused";
+    return error.is_silent ? "no answer in time" : "no connection";
+}
+
 void document_feed::note_store_failure(kind_state& state, const adapter::store_error& error,
                                        core::duration sent_at)
 {
@@ -360,6 +371,8 @@
             log_event::platform_lost,
             {{"documents", to_text(state.kind)},
              {"status", std::to_string(error.status)},
+             {"reason", describe_failure(error)},
+             {"after_ms", to_ms_text(this->event_loop.now() - sent_at)},
              {"revision", std::to_string(state.documents.position().revision.value)}});
     }
     const core::time_point now{this->event_loop.now()};
@@ -471,8 +484,17 @@
 
 bool document_feed::is_complete() const
 {
-    return std::all_of(this->kinds.begin(), this->kinds.end(),
-                       [](const kind_state& each) { return each.documents.is_loaded(); });
+    return this->missing_kinds().empty();
+}
+
+std::vector<adapter::document_kind> document_feed::missing_kinds() const
+{
+    std::vector<adapter::document_kind> missing;
+    for (const kind_state& each : this->kinds) {
+        if (!each.documents.is_loaded())
+            missing.push_back(each.kind);
+    }
+    return missing;
 }
 
 bool document_feed::is_healthy_reader() const
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -6,6 +6,7 @@
 #include "ragwortcove/daemon/event_log.hpp"
 #include "ragwortcove/peer/codec.hpp"
 
+#include <cerrno>
 #include <utility>
 #include <variant>
 
@@ -35,8 +36,10 @@
       random(run.value), view(this->self, this->now())
 {
     this->datagram_socket = peer::open_datagram_socket(settings.peers);
-    if (this->datagram_socket < 0)
+    if (this->datagram_socket < 0) {
+        this->bind_error = errno;
         return;
+    }
     http::descriptor_handlers socket_handlers;
     socket_handlers.readable = [this] {
         peer::receive_datagrams(this->datagram_socket,
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,10 +1,12 @@
 #include "ragwortcove/gateway/gateway.hpp"
 
+#include "call_responses.hpp"
 #include "gateway.pb.h"
 #include "http_values.hpp"
 #include "platform/headers.hpp"
 #include "platform/rules.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
+#include "ragwortcove/daemon/process_support.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -29,6 +31,9 @@
 /// Interval at which a draining node checks whether it can end.
 static constexpr core::duration drain_check_period = 50ms;
 
+/// Interval at which a node that is not ready after its start says what it waits for.
+static constexpr core::duration delay_report_period = 2s;
+
 static void log_unreadable_era(std::string_view text)
 {
     daemon::write_log(log_event::store_era_invalid, {{"era", text}, {"era_in_force", ""}});
@@ -57,10 +62,11 @@
     caller_handlers.closing = [this](const http::connection_closing& closing) {
         this->calls->on_connection_closing(closing);
     };
+    caller_handlers.accept_failed = [this](int error) { this->on_accept_failed("callers", error); };
     const http::inbound_limits limits = make_limits({});
     this->caller_server = std::make_unique<http::inbound_server>(
         loop, to_socket_address(given.callers), limits, std::move(caller_handlers));
-    const auto serve = [&](const core::endpoint& address,
+    const auto serve = [&](std::string_view key, const core::endpoint& address,
                            std::unique_ptr<http::inbound_server>& server, auto respond) {
         http::inbound_handlers handlers;
         handlers.requested = [this, &server, respond](http::inbound_exchange id,
@@ -68,14 +74,15 @@
             (this->*respond)(*server, id, std::move(request));
         };
         handlers.abandoned = [](http::inbound_exchange) {};
+        handlers.accept_failed = [this, key](int error) { this->on_accept_failed(key, error); };
         server = std::make_unique<http::inbound_server>(loop, to_socket_address(address), limits,
                                                         std::move(handlers));
     };
-    serve(given.readiness, this->readiness_server, &gateway::serve_readiness);
-    serve(given.directory, this->address_server, &gateway::serve_directory);
-    serve(given.peers, this->peer_server, &gateway::serve_peer);
+    serve("readiness", given.readiness, this->readiness_server, &gateway::serve_readiness);
+    serve("directory", given.directory, this->address_server, &gateway::serve_directory);
+    serve("peers", given.peers, this->peer_server, &gateway::serve_peer);
     if (given.metrics.port != 0)
-        serve(given.metrics, this->metrics_server, &gateway::serve_peer);
+        serve("metrics", given.metrics, this->metrics_server, &gateway::serve_peer);
 
     fleet_handlers node_handlers;
     node_handlers.received = [this](const core::node_name& from,
@@ -159,6 +166,7 @@
     this->feed =
         std::make_unique<document_feed>(loop, this->store, run.value, std::move(feed_handlers));
     this->started_at = this->now();
+    this->next_delay_report_at = this->started_at + delay_report_period;
     this->tick();
 }
 
@@ -167,12 +175,29 @@
     this->event_loop.cancel(this->tick_timer);
 }
 
-bool gateway::listening() const
+std::vector<unavailable_address> gateway::unavailable_addresses() const
 {
-    const bool has_metrics = !this->metrics_server || this->metrics_server->listening();
-    return this->caller_server->listening() && this->readiness_server->listening() &&
-           this->address_server->listening() && this->peer_server->listening() &&
-           this->nodes->listening() && has_metrics;
+    std::vector<unavailable_address> result;
+    const auto check = [&](std::string_view key, const core::endpoint& address,
+                           const auto& listener) {
+        if (!listener.listening())
+            result.push_back({key, address, listener.listen_error()});
+    };
+    check("callers", this->settings.callers, *this->caller_server);
+    check("readiness", this->settings.readiness, *this->readiness_server);
+    check("directory", this->settings.directory, *this->address_server);
+    check("peers", this->settings.peers, *this->peer_server);
+    check("peers", this->settings.peers, *this->nodes);
+    if (this->metrics_server)
+        check("metrics", this->settings.metrics, *this->metrics_server);
+    return result;
+}
+
+void gateway::on_accept_failed(std::string_view key, int error)
+{
+    daemon::write_log(log_event::accept_failed,
+                      {{"key", key}, {"error", daemon::describe_error(error)}});
+    this->metrics.count("accept_failures", "key", key);
 }
 
 bool gateway::ready() const
@@ -190,8 +215,37 @@
     daemon::write_log(
         log_event::readiness_changed,
         {{"ready", is_ready ? "true" : "false"}, {"draining", this->draining ? "true" : "false"}});
-    if (is_ready)
-        this->nodes->become_live();
+    if (!is_ready)
+        return;
+    this->has_been_ready = true;
+    this->nodes->become_live();
+}
+
+std::string gateway::awaited() const
+{
+    std::string text;
+    const auto add = [&text](std::string_view what) {
+        text += text.empty() ? "" : ",";
+        text += what;
+    };
+    const std::vector<adapter::document_kind> missing = this->feed->missing_kinds();
+    for (const adapter::document_kind kind : missing)
+        add(to_text(kind));
+    if (missing.empty() && this->rules == nullptr)
+        add("readable rules");
+    if (!this->parts->is_informed())
+        add("held-back parts of other nodes");
+    return text;
+}
+
+void gateway::report_delayed_start()
+{
+    const core::time_point at = this->now();
+    if (this->has_been_ready || this->draining || at < this->next_delay_report_at)
+        return;
+    this->next_delay_report_at = at + delay_report_period;
+    daemon::write_log(log_event::start_delayed,
+                      {{"awaits", this->awaited()}, {"for_ms", to_ms_text(at - this->started_at)}});
 }
 
 void gateway::tick()
@@ -206,6 +260,7 @@
     if (this->drains.tick(this->now()))
         this->offer_upstreams();
     this->refresh_readiness();
+    this->report_delayed_start();
     this->exchange_documents();
     this->tick_timer = this->event_loop.after(tick_period, [this] { this->tick(); });
 }
@@ -364,6 +419,8 @@
           to_value(this->nodes->known_node_count())},
          {"fleet_view_settled", "whether this node knows the fleet as the other nodes do",
           this->nodes->is_settled() ? 1.0 : 0.0},
+         {"documents_awaited", "kinds of documents that have not been read since the start",
+          to_value(this->feed->missing_kinds().size())},
          {"ready", "whether this node is ready", this->ready() ? 1.0 : 0.0}});
 }
 
--- a/lib/gateway/process.cpp
+++ b/lib/gateway/process.cpp
@@ -41,12 +41,13 @@
     const int signals = daemon::open_signals();
     http::loop loop;
     gateway running{loop, settings, run, [&loop] { loop.stop(); }};
-    if (!running.listening()) {
+    for (const unavailable_address& each : running.unavailable_addresses())
         daemon::write_log(log_event::listen_failed,
-                          {{"callers", core::format_endpoint(settings.callers)},
-                           {"peers", core::format_endpoint(settings.peers)}});
+                          {{"key", each.key},
+                           {"address", core::format_endpoint(each.address)},
+                           {"error", daemon::describe_error(each.error)}});
+    if (!running.listening())
         return EXIT_FAILURE;
-    }
     daemon::write_log(log_event::process_started,
                       {{"name", settings.name.value},
                        {"incarnation", std::to_string(run.value)},
@@ -57,12 +58,17 @@
         daemon::write_log(log_event::metrics_listening,
                           {{"address", core::format_endpoint(settings.metrics)}});
     loop.run();
-    return EXIT_SUCCESS;
+    if (loop.error() == 0)
+        return EXIT_SUCCESS;
+    daemon::write_log(log_event::process_failed,
+                      {{"reason", "waiting for events: " + daemon::describe_error(loop.error())}});
+    return EXIT_FAILURE;
 }
 
 int run_gateway(const std::string& settings_path, const gateway_settings& settings)
 {
     daemon::configure_log(settings.log);
+    daemon::log_unhandled_exceptions();
     const int exit_code = serve(settings_path, settings);
     daemon::write_log(log_event::process_ended,
                       {{"name", settings.name.value}, {"code", std::to_string(exit_code)}});
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -525,8 +525,10 @@
     this->self->limits = limits;
     this->self->handlers = std::move(handlers);
     state* const own = this->self.get();
-    own->listener =
-        std::make_unique<tcp_listener>(on, at, [own](int descriptor) { own->accept(descriptor); });
+    tcp_listener_handlers listening;
+    listening.accepted = [own](int descriptor) { own->accept(descriptor); };
+    listening.accept_failed = own->handlers.accept_failed;
+    own->listener = std::make_unique<tcp_listener>(on, at, std::move(listening));
     own->sweep();
 }
 
@@ -540,6 +542,11 @@
     return this->self->listener->listening();
 }
 
+int inbound_server::listen_error() const
+{
+    return this->self->listener->error();
+}
+
 std::uint16_t inbound_server::port() const
 {
     return this->self->listener->port();
--- a/lib/http/loop.cpp
+++ b/lib/http/loop.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
 #include <ctime>
 #include <sys/timerfd.h>
 #include <unistd.h>
@@ -169,16 +170,24 @@
 void loop::run()
 {
     this->self->stopped = false;
+    this->self->wait_error = 0;
     run_posted(*this->self);
     run_deferred(*this->self);
     while (!this->self->stopped) {
-        if (lws_service(this->self->context, 0) < 0)
+        if (lws_service(this->self->context, 0) < 0) {
+            this->self->wait_error = errno;
             return;
+        }
         run_posted(*this->self);
         run_deferred(*this->self);
     }
 }
 
+int loop::error() const
+{
+    return this->self->wait_error;
+}
+
 void loop::stop()
 {
     this->self->stopped = true;
--- a/lib/http/loop_state.hpp
+++ b/lib/http/loop_state.hpp
@@ -37,6 +37,8 @@
     std::map<descriptor_id, std::unique_ptr<watched_descriptor>> descriptors;
     lws_vhost* datagram_vhost = nullptr;
     std::atomic<bool> stopped{false};
+    /// The system's error number if it could not wait for events.
+    int wait_error = 0;
     timer_id last_timer = 0;
     /// Work by the time when it is due.
     std::map<std::pair<std::chrono::microseconds, timer_id>, std::function<void()>> timers;
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -369,36 +369,69 @@
     return this->self->open && !this->self->closing;
 }
 
-tcp_listener::tcp_listener(loop& loop, const socket_address& at, accept_handler accepted) : on(loop)
+namespace {
+
+/// A socket that listens, or the error that kept it from it.
+struct listening_socket {
+    int descriptor = -1;
+    std::uint16_t port = 0;
+    int error = 0;
+};
+
+} // namespace
+
+static listening_socket open_listening_socket(const socket_address& at)
 {
     const std::optional<sockaddr_in> address = to_sockaddr(at);
+    if (!address)
+        return {-1, 0, EINVAL};
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (!address || descriptor < 0)
-        return;
+    if (descriptor < 0)
+        return {-1, 0, errno};
     set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
     sockaddr_in bound{};
     socklen_t length = sizeof bound;
-    const bool ready =
+    const bool is_listening =
         ::bind(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) == 0 &&
         ::listen(descriptor, accept_backlog) == 0 &&
         ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &length) == 0;
-    if (!ready) {
-        ::close(descriptor);
+    if (is_listening)
+        return {descriptor, ntohs(bound.sin_port), 0};
+    const int error = errno;
+    ::close(descriptor);
+    return {-1, 0, error};
+}
+
+/// Accepts every connection that waits.
+static void accept_all(int descriptor, const tcp_listener_handlers& handlers)
+{
+    while (true) {
+        const int accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted >= 0) {
+            handlers.accepted(accepted);
+            continue;
+        }
+        if (!would_block(errno) && handlers.accept_failed)
+            handlers.accept_failed(errno);
         return;
     }
-    this->bound_port = ntohs(bound.sin_port);
-    descriptor_handlers handlers;
-    handlers.readable = [descriptor, accepted = std::move(accepted)] {
-        while (true) {
-            const int taken = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (taken < 0)
-                return;
-            accepted(taken);
-        }
+}
+
+tcp_listener::tcp_listener(loop& loop, const socket_address& at, tcp_listener_handlers&& handlers)
+    : on(loop)
+{
+    const listening_socket opened = open_listening_socket(at);
+    this->listen_error = opened.error;
+    if (opened.descriptor < 0)
+        return;
+    this->bound_port = opened.port;
+    descriptor_handlers watching;
+    watching.readable = [descriptor = opened.descriptor, handlers = std::move(handlers)] {
+        accept_all(descriptor, handlers);
     };
-    handlers.writable = [] {};
-    handlers.closed = [] {};
-    this->watched = loop.watch(descriptor, std::move(handlers));
+    watching.writable = [] {};
+    watching.closed = [] {};
+    this->watched = loop.watch(opened.descriptor, std::move(watching));
 }
 
 tcp_listener::~tcp_listener()
--- a/lib/peer/datagram_socket.cpp
+++ b/lib/peer/datagram_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
 #include <optional>
@@ -53,14 +54,18 @@
 int open_datagram_socket(const core::endpoint& at)
 {
     const auto address = to_socket_address(at);
-    if (!address)
+    if (!address) {
+        errno = EINVAL;
         return -1;
+    }
     const int type = SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC;
     const int descriptor = ::socket(address->storage.ss_family, type, 0);
     if (descriptor < 0)
         return -1;
     if (::bind(descriptor, address->get(), address->length) != 0) {
+        const int error = errno;
         ::close(descriptor);
+        errno = error;
         return -1;
     }
     return descriptor;
--- a/lib/peer/datagram_socket.hpp
+++ b/lib/peer/datagram_socket.hpp
@@ -12,7 +12,8 @@
 /// Largest datagram that is sent, in bytes.
 inline constexpr std::size_t most_datagram_bytes = 8U << 10U;
 
-/// Opens a socket that does not block; negative when it cannot be bound.
+/// Opens a socket that does not block; negative, with the reason in `errno`, when it cannot be
+/// bound.
 [[nodiscard]] int open_datagram_socket(const core::endpoint& at);
 /// False when the datagram was not handed to the network.
 [[nodiscard]] bool send_datagram(int descriptor, const core::endpoint& to, std::string_view bytes);
--- a/unittests/daemon/process_support_test.cpp
+++ b/unittests/daemon/process_support_test.cpp
@@ -6,7 +6,9 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <sys/wait.h>
 #include <thread>
@@ -59,7 +61,18 @@
     CHECK(WEXITSTATUS(*status) == exit_code);
 }
 
-TEST_CASE("the last lines of a log on standard output are written when the process ends")
+namespace {
+
+/// How a child process has ended, and what it had written to its standard output.
+struct child_result {
+    std::optional<int> status;
+    std::string output;
+};
+
+} // namespace
+
+/// Runs `work` in a child process whose log goes to its standard output.
+template <class Work> static child_result run_in_child(Work&& work)
 {
     std::array<int, 2> ends{};
     REQUIRE(::pipe(ends.data()) == 0);
@@ -68,18 +81,41 @@
     if (child == 0) {
         ::dup2(ends[1], STDOUT_FILENO);
         configure_log({log_level::info, "stdout"});
-        write_log(log_event::drain_finished, {{"open", "0"}});
-        end_process(0);
+        work();
     }
     ::close(ends[1]);
-    CHECK(wait_for_end(child) == 0);
-    std::string text;
+    child_result result;
+    result.status = wait_for_end(child);
     std::array<char, 4096> buffer{};
     ssize_t count = 0;
     while ((count = ::read(ends[0], buffer.data(), buffer.size())) > 0)
-        text.append(buffer.data(), static_cast<std::size_t>(count));
+        result.output.append(buffer.data(), static_cast<std::size_t>(count));
     ::close(ends[0]);
-    CHECK(text.find("name=drain_finished open=0") != std::string::npos);
+    return result;
+}
+
+TEST_CASE("the last lines of a log on standard output are written when the process ends")
+{
+    const child_result ended = run_in_child([] {
+        write_log(log_event::drain_finished, {{"open", "0"}});
+        end_process(0);
+    });
+    CHECK(ended.status == 0);
+    CHECK(ended.output.find("name=drain_finished open=0") != std::string::npos);
+}
+
+TEST_CASE("an exception that nothing handles is logged before the process ends")
+{
+    const child_result ended = run_in_child([] {
+        // The tests' framework has a handler of its own for the signal.
+        std::signal(SIGABRT, SIG_DFL);
+        log_unhandled_exceptions();
+        const std::function<void()> fails = [] { throw std::runtime_error("no such engine"); };
+        [&]() noexcept { fails(); }();
+    });
+    REQUIRE(ended.status);
+    CHECK(WIFSIGNALED(*ended.status));
+    CHECK(ended.output.find("name=process_failed reason=\"no such engine\"") != std::string::npos);
 }
 
 } // namespace ragwortcove::daemon
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cerrno>
 #include <memory>
 
 namespace ragwortcove::gateway {
@@ -161,6 +162,32 @@
     CHECK(page.find("drained_domains 2.0") != std::string::npos);
 }
 
+TEST_CASE("a node that waits for the store tells how many kinds of documents it lacks")
+{
+    const gateway_settings settings = make_settings();
+    http::loop event_loop;
+    const gateway node{event_loop, settings, core::incarnation{1}, [] {}};
+    REQUIRE(node.listening());
+    const std::string page = read_page(event_loop, settings.peers.port, "/metrics");
+    const std::string lacks_all =
+        "documents_awaited " + std::to_string(adapter::replicated_kind_count) + ".0";
+    CHECK(page.find(lacks_all) != std::string::npos);
+}
+
+TEST_CASE("an address that cannot be listened on is named with the reason")
+{
+    gateway_settings settings = make_settings();
+    const raw_server holder([](raw_connection&) {});
+    settings.directory.port = holder.port();
+    http::loop event_loop;
+    const gateway node{event_loop, settings, core::incarnation{1}, [] {}};
+    const std::vector<unavailable_address> unavailable = node.unavailable_addresses();
+    REQUIRE(unavailable.size() == 1);
+    CHECK(unavailable.front().key == "directory");
+    CHECK(unavailable.front().address == settings.directory);
+    CHECK(unavailable.front().error == EADDRINUSE);
+}
+
 TEST_CASE("a request whose last part comes after a planned stop began is refused, not lost")
 {
     const gateway_settings settings = make_settings();
