[gateway, http, daemon] an address that cannot be listened on at the start does not end the process

Cause: the process checked once at its start whether all of its addresses were listened on, and ended with 1 if any was not. A loss of power brings all processes back at the same moment, when an address may be held by the process before, by an outgoing connection, by another program, or not be there yet.

Change: a listener tries again every 200 ms, the datagram socket every tick of the fleet, also when the system has closed it. A node is ready when it can hear callers and other nodes; for the addresses of metrics, readiness and directory it waits without holding up the rest. Until it can hear the others it does no work that only one node may do: it doesn't take itself for the only node, controls no roll-out, stores nothing. The daemon of the own interface builds its listeners anew every 500 ms; SIGTERM ends the wait. listen_failed names each address at first and then every 10 s, listening ends it.

--- a/include/ragwortcove/daemon/process_support.hpp
+++ b/include/ragwortcove/daemon/process_support.hpp
@@ -5,6 +5,7 @@
 #include "ragwortcove/core/types.hpp"
 
 #include <string>
+#include <string_view>
 
 namespace ragwortcove::daemon {
 
@@ -12,6 +13,16 @@
 [[nodiscard]] core::incarnation make_incarnation();
 /// Text of one of the system's error numbers.
 [[nodiscard]] std::string describe_error(int error);
+/// An address of the settings that cannot be listened on.
+struct unavailable_address {
+    /// Key of the address in the settings.
+    std::string_view key;
+    core::endpoint address;
+    /// The system's error number; zero when it is not known.
+    int error = 0;
+};
+
+void log_unavailable(const unavailable_address& address);
 /// Blocks the signals that a daemon handles and gives a descriptor to read them from.
 [[nodiscard]] int open_signals();
 /// From now on an exception that nothing handles is logged before it ends the process.
--- a/include/ragwortcove/daemon/runtime.hpp
+++ b/include/ragwortcove/daemon/runtime.hpp
@@ -8,6 +8,7 @@
 #include "ragwortcove/daemon/daemon_settings.hpp"
 #include "ragwortcove/daemon/metrics.hpp"
 #include "ragwortcove/daemon/operator_access.hpp"
+#include "ragwortcove/daemon/process_support.hpp"
 #include "ragwortcove/daemon/upstream_client.hpp"
 #include "ragwortcove/daemon/upstream_reports.hpp"
 #include "ragwortcove/http/client.hpp"
@@ -30,7 +31,8 @@
     ~runtime();
 
     /// Whether every address of the settings takes connections.
-    [[nodiscard]] bool listening() const;
+    [[nodiscard]] bool listening() const { return this->unavailable_addresses().empty(); }
+    [[nodiscard]] std::vector<unavailable_address> unavailable_addresses() const;
     /// Asks for a graceful shutdown; asking again changes nothing.
     void drain();
     /// Brings those settings into force that are safe to change while running.
--- a/include/ragwortcove/gateway/fleet.hpp
+++ b/include/ragwortcove/gateway/fleet.hpp
@@ -29,6 +29,7 @@
     std::function<void(core::incarnation)> ended;
 };
 
+/// Takes part in the fleet while its datagram address can be bound, which is tried again.
 class fleet {
 public:
     fleet(http::loop& event_loop, const gateway_settings& settings, core::incarnation run,
@@ -38,7 +39,7 @@
     fleet& operator=(const fleet&) = delete;
 
     [[nodiscard]] bool listening() const { return this->datagram_socket >= 0; }
-    /// The system's error number if the datagram address cannot be bound, otherwise zero.
+    /// The system's error number if the datagram address cannot be bound now, otherwise zero.
     [[nodiscard]] int listen_error() const { return this->bind_error; }
     /// Fills in the sender. Drops messages to unknown nodes.
     void send(const core::node_name& to, wire::PeerDatagram& message);
@@ -85,6 +86,7 @@
 private:
     [[nodiscard]] core::time_point now() const { return core::time_point{this->event_loop.now()}; }
     void tick();
+    void open_socket();
     void receive_datagram(std::string_view bytes);
     void receive_heartbeat(std::string_view bytes);
     [[nodiscard]] std::string encode(wire::PeerDatagram& message) const;
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "ragwortcove/core/ruleset.hpp"
 #include "ragwortcove/core/transfer_limit.hpp"
 #include "ragwortcove/core/upstream_directory.hpp"
+#include "ragwortcove/daemon/process_support.hpp"
 #include "ragwortcove/gateway/call_handler.hpp"
 #include "ragwortcove/gateway/document_feed.hpp"
 #include "ragwortcove/gateway/fleet.hpp"
@@ -24,6 +25,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -36,15 +38,6 @@
 
 namespace ragwortcove::gateway {
 
-/// An address of the settings that cannot be listened on.
-struct unavailable_address {
-    /// Key of the address in the settings.
-    std::string_view key;
-    core::endpoint address;
-    /// The system's error number.
-    int error = 0;
-};
-
 class gateway {
 public:
     /// Calls `on_drained` when a graceful shutdown is complete.
@@ -54,9 +47,11 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
-    /// Whether the servers at all addresses of the settings accept connections.
+    /// Whether all addresses of the settings are listened on. Those that are not are tried again.
     [[nodiscard]] bool listening() const { return this->unavailable_addresses().empty(); }
-    [[nodiscard]] std::vector<unavailable_address> unavailable_addresses() const;
+    [[nodiscard]] std::vector<daemon::unavailable_address> unavailable_addresses() const;
+    /// Whether the address of metrics is listened on.
+    [[nodiscard]] bool serves_metrics() const;
     /// Starts a graceful shutdown; further calls have no effect.
     void drain();
     /// Applies those changed settings that are safe to change while running.
@@ -66,7 +61,11 @@
     [[nodiscard]] core::time_point now() const { return core::time_point{this->event_loop.now()}; }
     [[nodiscard]] bool ready() const;
     void on_accept_failed(std::string_view key, int error);
+    /// Logs the addresses that cannot be listened on, and those that can be again.
+    void report_addresses();
     void tick();
+    /// The part of a tick that needs to know which other nodes there are.
+    void tick_shared_work();
     void check_drain();
     void apply_documents(const document_update& update);
     void apply_rules(const document_update& update);
@@ -155,6 +154,8 @@
     core::time_point next_part_storing_at;
     core::time_point started_at;
     core::time_point next_delay_report_at;
+    /// Addresses that cannot be listened on, by their key, and when that was logged last.
+    std::map<std::string_view, core::time_point> reported_addresses;
     core::time_point next_reading_check_at;
     core::time_point drain_started_at;
     bool draining = false;
--- a/include/ragwortcove/http/tcp_stream.hpp
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -80,22 +80,28 @@
     std::function<void(int error)> accept_failed;
 };
 
-/// Accepts connections on one address.
+/// Accepts connections on one address. While the address cannot be listened on, it is tried again.
 class tcp_listener {
 public:
-    tcp_listener(loop& on, const socket_address& at, tcp_listener_handlers&& handlers);
+    tcp_listener(loop& on, socket_address at, tcp_listener_handlers&& handlers);
     ~tcp_listener();
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
     [[nodiscard]] bool listening() const { return this->watched != 0; }
-    /// The system's error number if the address cannot be listened on, otherwise zero.
+    /// The system's error number if the address cannot be listened on now, otherwise zero.
     [[nodiscard]] int error() const { return this->listen_error; }
     /// The port that is listened on, also when any free one was asked for.
     [[nodiscard]] std::uint16_t port() const { return this->bound_port; }
 
 private:
+    void try_to_listen();
+    void fail(int error);
+
     loop& on;
+    socket_address address;
+    tcp_listener_handlers handlers;
+    timer_id retry_timer = 0;
     descriptor_id watched = 0;
     int listen_error = 0;
     std::uint16_t bound_port = 0;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -11,9 +11,9 @@
                     "the daemon has read its settings and begins to run",
                     "none; `incarnation` is the number that request ids of this run start with"},
     log_event_entry{log_event::listening, "listening", log_level::info,
-                    "an address takes connections", "none"},
+                    "an address takes connections, at once or again", "none"},
     log_event_entry{log_event::listen_failed, "listen_failed", log_level::error,
-                    "an address of the settings cannot be listened on; the daemon ends",
+                    "an address of the settings cannot be listened on; it is tried again",
                     "see `error`: free the port, wait until the VM has the address, or correct "
                     "`key` of the settings (`[node] callers`, `[node] peers` or an embedded "
                     "`[platform] address` of a daemon without a gateway)"},
--- a/lib/daemon/process.cpp
+++ b/lib/daemon/process.cpp
@@ -11,11 +11,16 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
+#include <optional>
+#include <poll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace ragwortcove::daemon {
 
+/// Time from a failed try to listen to the next one.
+static constexpr int listen_retry_interval_ms = 500;
+
 static void read_settings_again(const std::string& path, runtime& running)
 {
     const settings_outcome read = load_daemon_settings(path);
@@ -61,24 +66,38 @@
     return std::make_unique<standin::platform_server>(loop, store);
 }
 
-int run_process(const std::string& settings_path, const daemon_settings& read)
+/// Waits before the addresses are tried again; returns whether a stop was asked for meanwhile.
+static bool is_stopped_before_retry(int signals)
+{
+    pollfd waiting{signals, POLLIN, 0};
+    if (::poll(&waiting, 1, listen_retry_interval_ms) <= 0)
+        return false;
+    signalfd_siginfo taken{};
+    const bool is_read = read(signals, &taken, sizeof taken) == static_cast<ssize_t>(sizeof taken);
+    return is_read && taken.ssi_signo != SIGHUP;
+}
+
+/// Logs the addresses that cannot be listened on; returns whether there are any.
+static bool lacks_addresses(const runtime& running, const standin::platform_server* store,
+                            const daemon_settings& settings)
+{
+    std::vector<unavailable_address> unavailable = running.unavailable_addresses();
+    if (store != nullptr && !store->listening())
+        unavailable.push_back({"platform", settings.platform.address});
+    for (const unavailable_address& each : unavailable)
+        log_unavailable(each);
+    return !unavailable.empty();
+}
+
+/// Serves until a graceful shutdown is complete; nothing if an address cannot be listened on.
+static std::optional<int> serve(const std::string& settings_path, const daemon_settings& settings,
+                                int signals)
 {
-    daemon_settings settings = read;
-    settings.node.run = make_incarnation();
-    configure_log(settings.log);
-    log_unhandled_exceptions();
-    const int signals = open_signals();
     http::loop loop;
     const std::unique_ptr<standin::platform_server> store = open_embedded_store(loop, settings);
     runtime running{loop, settings, [&loop] { loop.stop(); }};
-    const bool has_platform = store == nullptr || store->listening();
-    if (!running.listening() || !has_platform) {
-        write_log(log_event::listen_failed,
-                  {{"callers", format_endpoint(settings.node.callers)},
-                   {"peers", format_endpoint(settings.node.peers)},
-                   {"platform", format_endpoint(settings.platform.address)}});
-        return EXIT_FAILURE;
-    }
+    if (lacks_addresses(running, store.get(), settings))
+        return std::nullopt;
     log_start(settings);
     write_log(log_event::listening, {{"callers", format_endpoint(settings.node.callers)},
                                      {"peers", format_endpoint(settings.node.peers)}});
@@ -91,4 +110,20 @@
     return EXIT_FAILURE;
 }
 
+// Another process may hold an address for a while, or the VM may not have it yet.
+int run_process(const std::string& settings_path, const daemon_settings& read)
+{
+    daemon_settings settings = read;
+    settings.node.run = make_incarnation();
+    configure_log(settings.log);
+    log_unhandled_exceptions();
+    const int signals = open_signals();
+    while (true) {
+        if (const std::optional<int> exit_code = serve(settings_path, settings, signals))
+            return *exit_code;
+        if (is_stopped_before_retry(signals))
+            return EXIT_SUCCESS;
+    }
+}
+
 } // namespace ragwortcove::daemon
--- a/lib/daemon/process_support.cpp
+++ b/lib/daemon/process_support.cpp
@@ -1,5 +1,6 @@
 #include "ragwortcove/daemon/process_support.hpp"
 
+#include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/daemon/event_log.hpp"
 
 #include <chrono>
@@ -29,6 +30,14 @@
     return std::generic_category().message(error);
 }
 
+void log_unavailable(const unavailable_address& address)
+{
+    write_log(log_event::listen_failed,
+              {{"key", address.key},
+               {"address", core::format_endpoint(address.address)},
+               {"error", address.error == 0 ? "unknown" : describe_error(address.error)}});
+}
+
 int open_signals()
 {
     sigset_t handled;
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -236,9 +236,14 @@
     this->on.cancel(this->clock_timer);
 }
 
-bool runtime::listening() const
+std::vector<unavailable_address> runtime::unavailable_addresses() const
 {
-    return this->callers.listening() && this->peers.listening();
+    std::vector<unavailable_address> result;
+    if (!this->callers.listening())
+        result.push_back({"callers", this->settings.node.callers});
+    if (!this->peers.listening())
+        result.push_back({"peers", this->settings.node.peers});
+    return result;
 }
 
 core::time_point runtime::now() const
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -7,6 +7,7 @@
 #include "ragwortcove/peer/codec.hpp"
 
 #include <cerrno>
+#include <unistd.h>
 #include <utility>
 #include <variant>
 
@@ -35,20 +36,34 @@
     : event_loop(loop), self(make_node_settings(settings, run)), handlers(std::move(given)),
       random(run.value), view(this->self, this->now())
 {
-    this->datagram_socket = peer::open_datagram_socket(settings.peers);
-    if (this->datagram_socket < 0) {
+    this->tick();
+}
+
+// Another process may hold the address for a while, or the VM may not have it yet.
+void fleet::open_socket()
+{
+    const int opened = peer::open_datagram_socket(this->self.peers);
+    if (opened < 0) {
         this->bind_error = errno;
         return;
     }
     http::descriptor_handlers socket_handlers;
-    socket_handlers.readable = [this] {
-        peer::receive_datagrams(this->datagram_socket,
+    socket_handlers.readable = [this, opened] {
+        peer::receive_datagrams(opened,
                                 [this](std::string_view bytes) { this->receive_datagram(bytes); });
     };
     socket_handlers.writable = [] {};
-    socket_handlers.closed = [] {};
-    loop.watch(this->datagram_socket, std::move(socket_handlers));
-    this->tick();
+    socket_handlers.closed = [this] {
+        this->datagram_socket = -1;
+        this->bind_error = ECONNABORTED;
+    };
+    if (this->event_loop.watch(opened, std::move(socket_handlers)) == 0) {
+        ::close(opened);
+        this->bind_error = EMFILE;
+        return;
+    }
+    this->datagram_socket = opened;
+    this->bind_error = 0;
 }
 
 fleet::~fleet()
@@ -91,7 +106,10 @@
 
 void fleet::tick()
 {
-    this->update_view([this](core::step_context& context) { this->view.tick(context); });
+    if (!this->listening())
+        this->open_socket();
+    if (this->listening())
+        this->update_view([this](core::step_context& context) { this->view.tick(context); });
     this->timer = this->event_loop.after(core::fleet_view::tick_interval, [this] { this->tick(); });
 }
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -31,6 +31,8 @@
 /// Interval at which a draining node checks whether it can end.
 static constexpr core::duration drain_check_period = 50ms;
 
+/// Interval at which an address that cannot be listened on is reported.
+static constexpr core::duration address_report_period = 10s;
 /// Interval at which a node that is not ready after its start says what it waits for.
 static constexpr core::duration delay_report_period = 2s;
 
@@ -175,9 +177,9 @@
     this->event_loop.cancel(this->tick_timer);
 }
 
-std::vector<unavailable_address> gateway::unavailable_addresses() const
+std::vector<daemon::unavailable_address> gateway::unavailable_addresses() const
 {
-    std::vector<unavailable_address> result;
+    std::vector<daemon::unavailable_address> result;
     const auto check = [&](std::string_view key, const core::endpoint& address,
                            const auto& listener) {
         if (!listener.listening())
@@ -193,6 +195,31 @@
     return result;
 }
 
+bool gateway::serves_metrics() const
+{
+    return this->metrics_server && this->metrics_server->listening();
+}
+
+// A node serves without the addresses that no caller needs; for `ready()` it needs the others.
+void gateway::report_addresses()
+{
+    const core::time_point at = this->now();
+    std::map<std::string_view, core::time_point> still_reported;
+    for (const daemon::unavailable_address& each : this->unavailable_addresses()) {
+        const auto known = this->reported_addresses.find(each.key);
+        const bool is_due =
+            known == this->reported_addresses.end() || at - known->second >= address_report_period;
+        still_reported[each.key] = is_due ? at : known->second;
+        if (is_due)
+            daemon::log_unavailable(each);
+    }
+    for (const auto& [key, since] : this->reported_addresses) {
+        if (!still_reported.contains(key))
+            daemon::write_log(log_event::listening, {{"key", key}});
+    }
+    this->reported_addresses = std::move(still_reported);
+}
+
 void gateway::on_accept_failed(std::string_view key, int error)
 {
     daemon::write_log(log_event::accept_failed,
@@ -202,8 +229,8 @@
 
 bool gateway::ready() const
 {
-    return this->rules != nullptr && this->feed && this->feed->is_complete() &&
-           this->parts->is_informed() && !this->draining;
+    return this->caller_server->listening() && this->nodes->listening() && this->rules != nullptr &&
+           this->feed && this->feed->is_complete() && this->parts->is_informed() && !this->draining;
 }
 
 void gateway::refresh_readiness()
@@ -228,6 +255,10 @@
         text += text.empty() ? "" : ",";
         text += what;
     };
+    if (!this->caller_server->listening())
+        add("address of callers");
+    if (!this->nodes->listening())
+        add("address of peers");
     const std::vector<adapter::document_kind> missing = this->feed->missing_kinds();
     for (const adapter::document_kind kind : missing)
         add(to_text(kind));
@@ -251,20 +282,29 @@
 void gateway::tick()
 {
     daemon::flush_log();
-    this->registry->tick();
+    this->report_addresses();
     this->placement->tick();
-    this->rollouts->tick();
     this->parts->tick();
-    this->store_parts();
+    if (this->nodes->listening())
+        this->tick_shared_work();
     this->on_directory_changed(this->directory.tick(this->now()));
     if (this->drains.tick(this->now()))
         this->offer_upstreams();
     this->refresh_readiness();
     this->report_delayed_start();
-    this->exchange_documents();
     this->tick_timer = this->event_loop.after(tick_period, [this] { this->tick(); });
 }
 
+// A node that cannot hear the others must not take itself for the only one, and do what another
+// one does.
+void gateway::tick_shared_work()
+{
+    this->registry->tick();
+    this->rollouts->tick();
+    this->store_parts();
+    this->exchange_documents();
+}
+
 void gateway::on_peer_message(const core::node_name& from, const wire::PeerDatagram& message)
 {
     if (!this->feed)
--- a/lib/gateway/process.cpp
+++ b/lib/gateway/process.cpp
@@ -39,22 +39,15 @@
 {
     const core::incarnation run = daemon::make_incarnation();
     const int signals = daemon::open_signals();
-    http::loop loop;
-    gateway running{loop, settings, run, [&loop] { loop.stop(); }};
-    for (const unavailable_address& each : running.unavailable_addresses())
-        daemon::write_log(log_event::listen_failed,
-                          {{"key", each.key},
-                           {"address", core::format_endpoint(each.address)},
-                           {"error", daemon::describe_error(each.error)}});
-    if (!running.listening())
-        return EXIT_FAILURE;
     daemon::write_log(log_event::process_started,
                       {{"name", settings.name.value},
                        {"incarnation", std::to_string(run.value)},
                        {"failure_domain", settings.failure_domain.value},
                        {"trusted_network", settings.trusted_network ? "true" : "false"}});
+    http::loop loop;
+    gateway running{loop, settings, run, [&loop] { loop.stop(); }};
     loop.watch_datagrams(signals, [&] { handle_signals(signals, settings_path, running); });
-    if (settings.metrics.port != 0)
+    if (running.serves_metrics())
         daemon::write_log(log_event::metrics_listening,
                           {{"address", core::format_endpoint(settings.metrics)}});
     loop.run();
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -19,6 +19,8 @@
 static constexpr int max_reads_per_turn = 1;
 /// Memory that a stream keeps for bytes that it sends later.
 static constexpr std::size_t max_spare_bytes = 4U << 10U;
+/// Time from a failed try to listen to the next one.
+static constexpr std::chrono::milliseconds listen_retry_interval{200};
 /// Connections that may wait to be accepted.
 static constexpr int accept_backlog = 1024;
 /// Silence before the kernel probes a connection, and time between its probes.
@@ -417,26 +419,47 @@
     }
 }
 
-tcp_listener::tcp_listener(loop& loop, const socket_address& at, tcp_listener_handlers&& handlers)
-    : on(loop)
+tcp_listener::tcp_listener(loop& loop, socket_address at, tcp_listener_handlers&& given)
+    : on(loop), address(std::move(at)), handlers(std::move(given))
 {
-    const listening_socket opened = open_listening_socket(at);
-    this->listen_error = opened.error;
-    if (opened.descriptor < 0)
+    this->try_to_listen();
+}
+
+tcp_listener::~tcp_listener()
+{
+    this->on.cancel(this->retry_timer);
+    this->on.unwatch(this->watched);
+}
+
+// Another process may hold the address for a while, or the VM may not have it yet.
+void tcp_listener::try_to_listen()
+{
+    const listening_socket opened = open_listening_socket(this->address);
+    if (opened.descriptor < 0) {
+        this->fail(opened.error);
         return;
-    this->bound_port = opened.port;
+    }
     descriptor_handlers watching;
-    watching.readable = [descriptor = opened.descriptor, handlers = std::move(handlers)] {
-        accept_all(descriptor, handlers);
+    watching.readable = [this, descriptor = opened.descriptor] {
+        accept_all(descriptor, this->handlers);
     };
     watching.writable = [] {};
-    watching.closed = [] {};
-    this->watched = loop.watch(opened.descriptor, std::move(watching));
+    watching.closed = [this] { this->fail(ECONNABORTED); };
+    this->watched = this->on.watch(opened.descriptor, std::move(watching));
+    if (this->watched == 0) {
+        ::close(opened.descriptor);
+        this->fail(EMFILE);
+        return;
+    }
+    this->listen_error = 0;
+    this->bound_port = opened.port;
 }
 
-tcp_listener::~tcp_listener()
+void tcp_listener::fail(int error)
 {
-    this->on.unwatch(this->watched);
+    this->watched = 0;
+    this->listen_error = error;
+    this->retry_timer = this->on.after(listen_retry_interval, [this] { this->try_to_listen(); });
 }
 
 } // namespace ragwortcove::http
--- /dev/null
+++ b/test/soak/start_test.py
@@ -0,0 +1,167 @@
+#!/usr/bin/env python3
+"""Daemons that cannot have at once what they need at their start do not end.
+
+usage: test/soak/start_test.py BUILD_DIR
+"""
+
+import asyncio
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+import fleet
+import lounge
+import upstreams
+import vms
+import wire
+
+BUILD = sys.argv.pop(1) if len(sys.argv) > 1 and not sys.argv[1].startswith("-") else "build"
+# From when it can start until it is ready.
+START_LIMIT_S = 3.0
+HELD_S = 1.5
+IP = "127.0.0.1"
+
+
+def hold(kind, port):
+    holder = socket.socket(type=kind)
+    if kind == socket.SOCK_STREAM:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((IP, port))
+    if kind == socket.SOCK_STREAM:
+        holder.listen()
+    return holder
+
+
+def answers(port, path):
+    try:
+        return asyncio.run(wire.call((IP, port), "GET", path, limit=0.5)).status == 200
+    except wire.Broken:
+        return False
+
+
+def wait_until(condition, limit_s):
+    until = time.monotonic() + limit_s
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class Daemon:
+    """One process, with its log in a file."""
+
+    def __init__(self, case, settings):
+        work = tempfile.TemporaryDirectory()
+        case.addCleanup(work.cleanup)
+        self.log_path = Path(work.name) / "log"
+        path = Path(work.name) / "daemon.ini"
+        path.write_text(settings)
+        with open(self.log_path, "wb") as log:
+            self.process = subprocess.Popen([os.path.join(BUILD, "ragwortcoved"), "--config", str(path)],
+                                            stdout=log, stderr=log)
+        case.addCleanup(self.end)
+
+    def runs(self):
+        return self.process.poll() is None
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+    def end(self):
+        if self.runs():
+            self.process.kill()
+        self.process.wait()
+
+
+class Gateway(unittest.TestCase):
+    """With the settings that the deployment's template gives."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.store_port = fleet.free_port()
+        cls.store = subprocess.Popen([os.path.join(BUILD, "standin-platform"), "-p", str(cls.store_port)],
+                                     stdout=subprocess.DEVNULL)
+        if not wait_until(lambda: answers(cls.store_port, "/healthz"), START_LIMIT_S):
+            raise RuntimeError("the stand-in store did not start")
+        asyncio.run(upstreams.Store((IP, cls.store_port)).put("config", "main", lounge.make_rules(1)))
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.store.kill()
+        cls.store.wait()
+
+    def setUp(self):
+        self.ports = {name: fleet.free_port() for name in ("front", "ready", "control", "directory")}
+
+    def start(self):
+        fields = vms.BOUNDS | {"node": "n", "region": "r", "zone": "a", "ip": IP,
+                               "platform.addr": f"{IP}:{self.store_port}"}
+        fields |= {f"listen.{name}": f"{IP}:{port}" for name, port in self.ports.items()}
+        fields["seeds"] = fields["listen.control"]
+        return Daemon(self, vms.render(vms.TEMPLATE.read_text(), fields))
+
+    def is_ready(self):
+        return answers(self.ports["ready"], "/readyz")
+
+    def test_it_starts_although_another_process_holds_an_address_that_no_caller_needs(self):
+        holder = hold(socket.SOCK_STREAM, vms.METRICS_PORT)
+        self.addCleanup(holder.close)
+        daemon = self.start()
+        self.assertTrue(wait_until(self.is_ready, START_LIMIT_S), daemon.log())
+        time.sleep(HELD_S)
+        self.assertTrue(daemon.runs())
+        self.assertIn("name=listen_failed key=metrics", daemon.log())
+
+    def test_it_waits_for_an_address_that_another_process_holds(self):
+        for name, kind in (("front", socket.SOCK_STREAM), ("control", socket.SOCK_DGRAM)):
+            with self.subTest(name):
+                self.setUp()
+                holder = hold(kind, self.ports[name])
+                daemon = self.start()
+                time.sleep(HELD_S)
+                self.assertTrue(daemon.runs(), daemon.log())
+                self.assertFalse(self.is_ready())
+                holder.close()
+                self.assertTrue(wait_until(self.is_ready, START_LIMIT_S), daemon.log())
+                daemon.end()
+
+
+class OwnInterface(unittest.TestCase):
+    """The daemon of the product's own interface, with the store in its own memory."""
+
+    def test_it_waits_for_an_address_that_another_process_holds(self):
+        callers, store, peers = (fleet.free_port() for _ in range(3))
+        settings = (f"[node]\nname = n\nregion = r\nfailure_domain = a\ncallers = {IP}:{callers}\n"
+                    f"peers = {IP}:{peers}\n\n[platform]\nmode = embedded\naddress = {IP}:{store}\n")
+        for port in (callers, peers, store):
+            holder = hold(socket.SOCK_STREAM, port)
+            daemon = Daemon(self, settings)
+            time.sleep(HELD_S)
+            self.assertTrue(daemon.runs(), daemon.log())
+            holder.close()
+            is_served = wait_until(lambda: answers(store, "/healthz") and answers(callers, "/healthz"),
+                                   START_LIMIT_S)
+            self.assertTrue(is_served, daemon.log())
+            daemon.end()
+
+    def test_a_stop_ends_the_wait(self):
+        callers, store, peers = (fleet.free_port() for _ in range(3))
+        holder = hold(socket.SOCK_STREAM, callers)
+        self.addCleanup(holder.close)
+        daemon = Daemon(self, f"[node]\nname = n\nregion = r\nfailure_domain = a\ncallers = {IP}:{callers}\n"
+                              f"peers = {IP}:{peers}\n\n[platform]\nmode = embedded\naddress = {IP}:{store}\n")
+        time.sleep(HELD_S)
+        daemon.process.terminate()
+        self.assertEqual(daemon.process.wait(START_LIMIT_S), 0, daemon.log())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/ragwortcoved/main.cpp
+++ b/tools/ragwortcoved/main.cpp
@@ -18,8 +18,9 @@
 static constexpr const char* description =
     "ragwortcoved places callers' requests on model engines and plain services.\n"
     "Example: ragwortcoved --config /etc/ragwortcove/daemon.ini\n"
-    "Exit codes: 0 after a graceful shutdown, 1 when an address cannot be listened on, "
+    "Exit codes: 0 after a graceful shutdown, 1 when it cannot go on, "
     "2 when the settings file has errors.\n"
+    "An address that cannot be listened on is tried again until it can be, or until SIGTERM.\n"
     "SIGTERM asks for a graceful shutdown, SIGHUP reads the settings file again.";
 
 static void print(const std::vector<settings::located_error>& errors)
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -1,7 +1,4 @@
-#include "../http/loopback.hpp"
-#include "platform/store_client.hpp"
-#include "platform/store_document.hpp"
-#include "ragwortcove/gateway/gateway.hpp"
+#include "gateway_fixture.hpp"
 
 #include <doctest/doctest.h>
 
@@ -15,30 +12,11 @@
 using http::test::raw_connection;
 using http::test::raw_server;
 using http::test::run_until;
+using test::make_settings;
+using test::read_page;
 
 namespace {
 
-core::endpoint free_endpoint()
-{
-    const raw_server probe([](raw_connection&) {});
-    return {"127.0.0.1", probe.port()};
-}
-
-gateway_settings make_settings()
-{
-    gateway_settings settings;
-    settings.name.value = "n";
-    settings.failure_domain.value = "a";
-    settings.callers = free_endpoint();
-    settings.readiness = free_endpoint();
-    settings.directory = free_endpoint();
-    settings.peers = free_endpoint();
-    settings.store = free_endpoint();
-    settings.address_time_to_live = 50ms;
-    settings.stop_limit = 3s;
-    return settings;
-}
-
 /// A store whose rules, which nobody can read, are large; it lists nothing else.
 struct large_store {
     static constexpr std::size_t document_bytes = 600'000;
@@ -93,21 +71,6 @@
     }
 };
 
-/// The response of a node to another one that reads from it.
-std::string read_page(http::loop& event_loop, std::uint16_t port, const std::string& path)
-{
-    std::string response;
-    std::atomic<bool> is_read{false};
-    const raw_client reader(port, [&](raw_connection& connection) {
-        connection.send("GET " + path + " HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n");
-        response = connection.receive_all();
-        is_read = true;
-    });
-    static_cast<void>(run_until(
-        event_loop, [&] { return is_read.load(); }, 5s));
-    return response;
-}
-
 /// The status with which a node responds to another one that reads documents from it.
 std::string read_documents(http::loop& event_loop, std::uint16_t port, const std::string& path)
 {
@@ -181,7 +144,7 @@
     settings.directory.port = holder.port();
     http::loop event_loop;
     const gateway node{event_loop, settings, core::incarnation{1}, [] {}};
-    const std::vector<unavailable_address> unavailable = node.unavailable_addresses();
+    const std::vector<daemon::unavailable_address> unavailable = node.unavailable_addresses();
     REQUIRE(unavailable.size() == 1);
     CHECK(unavailable.front().key == "directory");
     CHECK(unavailable.front().address == settings.directory);
--- a/unittests/http/tcp_stream_test.cpp
+++ b/unittests/http/tcp_stream_test.cpp
@@ -4,10 +4,13 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unistd.h>
+#include <utility>
 
 namespace ragwortcove::http::test {
 
@@ -42,6 +45,30 @@
     stream->reset();
 }
 
+TEST_CASE("an address that another process holds is listened on when it is free")
+{
+    std::optional<raw_server> holder(std::in_place, [](raw_connection&) {});
+    loop on;
+    int accepted = 0;
+    tcp_listener_handlers handlers;
+    handlers.accepted = [&](int descriptor) {
+        ++accepted;
+        ::close(descriptor);
+    };
+    const tcp_listener listener(on, {"127.0.0.1", holder->port()}, std::move(handlers));
+    CHECK_FALSE(listener.listening());
+    CHECK(listener.error() == EADDRINUSE);
+    holder.reset();
+    REQUIRE(run_until(
+        on, [&] { return listener.listening(); }, 3s));
+    CHECK(listener.error() == 0);
+    const raw_client caller(listener.port(), [](raw_connection& connection) {
+        static_cast<void>(connection.receive_all());
+    });
+    CHECK(run_until(
+        on, [&] { return accepted == 1; }, 3s));
+}
+
 TEST_CASE("bytes that the network takes only in many parts are all sent")
 {
     constexpr std::size_t all_bytes = 24U << 20U;
