[http] an ended outgoing connection keeps no port from being listened on

A VM whose listening port is in that range can lose it for a minute: the system gives the port to an outgoing connection, remembers the connection for 60 s after its end, also after the end of its process, and refuses the address until then.

Change: outgoing connections allow their port to be listened on. The system honours that only if both sockets say so; listeners did, connections didn't. It changes nothing for a connection that is open.

--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -268,6 +268,8 @@
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
         return nullptr;
+    // The system may give it a port that a daemon of this VM listens on after its next start.
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
     const int begun =
         ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*address), sizeof *address);
     if (begun != 0 && errno != EINPROGRESS) {
--- a/unittests/http/loopback.hpp
+++ b/unittests/http/loopback.hpp
@@ -167,6 +167,16 @@
         }
     }
 
+    /// Port of the other side.
+    [[nodiscard]] std::uint16_t peer_port() const
+    {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        REQUIRE(::getpeername(this->descriptor, reinterpret_cast<sockaddr*>(&address), &length) ==
+                0);
+        return ntohs(address.sin_port);
+    }
+
     /// Closes this side in order; the other side may still send.
     void end_sending() const { ::shutdown(this->descriptor, SHUT_WR); }
 
--- a/unittests/http/tcp_stream_test.cpp
+++ b/unittests/http/tcp_stream_test.cpp
@@ -69,6 +69,29 @@
         on, [&] { return accepted == 1; }, 3s));
 }
 
+TEST_CASE("an ended outgoing connection keeps no port from being listened on")
+{
+    std::atomic<std::uint16_t> port{0};
+    const raw_server other([&](raw_connection& connection) {
+        port = connection.peer_port();
+        static_cast<void>(connection.ends_in_order());
+    });
+    loop on;
+    tcp_stream_handlers ignored;
+    ignored.received = [](std::string_view) {};
+    ignored.ended = [](stream_end) {};
+    std::unique_ptr<tcp_stream> stream =
+        tcp_stream::connect(on, {"127.0.0.1", other.port()}, std::move(ignored));
+    REQUIRE(run_until(on, [&] { return port != 0; }));
+    // This side closes first, so the system remembers the connection for a minute.
+    stream.reset();
+    tcp_listener_handlers handlers;
+    handlers.accepted = [](int descriptor) { ::close(descriptor); };
+    const tcp_listener listener(on, {"127.0.0.1", port}, std::move(handlers));
+    CHECK(run_until(
+        on, [&] { return listener.listening(); }, 3s));
+}
+
 TEST_CASE("bytes that the network takes only in many parts are all sent")
 {
     constexpr std::size_t all_bytes = 24U << 20U;
