[gateway, adapter] a node reads its first documents also from a store that answers late

Cause: a node that starts reads all documents from the store, and gave each call up after 1.5 s and made it anew. A store that always takes longer is asked for ever and never heard. While other nodes run, they give the documents to those that start; after a fault that strikes all, nobody has them.

Change: a list that is late is asked for again, as often as before, but the call before stays open, for 12 s, the time within which service has to be back. The first response of any of them is taken, and those to earlier calls have no use then, so that a late one takes nothing back. This holds for every list of the store that begins or goes on with a watch.

Before: document_feed_start_test failed in its first part (not complete after 4 s), start_test.py in the case of the slow store.

--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -79,6 +79,15 @@
     [[nodiscard]] bool is_store_available() const;
 
 private:
+    /// The calls for lists of one kind, by number. Several may be open.
+    struct list_calls {
+        std::uint64_t latest = 0;
+        /// The latest one that has failed or is late, for which another one is asked for.
+        std::uint64_t failed = 0;
+        /// The latest one when a list was last read: responses to those up to it have no use.
+        std::uint64_t obsolete_upto = 0;
+        bool operator==(const list_calls&) const = default;
+    };
     struct kind_state {
         adapter::document_kind kind = adapter::document_kind::rules;
         document_set documents{adapter::document_kind::rules};
@@ -102,6 +111,7 @@
         bool audit_scheduled = false;
         /// Whether a watch or list is open, or a pause before the next one runs.
         bool polling = false;
+        list_calls lists;
         adapter::store_call_number watch_call = 0;
         /// When the latest watch was opened, on the loop's clock.
         core::duration watch_opened_at{0};
@@ -118,7 +128,14 @@
     /// Compares the era that a response states, and sets it to the one in force if it states none.
     [[nodiscard]] era_relation compare_era(kind_state& state, core::store_era& era,
                                            core::duration sent_at);
+    /// Asks for all documents of a kind. While the response is late, it is asked for again, and the
+    /// first response is taken.
     void list_store(kind_state& state);
+    void on_list(kind_state& state, std::uint64_t number, const adapter::document_list& all,
+                 core::duration sent_at);
+    /// Handles that a list has failed, or is late.
+    void on_no_list(kind_state& state, std::uint64_t number, const adapter::store_error& error,
+                    core::duration sent_at);
     /// Lists a kind anew, in place of an open watch.
     void restart_reading(kind_state& state);
     /// Applies changes from the store; returns false when they are of another era.
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -13,6 +13,9 @@
 
 /// Longest time that the store holds one watch open.
 static constexpr std::chrono::milliseconds max_watch_wait{8000};
+/// Time within which a sound store answers, and the longest wait for a list.
+static constexpr core::duration list_response_time = 1500ms;
+static constexpr std::chrono::milliseconds max_list_wait{12000};
 /// Minimum time from the start of one watch to the start of the next.
 static constexpr core::duration min_watch_interval = 100ms;
 /// Base of the delay after a failed call: exponential backoff with full jitter.
@@ -86,29 +89,57 @@
            error.failure == adapter::store_failure::missing;
 }
 
+// A store may be slower than it should be. Whoever gives a call up each time and makes it anew
+// never gets a response, and a node that starts cannot serve.
 void document_feed::list_store(kind_state& state)
 {
     state.polling = true;
+    const std::uint64_t number = ++state.lists.latest;
     const core::duration sent_at = this->event_loop.now();
-    this->store.list(state.kind, [this, &state, sent_at](const adapter::document_list* all,
-                                                         const adapter::store_error& error) {
-        if (all == nullptr && is_kind_unknown(state.kind, error)) {
-            this->on_kind_unknown(state);
-            return;
-        }
-        if (all == nullptr) {
-            this->on_list_failed(state, error, sent_at);
-            return;
-        }
-        this->note_store_available(state);
-        state.is_unknown = false;
-        if (this->take_store_list(state, *all, sent_at, true))
-            this->continue_watching(state);
-        else
-            this->list_store(state);
+    this->store.list(
+        state.kind,
+        [this, &state, number, sent_at](const adapter::document_list* all,
+                                        const adapter::store_error& error) {
+            if (all != nullptr)
+                this->on_list(state, number, *all, sent_at);
+            else
+                this->on_no_list(state, number, error, sent_at);
+        },
+        max_list_wait);
+    this->event_loop.after(list_response_time, [this, &state, number, sent_at] {
+        adapter::store_error late;
+        late.is_silent = true;
+        this->on_no_list(state, number, late, sent_at);
     });
 }
 
+void document_feed::on_list(kind_state& state, std::uint64_t number,
+                            const adapter::document_list& all, core::duration sent_at)
+{
+    if (number <= state.lists.obsolete_upto)
+        return;
+    state.lists.obsolete_upto = state.lists.latest;
+    this->note_store_available(state);
+    state.is_unknown = false;
+    if (this->take_store_list(state, all, sent_at, true))
+        this->continue_watching(state);
+    else
+        this->list_store(state);
+}
+
+void document_feed::on_no_list(kind_state& state, std::uint64_t number,
+                               const adapter::store_error& error, core::duration sent_at)
+{
+    const bool is_repeated = number != state.lists.latest || number == state.lists.failed;
+    if (is_repeated || number <= state.lists.obsolete_upto)
+        return;
+    state.lists.failed = number;
+    if (is_kind_unknown(state.kind, error))
+        this->on_kind_unknown(state);
+    else
+        this->on_list_failed(state, error, sent_at);
+}
+
 void document_feed::restart_reading(kind_state& state)
 {
     if (state.watch_call != 0) {
@@ -391,7 +422,10 @@
 
 void document_feed::list_later(kind_state& state, core::duration delay)
 {
-    this->event_loop.after(delay, [this, &state] {
+    this->event_loop.after(delay, [this, &state, before = state.lists] {
+        // A list has been read meanwhile, or another one is on its way.
+        if (state.lists != before)
+            return;
         state.polling = this->reading || !state.documents.is_loaded();
         if (state.polling)
             this->list_store(state);
--- a/test/soak/start_test.py
+++ b/test/soak/start_test.py
@@ -120,6 +120,13 @@
         self.assertTrue(daemon.runs())
         self.assertIn("name=listen_failed key=metrics", daemon.log())
 
+    def test_it_starts_although_the_store_answers_after_two_seconds(self):
+        store = upstreams.Store((IP, self.store_port))
+        asyncio.run(store.fault(kind="slow", factor=500))
+        self.addCleanup(lambda: asyncio.run(store.fault(kind="none")))
+        daemon = self.start()
+        self.assertTrue(wait_until(self.is_ready, START_LIMIT_S + 2.0), daemon.log())
+
     def test_it_waits_for_an_address_that_another_process_holds(self):
         for name, kind in (("front", socket.SOCK_STREAM), ("control", socket.SOCK_DGRAM)):
             with self.subTest(name):
--- /dev/null
+++ b/unittests/gateway/document_feed_start_test.cpp
@@ -0,0 +1,60 @@
+#include "feed_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+// How a feed reads its first documents from a store that is not as fast as it should be.
+
+namespace ragwortcove::gateway {
+
+using namespace std::chrono_literals;
+using adapter::document_kind;
+using http::test::run_until;
+using test::feed_fixture;
+using test::kind_count;
+
+TEST_CASE("a feed reads its first documents from a store that answers late")
+{
+    feed_fixture fixture;
+    fixture.store.documents["config"]["main"] = 4;
+    fixture.store.documents["servers"]["i-1"] = 5;
+    fixture.store.list_delay = 2s;
+    fixture.start();
+
+    SUBCASE("each time")
+    {
+        REQUIRE(run_until(
+            fixture.event_loop, [&] { return fixture.feed->is_complete(); }, 4s));
+        CHECK(fixture.feed->revision_of(document_kind::rules).value == 4);
+        // The call that was made because the first one was late opens no second watch.
+        fixture.pass(2500ms);
+        CHECK(fixture.is_watching());
+        CHECK(fixture.updates.size() == kind_count);
+    }
+    SUBCASE("once: the late response takes nothing back")
+    {
+        fixture.pass(500ms);
+        fixture.store.list_delay = 0s;
+        fixture.store.remove("servers", "i-1");
+        REQUIRE(run_until(
+            fixture.event_loop, [&] { return fixture.is_watching(); }, 4s));
+        fixture.pass(1500ms);
+        CHECK(fixture.feed->all_documents(document_kind::upstreams).documents.empty());
+        CHECK(fixture.updates.size() == kind_count);
+    }
+    SUBCASE("and then only now and then: a change is read all the same")
+    {
+        REQUIRE(run_until(
+            fixture.event_loop, [&] { return fixture.is_watching(); }, 4s));
+        fixture.store.cut_watches();
+        fixture.store.put("config", "main");
+        REQUIRE(run_until(
+            fixture.event_loop,
+            [&] {
+                return fixture.feed->revision_of(document_kind::rules).value ==
+                       fixture.store.revision;
+            },
+            4s));
+    }
+}
+
+} // namespace ragwortcove::gateway
