[gateway] a node that is alone finds that out also from a store that answers late

What callers saw: of all VMs that had been away one came back, beside a store that takes 2 s for each answer.

A node that hears of no other asks the store whether there are any before it grants quotas. It gave its writes up after 1.5 s, made them anew, and never learnt of one that had been answered.

Change: a call of the registry that is late is made anew as before, and not given up for 12 s.

Before: node_registry_test, the new part failed (not confirmed after 8 s).

--- a/lib/gateway/node_registry.cpp
+++ b/lib/gateway/node_registry.cpp
@@ -17,6 +17,9 @@
 /// Interval of the calls of an isolated node, and once it has found out that it is the only one.
 static constexpr core::duration search_interval = 1s;
 static constexpr core::duration idle_search_interval = 5s;
+/// Longest time that a call may take: one that is late is made anew and not given up, or a slow
+/// store would keep a node from ever knowing whether it is the only one.
+static constexpr std::chrono::milliseconds max_call_time{12000};
 /// Time within which nodes that run respond after they were found.
 static constexpr core::duration contact_time = 500ms;
 /// Interval at which an entry is written anew, and its age from which on nobody keeps it.
@@ -75,7 +78,8 @@
                 this->replace_entry();
             else
                 this->on_written(written, error);
-        });
+        },
+        max_call_time);
 }
 
 // The entry of an earlier process of this node.
@@ -85,7 +89,8 @@
         adapter::replace_document{kind_name(), this->make_entry(), std::nullopt},
         [this](const adapter::store_document* written, const adapter::store_error& error) {
             this->on_written(written, error);
-        });
+        },
+        max_call_time);
 }
 
 // A node that has left meanwhile must not leave an entry behind. The entry is read after it is
@@ -113,7 +118,8 @@
                 this->take_entries(*all);
             else
                 log_failed_call("list", error);
-        });
+        },
+        max_call_time);
 }
 
 void node_registry::take_entries(const adapter::document_list& all)
--- a/unittests/gateway/node_registry_test.cpp
+++ b/unittests/gateway/node_registry_test.cpp
@@ -25,12 +25,18 @@
         std::unique_ptr<node_registry> registry;
     };
     http::loop event_loop;
-    standin::platform_server store{event_loop, {}};
+    standin::platform_server store;
     http::outbound_client connections{event_loop, 5s};
     adapter::store_client client{event_loop, connections, {{"127.0.0.1", store.port()}}};
     std::chrono::milliseconds wall = 1'700'000'000'000ms;
     std::vector<std::unique_ptr<node>> nodes;
 
+    /// `answer_time` is the time from a call to the store to its response.
+    explicit registry_fixture(core::duration answer_time = 4ms)
+        : store(this->event_loop, {.store = {.answer_time = answer_time}})
+    {
+    }
+
     node& add()
     {
         this->nodes.push_back(std::make_unique<node>());
@@ -105,6 +111,12 @@
         REQUIRE(fixture.run([&] { return first.is_confirmed; }));
         CHECK(first.found.empty());
     }
+    SUBCASE("one that is alone finds that out although the store answers late")
+    {
+        registry_fixture slow(2s);
+        const registry_fixture::node& alone = slow.add();
+        CHECK(slow.run([&] { return alone.is_confirmed; }, 8s));
+    }
     SUBCASE("the later one of two finds the earlier one")
     {
         REQUIRE(fixture.run([&] { return first.is_confirmed; }));
