[daemon] a signal that comes before the settings are read does not end the process

Cause: the default action of SIGHUP is to end the process, and the signals were blocked only after the settings had been read and the log set up. Reading takes as long as the file's system takes.

Change: the first statement of main blocks them; they wait until the loop reads them.

After: SIGHUP is handled once the settings are there, SIGTERM ends the process with 0.

--- a/include/ragwortcove/daemon/process_support.hpp
+++ b/include/ragwortcove/daemon/process_support.hpp
@@ -23,7 +23,10 @@
 };
 
 void log_unavailable(const unavailable_address& address);
-/// Blocks the signals that a daemon handles and gives a descriptor to read them from.
+/// Keeps the signals that a daemon handles until they are read. They end a process that has not
+/// done so, and threads that start before leave them to no loop.
+void block_signals();
+/// Gives a descriptor to read the signals from that are blocked.
 [[nodiscard]] int open_signals();
 /// From now on an exception that nothing handles is logged before it ends the process.
 void log_unhandled_exceptions();
--- a/lib/daemon/process_support.cpp
+++ b/lib/daemon/process_support.cpp
@@ -38,16 +38,26 @@
                {"error", address.error == 0 ? "unknown" : describe_error(address.error)}});
 }
 
-int open_signals()
+static sigset_t handled_signals()
 {
     sigset_t handled;
     sigemptyset(&handled);
     sigaddset(&handled, SIGTERM);
     sigaddset(&handled, SIGINT);
     sigaddset(&handled, SIGHUP);
-    // Before any other thread starts, so that all of them leave the signals to the loop.
+    return handled;
+}
+
+void block_signals()
+{
+    const sigset_t handled = handled_signals();
     pthread_sigmask(SIG_BLOCK, &handled, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+}
+
+int open_signals()
+{
+    const sigset_t handled = handled_signals();
     return signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
--- a/test/soak/start_test.py
+++ b/test/soak/start_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -26,6 +27,8 @@
 # From when it can start until it is ready.
 START_LIMIT_S = 3.0
 HELD_S = 1.5
+# The grace time of the settings, and some more.
+STOP_LIMIT_S = 9.0
 IP = "127.0.0.1"
 
 
@@ -58,12 +61,13 @@
 class Daemon:
     """One process, with its log in a file."""
 
-    def __init__(self, case, settings):
+    def __init__(self, case, settings, path=None):
         work = tempfile.TemporaryDirectory()
         case.addCleanup(work.cleanup)
         self.log_path = Path(work.name) / "log"
-        path = Path(work.name) / "daemon.ini"
-        path.write_text(settings)
+        if path is None:
+            path = Path(work.name) / "daemon.ini"
+            path.write_text(settings)
         with open(self.log_path, "wb") as log:
             self.process = subprocess.Popen([os.path.join(BUILD, "ragwortcoved"), "--config", str(path)],
                                             stdout=log, stderr=log)
@@ -101,12 +105,15 @@
     def setUp(self):
         self.ports = {name: fleet.free_port() for name in ("front", "ready", "control", "directory")}
 
-    def start(self):
+    def settings(self):
         fields = vms.BOUNDS | {"node": "n", "region": "r", "zone": "a", "ip": IP,
                                "platform.addr": f"{IP}:{self.store_port}"}
         fields |= {f"listen.{name}": f"{IP}:{port}" for name, port in self.ports.items()}
         fields["seeds"] = fields["listen.control"]
-        return Daemon(self, vms.render(vms.TEMPLATE.read_text(), fields))
+        return vms.render(vms.TEMPLATE.read_text(), fields)
+
+    def start(self):
+        return Daemon(self, self.settings())
 
     def is_ready(self):
         return answers(self.ports["ready"], "/readyz")
@@ -141,6 +148,31 @@
                 daemon.end()
 
 
+    def test_a_signal_that_comes_before_the_settings_are_read_does_not_end_it(self):
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            with self.subTest(number.name):
+                self.setUp()
+                work = tempfile.TemporaryDirectory()
+                self.addCleanup(work.cleanup)
+                path = Path(work.name) / "settings"
+                os.mkfifo(path)
+                daemon = Daemon(self, None, path)
+                time.sleep(HELD_S)
+                daemon.process.send_signal(number)
+                time.sleep(0.1)
+                self.assertTrue(daemon.runs(), "ended by the signal")
+                path.write_text(self.settings())
+                self.assertTrue(wait_until(lambda: "process_started" in daemon.log(), START_LIMIT_S))
+                if number == signal.SIGTERM:
+                    self.assertEqual(daemon.process.wait(STOP_LIMIT_S), 0, daemon.log())
+                else:
+                    # The signal asks to read them once more.
+                    path.write_text(self.settings())
+                    self.assertTrue(wait_until(self.is_ready, START_LIMIT_S), daemon.log())
+                    self.assertIn("name=settings_reloaded", daemon.log())
+                daemon.end()
+
+
 class OwnInterface(unittest.TestCase):
     """The daemon of the product's own interface, with the store in its own memory."""
 
--- a/tools/ragwortcoved/main.cpp
+++ b/tools/ragwortcoved/main.cpp
@@ -57,6 +57,7 @@
 
 int main(int argc, char** argv)
 {
+    daemon::block_signals();
     try {
         TCLAP::CmdLine line{description, ' ', "0.1.0"};
         TCLAP::ValueArg<std::string> config{"c",   "config", "settings file, in INI",
