[http] connections that cannot be accepted take no processor time

Cause: a listener whose connections cannot be accepted stays readable, and was polled without a pause.

Change: it is closed, so that callers are refused and go elsewhere, and listened on again after 200 ms, as after a failed start; accept_failed and listen_failed say so. A failure that belongs to one connection does not keep the others from being accepted.

--- a/include/ragwortcove/http/tcp_stream.hpp
+++ b/include/ragwortcove/http/tcp_stream.hpp
@@ -81,6 +81,7 @@
 };
 
 /// Accepts connections on one address. While the address cannot be listened on, it is tried again.
+/// While the process has no room for connections, the address is not listened on.
 class tcp_listener {
 public:
     tcp_listener(loop& on, socket_address at, tcp_listener_handlers&& handlers);
@@ -92,10 +93,11 @@
     /// The system's error number if the address cannot be listened on now, otherwise zero.
     [[nodiscard]] int error() const { return this->listen_error; }
     /// The port that is listened on, also when any free one was asked for.
-    [[nodiscard]] std::uint16_t port() const { return this->bound_port; }
+    [[nodiscard]] std::uint16_t port() const { return this->address.port; }
 
 private:
     void try_to_listen();
+    void accept_from(int descriptor);
     void fail(int error);
 
     loop& on;
@@ -104,7 +106,6 @@
     timer_id retry_timer = 0;
     descriptor_id watched = 0;
     int listen_error = 0;
-    std::uint16_t bound_port = 0;
 };
 
 } // namespace ragwortcove::http
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -406,18 +406,38 @@
     return {-1, 0, error};
 }
 
-/// Accepts every connection that waits.
-static void accept_all(int descriptor, const tcp_listener_handlers& handlers)
+/// Whether a failure to accept is that of one connection, which is gone by then.
+static bool is_of_one_connection(int error)
+{
+    switch (error) {
+    case EINTR:
+    case ECONNABORTED:
+    case EPROTO:
+    case ENETDOWN:
+    case ENOPROTOOPT:
+    case EHOSTDOWN:
+    case ENONET:
+    case EHOSTUNREACH:
+    case EOPNOTSUPP:
+    case ENETUNREACH:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Accepts every connection that waits; returns the system's error number if it cannot, otherwise
+/// zero.
+static int accept_all(int descriptor, const std::function<void(int)>& accepted)
 {
     while (true) {
-        const int accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted >= 0) {
-            handlers.accepted(accepted);
-            continue;
-        }
-        if (!would_block(errno) && handlers.accept_failed)
-            handlers.accept_failed(errno);
-        return;
+        const int taken = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (taken >= 0)
+            accepted(taken);
+        else if (would_block(errno))
+            return 0;
+        else if (!is_of_one_connection(errno))
+            return errno;
     }
 }
 
@@ -442,9 +462,7 @@
         return;
     }
     descriptor_handlers watching;
-    watching.readable = [this, descriptor = opened.descriptor] {
-        accept_all(descriptor, this->handlers);
-    };
+    watching.readable = [this, descriptor = opened.descriptor] { this->accept_from(descriptor); };
     watching.writable = [] {};
     watching.closed = [this] { this->fail(ECONNABORTED); };
     this->watched = this->on.watch(opened.descriptor, std::move(watching));
@@ -454,7 +472,20 @@
         return;
     }
     this->listen_error = 0;
-    this->bound_port = opened.port;
+    this->address.port = opened.port;
+}
+
+// A descriptor that stays readable takes all the processor's time. Until the process has room
+// again, callers are better off with a refusal, which sends them elsewhere.
+void tcp_listener::accept_from(int descriptor)
+{
+    const int error = accept_all(descriptor, this->handlers.accepted);
+    if (error == 0)
+        return;
+    if (this->handlers.accept_failed)
+        this->handlers.accept_failed(error);
+    this->on.unwatch(this->watched);
+    this->fail(error);
 }
 
 void tcp_listener::fail(int error)
--- a/unittests/http/tcp_stream_test.cpp
+++ b/unittests/http/tcp_stream_test.cpp
@@ -9,8 +9,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace ragwortcove::http::test {
 
@@ -69,6 +71,77 @@
         on, [&] { return accepted == 1; }, 3s));
 }
 
+namespace {
+
+/// Leaves this process room for a few more descriptors only.
+class few_descriptors {
+public:
+    explicit few_descriptors(rlim_t free)
+    {
+        REQUIRE(::getrlimit(RLIMIT_NOFILE, &this->before) == 0);
+        const int lowest_free = ::dup(0);
+        REQUIRE(lowest_free >= 0);
+        ::close(lowest_free);
+        rlimit lowered = this->before;
+        lowered.rlim_cur = static_cast<rlim_t>(lowest_free) + free;
+        REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    }
+    ~few_descriptors() { ::setrlimit(RLIMIT_NOFILE, &this->before); }
+    few_descriptors(const few_descriptors&) = delete;
+    few_descriptors& operator=(const few_descriptors&) = delete;
+
+private:
+    rlimit before{};
+};
+
+} // namespace
+
+TEST_CASE("connections that cannot be accepted take no processor time, and later ones are accepted")
+{
+    constexpr std::size_t client_count = 24;
+    loop on;
+    std::vector<int> accepted;
+    int failures = 0;
+    tcp_listener_handlers handlers;
+    handlers.accepted = [&](int descriptor) { accepted.push_back(descriptor); };
+    handlers.accept_failed = [&](int error) {
+        CHECK(error == EMFILE);
+        ++failures;
+    };
+    const tcp_listener listener(on, {"127.0.0.1", 0}, std::move(handlers));
+    const std::uint16_t port = listener.port();
+    std::vector<int> clients;
+    for (std::size_t count = 0; count < client_count; ++count)
+        clients.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    const sockaddr_in address = loopback_address(port);
+    const auto connect = [&](int client) {
+        static_cast<void>(
+            ::connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    };
+    {
+        const few_descriptors limit(8);
+        for (const int client : clients)
+            connect(client);
+        static_cast<void>(run_until(
+            on, [] { return false; }, 600ms));
+        CHECK(failures > 0);
+        CHECK(failures < 20);
+    }
+    for (const int descriptor : std::exchange(accepted, {}))
+        ::close(descriptor);
+    for (const int client : clients)
+        ::close(client);
+    REQUIRE(run_until(
+        on, [&] { return listener.listening(); }, 3s));
+    CHECK(listener.port() == port);
+    const raw_client caller(
+        port, [](raw_connection& connection) { static_cast<void>(connection.receive_all()); });
+    CHECK(run_until(
+        on, [&] { return !accepted.empty(); }, 3s));
+    for (const int descriptor : accepted)
+        ::close(descriptor);
+}
+
 TEST_CASE("an ended outgoing connection keeps no port from being listened on")
 {
     std::atomic<std::uint16_t> port{0};
