[http] the bounds of the server stand in a source of their own

What bounds the time and memory of clients moves to inbound_bounds.cpp, the state that both share to inbound_state.hpp; its connection is inbound_connection there. Moved, not changed; http_unittest as before.

--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -1,7 +1,6 @@
 #include "ragwortcove/http/inbound.hpp"
 
-#include "loop_state.hpp"
-#include "ragwortcove/http/byte_share.hpp"
+#include "inbound_state.hpp"
 
 #include <boost/beast/http/status.hpp>
 
@@ -15,101 +14,8 @@
 
 using std::chrono::microseconds;
 
-/// How often limits of time are looked at.
-static constexpr std::chrono::milliseconds sweep_interval{250};
 /// Reserve for a head, in bytes.
 static constexpr std::size_t usual_head_bytes = 512;
-static constexpr int status_unavailable = 503;
-
-namespace {
-
-struct connection {
-    std::uint64_t id = 0;
-    std::unique_ptr<tcp_stream> stream;
-    std::unique_ptr<request_reader> reader;
-    connection_phase phase = connection_phase::idle;
-    microseconds since{0};
-    /// When the last bytes of a request under way came, from the end of its head on.
-    microseconds body_at{0};
-    bool head_read = false;
-    /// How long the connection may lie idle since `since`, whatever the limit is later.
-    microseconds idle_time{0};
-    /// Whether the bytes that follow the last request are still to be looked at.
-    bool resuming = false;
-    inbound_request request;
-    /// Memory of the body of the request that is being read or answered.
-    byte_share held;
-    inbound_exchange exchange = 0;
-    bool keep_alive = true;
-    bool version_1_1 = true;
-    bool is_head_request = false;
-    bool head_sent = false;
-    bool chunked = false;
-    bool closes = false;
-    /// Whether the connection's state goes at the end of the turn.
-    bool dead = false;
-    /// Bytes handed to the network at the last sweep at which there were more than before.
-    std::uint64_t sent_bytes = 0;
-    microseconds sent_at{0};
-};
-
-} // namespace
-
-struct inbound_server::state {
-    loop& on;
-    inbound_limits limits;
-    /// Idle time before it was lowered, and until when callers may count on it.
-    microseconds earlier_idle_time{0};
-    microseconds earlier_until{0};
-    inbound_handlers handlers;
-    std::unique_ptr<tcp_listener> listener;
-    /// Memory of the bodies of all requests that are being read or answered.
-    std::size_t held_request_bytes = 0;
-    std::map<std::uint64_t, std::shared_ptr<connection>> connections;
-    std::map<inbound_exchange, std::uint64_t> by_exchange;
-    /// Connections that are closed once their last bytes are sent.
-    std::vector<std::shared_ptr<connection>> ending;
-    std::uint64_t last_connection = 0;
-    inbound_exchange last_exchange = 0;
-    timer_id sweep_timer = 0;
-    /// Bytes that waited for all clients when they were last counted, and those written since.
-    std::size_t counted_unsent_bytes = 0;
-    std::size_t written_since = 0;
-    bool counting_unsent = false;
-    bool draining = false;
-
-    explicit state(loop& loop) : on(loop) {}
-
-    void accept(int descriptor);
-    void received(connection& from, std::string_view bytes);
-    void ended(connection& from);
-    void check(connection& from, message_fault fault);
-    /// Counts a body that is being read, and refuses the longest one if all take too much.
-    void bound_requests(connection& from);
-    void head_came(connection& from, request_line_and_headers&& head);
-    void complete(connection& from);
-    void reject(connection& from, int status);
-    void bury(connection& from);
-    void forget_ended();
-    [[nodiscard]] static bool is_unfinished(const connection& each);
-    void report(const connection& closed, closing_reason why) const;
-    void finish(connection& of);
-    void write(connection& of, std::string_view bytes);
-    void sweep();
-    void become_idle(connection& each) const;
-    /// Whether the connection may be closed without harm to a request.
-    [[nodiscard]] static bool is_unused(const connection& each);
-    void close(connection& unused);
-    /// Takes that bytes were written; cuts clients off before too many wait.
-    void on_written(std::size_t bytes);
-    [[nodiscard]] std::vector<std::shared_ptr<connection>> find_clogged();
-    void cut_off_clogged();
-    [[nodiscard]] std::size_t unsent_bytes() const;
-    [[nodiscard]] bool is_slow(const connection& each) const;
-    [[nodiscard]] bool is_clogged(connection& each) const;
-    [[nodiscard]] connection* find(inbound_exchange exchange);
-    void send_head(connection& of, inbound_response&& head);
-};
 
 std::string_view to_string(connection_phase phase)
 {
@@ -148,10 +54,10 @@
 
 void inbound_server::state::accept(int descriptor)
 {
-    auto made = std::make_shared<connection>();
+    auto made = std::make_shared<inbound_connection>();
     made->id = ++this->last_connection;
     this->become_idle(*made);
-    connection* const raw = made.get();
+    inbound_connection* const raw = made.get();
     request_reader::handlers reading;
     reading.head = [this, raw](request_line_and_headers&& head) {
         this->head_came(*raw, std::move(head));
@@ -168,7 +74,7 @@
 }
 
 // A connection may be buried from inside its own reader, so its state outlives the turn.
-void inbound_server::state::bury(connection& from)
+void inbound_server::state::bury(inbound_connection& from)
 {
     if (from.dead)
         return;
@@ -177,7 +83,7 @@
     if (from.exchange != 0)
         this->by_exchange.erase(from.exchange);
     const auto found = this->connections.find(from.id);
-    const std::shared_ptr<connection> kept = found->second;
+    const std::shared_ptr<inbound_connection> kept = found->second;
     this->connections.erase(found);
     if (kept->stream->unsent_bytes() > 0)
         this->ending.push_back(kept);
@@ -190,13 +96,13 @@
     std::erase_if(this->ending, [](const auto& each) { return each->stream->unsent_bytes() == 0; });
 }
 
-bool inbound_server::state::is_unfinished(const connection& each)
+bool inbound_server::state::is_unfinished(const inbound_connection& each)
 {
     return each.phase != connection_phase::idle || each.resuming ||
            each.stream->unsent_bytes() > 0 || !each.stream->is_quiet();
 }
 
-void inbound_server::state::report(const connection& closed, closing_reason why) const
+void inbound_server::state::report(const inbound_connection& closed, closing_reason why) const
 {
     if (!this->handlers.closing)
         return;
@@ -209,7 +115,7 @@
     this->handlers.closing(made);
 }
 
-void inbound_server::state::received(connection& from, std::string_view bytes)
+void inbound_server::state::received(inbound_connection& from, std::string_view bytes)
 {
     if (from.dead)
         return;
@@ -222,21 +128,6 @@
     this->bound_requests(from);
 }
 
-void inbound_server::state::bound_requests(connection& from)
-{
-    if (from.dead || from.phase != connection_phase::reading)
-        return;
-    from.held.set(this->held_request_bytes, from.request.body.capacity());
-    if (this->held_request_bytes <= this->limits.max_all_request_bytes)
-        return;
-    connection* longest = &from;
-    for (const auto& [id, each] : this->connections) {
-        if (each->phase == connection_phase::reading && each->held.size() > longest->held.size())
-            longest = each.get();
-    }
-    this->reject(*longest, status_unavailable);
-}
-
 static int status_of(message_fault fault)
 {
     switch (fault) {
@@ -252,7 +143,7 @@
     return 400;
 }
 
-void inbound_server::state::check(connection& from, message_fault fault)
+void inbound_server::state::check(inbound_connection& from, message_fault fault)
 {
     if (from.dead || fault == message_fault::none)
         return;
@@ -264,7 +155,7 @@
     this->reject(from, status_of(fault));
 }
 
-void inbound_server::state::reject(connection& from, int status)
+void inbound_server::state::reject(inbound_connection& from, int status)
 {
     if (this->handlers.rejected)
         this->handlers.rejected(status);
@@ -278,7 +169,7 @@
     this->bury(from);
 }
 
-void inbound_server::state::ended(connection& from)
+void inbound_server::state::ended(inbound_connection& from)
 {
     if (from.dead)
         return;
@@ -288,7 +179,7 @@
         this->handlers.abandoned(open);
 }
 
-void inbound_server::state::head_came(connection& from, request_line_and_headers&& head)
+void inbound_server::state::head_came(inbound_connection& from, request_line_and_headers&& head)
 {
     from.keep_alive = head.keep_alive;
     from.version_1_1 = head.version_1_1;
@@ -302,7 +193,7 @@
     from.body_at = this->on.now();
 }
 
-void inbound_server::state::complete(connection& from)
+void inbound_server::state::complete(inbound_connection& from)
 {
     from.phase = connection_phase::answering;
     from.head_read = false;
@@ -314,7 +205,7 @@
     this->handlers.requested(from.exchange, std::move(from.request));
 }
 
-connection* inbound_server::state::find(inbound_exchange exchange)
+inbound_connection* inbound_server::state::find(inbound_exchange exchange)
 {
     const auto found = this->by_exchange.find(exchange);
     if (found == this->by_exchange.end())
@@ -322,7 +213,7 @@
     return this->connections.at(found->second).get();
 }
 
-void inbound_server::state::send_head(connection& of, inbound_response&& head)
+void inbound_server::state::send_head(inbound_connection& of, inbound_response&& head)
 {
     std::string text;
     text.reserve(usual_head_bytes);
@@ -346,7 +237,7 @@
     this->on_written(text.size());
 }
 
-void inbound_server::state::write(connection& of, std::string_view bytes)
+void inbound_server::state::write(inbound_connection& of, std::string_view bytes)
 {
     if (bytes.empty() || of.is_head_request)
         return;
@@ -367,7 +258,7 @@
     this->on_written(framed.size());
 }
 
-void inbound_server::state::finish(connection& of)
+void inbound_server::state::finish(inbound_connection& of)
 {
     if (of.chunked && !of.is_head_request)
         of.stream->write("0\r\n\r\n");
@@ -397,7 +288,7 @@
     });
 }
 
-void inbound_server::state::become_idle(connection& each) const
+void inbound_server::state::become_idle(inbound_connection& each) const
 {
     each.phase = connection_phase::idle;
     each.since = this->on.now();
@@ -406,118 +297,17 @@
         each.idle_time = std::max(each.idle_time, this->earlier_idle_time);
 }
 
-bool inbound_server::state::is_unused(const connection& each)
+bool inbound_server::state::is_unused(const inbound_connection& each)
 {
     return each.phase == connection_phase::idle && !each.resuming && each.stream->is_quiet();
 }
 
-void inbound_server::state::close(connection& unused)
+void inbound_server::state::close(inbound_connection& unused)
 {
     unused.stream->close_after_writes();
     this->bury(unused);
 }
 
-bool inbound_server::state::is_slow(const connection& each) const
-{
-    if (each.phase != connection_phase::reading)
-        return false;
-    const microseconds now = this->on.now();
-    const microseconds awaited_since = each.head_read ? each.body_at : each.since;
-    return now - awaited_since > this->limits.header_time ||
-           now - each.since > this->limits.request_time;
-}
-
-bool inbound_server::state::is_clogged(connection& each) const
-{
-    const std::size_t unsent = each.stream->unsent_bytes();
-    const bool progresses = each.stream->sent_bytes() != each.sent_bytes;
-    if (progresses || unsent <= this->limits.unsent_bytes) {
-        each.sent_bytes = each.stream->sent_bytes();
-        each.sent_at = this->on.now();
-    }
-    return unsent > this->limits.max_unsent_bytes ||
-           this->on.now() - each.sent_at > this->limits.clogged_time;
-}
-
-// Between two sweeps, a fast link brings more bytes than the limit. What was written since they
-// were last counted bounds from above what waits, at no cost for each connection.
-void inbound_server::state::on_written(std::size_t bytes)
-{
-    this->written_since += bytes;
-    const bool may_exceed =
-        this->counted_unsent_bytes + this->written_since > this->limits.max_all_unsent_bytes;
-    if (!may_exceed || this->counting_unsent)
-        return;
-    this->counting_unsent = true;
-    run_after_turn(this->on, [this] {
-        this->counting_unsent = false;
-        this->cut_off_clogged();
-    });
-}
-
-std::size_t inbound_server::state::unsent_bytes() const
-{
-    std::size_t unsent = 0;
-    for (const auto& each : this->ending)
-        unsent += each->stream->unsent_bytes();
-    for (const auto& [id, each] : this->connections)
-        unsent += each->stream->unsent_bytes();
-    return unsent;
-}
-
-std::vector<std::shared_ptr<connection>> inbound_server::state::find_clogged()
-{
-    std::vector<std::shared_ptr<connection>> all = this->ending;
-    for (const auto& [id, each] : this->connections)
-        all.push_back(each);
-    std::vector<std::shared_ptr<connection>> found;
-    for (const auto& each : all) {
-        if (this->is_clogged(*each))
-            found.push_back(each);
-    }
-    this->counted_unsent_bytes = this->unsent_bytes();
-    this->written_since = 0;
-    if (!found.empty() || this->counted_unsent_bytes <= this->limits.max_all_unsent_bytes)
-        return found;
-    return {*std::ranges::max_element(
-        all, {}, [](const auto& each) { return each->stream->unsent_bytes(); })};
-}
-
-void inbound_server::state::cut_off_clogged()
-{
-    for (const auto& each : this->find_clogged()) {
-        this->report(*each, closing_reason::clogged);
-        each->stream->reset();
-        this->ended(*each);
-    }
-}
-
-void inbound_server::state::sweep()
-{
-    const microseconds now = this->on.now();
-    this->forget_ended();
-    std::vector<std::shared_ptr<connection>> late;
-    for (const auto& [id, each] : this->connections) {
-        const microseconds age = now - each->since;
-        const bool slow = this->is_slow(*each);
-        const bool idle_too_long =
-            age > std::max<microseconds>(each->idle_time, this->limits.idle_time);
-        const bool unused = idle_too_long && is_unused(*each);
-        if (slow || unused)
-            late.push_back(each);
-    }
-    for (const auto& each : late) {
-        if (each->phase == connection_phase::reading) {
-            this->report(*each, closing_reason::slow_request);
-            this->reject(*each, 408);
-            continue;
-        }
-        this->close(*each);
-    }
-    this->cut_off_clogged();
-    this->sweep_timer = this->on.after(sweep_interval, [this] { this->sweep(); });
-}
-
 inbound_server::inbound_server(loop& on, const socket_address& at, const inbound_limits& limits,
                                inbound_handlers&& handlers)
     : self(std::make_unique<state>(on))
@@ -575,21 +365,21 @@
 
 void inbound_server::start_response(inbound_exchange exchange, inbound_response&& head)
 {
-    connection* const of = this->self->find(exchange);
+    inbound_connection* const of = this->self->find(exchange);
     if (of != nullptr && !of->head_sent)
         this->self->send_head(*of, std::move(head));
 }
 
 void inbound_server::write(inbound_exchange exchange, std::string_view bytes)
 {
-    connection* const of = this->self->find(exchange);
+    inbound_connection* const of = this->self->find(exchange);
     if (of != nullptr)
         this->self->write(*of, bytes);
 }
 
 void inbound_server::finish(inbound_exchange exchange)
 {
-    connection* const of = this->self->find(exchange);
+    inbound_connection* const of = this->self->find(exchange);
     if (of != nullptr)
         this->self->finish(*of);
 }
@@ -597,7 +387,7 @@
 void inbound_server::respond(inbound_exchange exchange, int status, std::vector<header> headers,
                              std::string_view body)
 {
-    connection* const of = this->self->find(exchange);
+    inbound_connection* const of = this->self->find(exchange);
     if (of == nullptr)
         return;
     inbound_response head;
@@ -611,7 +401,7 @@
 
 void inbound_server::abort(inbound_exchange exchange)
 {
-    connection* const of = this->self->find(exchange);
+    inbound_connection* const of = this->self->find(exchange);
     if (of == nullptr)
         return;
     this->self->report(*of, closing_reason::aborted);
@@ -626,7 +416,7 @@
 
 void inbound_server::close_idle()
 {
-    std::vector<std::shared_ptr<connection>> idle;
+    std::vector<std::shared_ptr<inbound_connection>> idle;
     for (const auto& [id, each] : this->self->connections) {
         if (state::is_unused(*each))
             idle.push_back(each);
@@ -657,7 +447,7 @@
 void inbound_server::close_all()
 {
     this->self->forget_ended();
-    std::vector<std::shared_ptr<connection>> open = this->self->ending;
+    std::vector<std::shared_ptr<inbound_connection>> open = this->self->ending;
     for (const auto& [id, each] : this->self->connections)
         open.push_back(each);
     for (const auto& each : open) {
