[http, gateway] callers leave descriptors for others, and idle ones make room for new ones

What callers saw: while other callers kept a node's descriptors with connections that lay idle, a new caller was not accepted, the node reached no upstream, and its readiness was not answered, until the idle limit of the configuration ended the connections (by hand on: 1,000 descriptors, 1,500 idle connections; readiness not answered within 1 s). When all callers come back at once to the first node that is ready, it is the node that gets them all.

Change: callers may hold half of the process's descriptors, each other address a 32nd. For a further connection the one is closed that has been idle for longest and has no byte unread; if all are in use the new one is refused, and counted. Idle connections may be closed at any time; a request that crosses the close has not been read.

Before: inbound_test does not build (no such bound). After: passed. By hand as above: all 1,500 are accepted, readiness answers.

--- a/include/ragwortcove/daemon/process_support.hpp
+++ b/include/ragwortcove/daemon/process_support.hpp
@@ -4,6 +4,7 @@
 
 #include "ragwortcove/core/types.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,8 @@
 };
 
 void log_unavailable(const unavailable_address& address);
+/// Number of descriptors that this process may have open.
+[[nodiscard]] std::size_t descriptor_limit();
 /// Keeps the signals that a daemon handles until they are read. They end a process that has not
 /// done so, and threads that start before leave them to no loop.
 void block_signals();
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -163,6 +163,9 @@
     bool has_been_ready = false;
 };
 
+/// Number of callers' connections that a gateway holds.
+[[nodiscard]] std::size_t max_caller_connections();
+
 /// Runs a gateway until a graceful shutdown is complete; returns the process's exit code.
 [[nodiscard]] int run_gateway(const std::string& settings_path, const gateway_settings& settings);
 
--- a/include/ragwortcove/http/inbound.hpp
+++ b/include/ragwortcove/http/inbound.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,9 @@
     /// Memory of the bodies of all requests that are being read or answered; over it the longest
     /// that is being read is refused.
     std::size_t max_all_request_bytes = 32U << 20U;
+    /// Connections that are held; for a further one the one is closed that has been idle for
+    /// longest.
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 };
 
 struct inbound_request {
@@ -98,7 +102,8 @@
     std::function<void(int status)> rejected;
     /// This end closes a connection other than at the end of its use; comes before `abandoned`.
     std::function<void(const connection_closing&)> closing;
-    /// Clients wait whose connections cannot be accepted; `error` is the system's error number.
+    /// A client's connection is refused, since there is no room or the system cannot accept it;
+    /// `error` is the system's error number.
     std::function<void(int error)> accept_failed;
 };
 
--- a/lib/daemon/process_support.cpp
+++ b/lib/daemon/process_support.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <exception>
 #include <random>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <system_error>
 
@@ -38,6 +39,14 @@
                {"error", address.error == 0 ? "unknown" : describe_error(address.error)}});
 }
 
+std::size_t descriptor_limit()
+{
+    rlimit limit{};
+    // The call fails for unknown resources only.
+    static_cast<void>(getrlimit(RLIMIT_NOFILE, &limit));
+    return limit.rlim_cur;
+}
+
 static sigset_t handled_signals()
 {
     sigset_t handled;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -36,6 +36,16 @@
 /// Interval at which a node that is not ready after its start says what it waits for.
 static constexpr core::duration delay_report_period = 2s;
 
+/// Share of the process's descriptors for connections of callers, and at each of the other
+/// addresses; the rest is for connections to upstreams, the store and other nodes.
+static constexpr std::size_t descriptors_per_caller_connection = 2;
+static constexpr std::size_t descriptors_per_other_connection = 32;
+
+std::size_t max_caller_connections()
+{
+    return daemon::descriptor_limit() / descriptors_per_caller_connection;
+}
+
 static void log_unreadable_era(std::string_view text)
 {
     daemon::write_log(log_event::store_era_invalid, {{"era", text}, {"era_in_force", ""}});
@@ -65,9 +75,11 @@
         this->calls->on_connection_closing(closing);
     };
     caller_handlers.accept_failed = [this](int error) { this->on_accept_failed("callers", error); };
-    const http::inbound_limits limits = make_limits({});
     this->caller_server = std::make_unique<http::inbound_server>(
-        loop, to_socket_address(given.callers), limits, std::move(caller_handlers));
+        loop, to_socket_address(given.callers), make_limits({}, max_caller_connections()),
+        std::move(caller_handlers));
+    const http::inbound_limits limits =
+        make_limits({}, daemon::descriptor_limit() / descriptors_per_other_connection);
     const auto serve = [&](std::string_view key, const core::endpoint& address,
                            std::unique_ptr<http::inbound_server>& server, auto respond) {
         http::inbound_handlers handlers;
--- a/lib/gateway/gateway_documents.cpp
+++ b/lib/gateway/gateway_documents.cpp
@@ -253,7 +253,8 @@
                            {"routes", std::to_string(this->rules->rules().routes.size())},
                            {"teams", std::to_string(this->rules->rules().teams.size())},
                            {"keys", std::to_string(this->rules->key_count())}});
-        this->caller_server->set_limits(make_limits(this->rules->rules().limits));
+        this->caller_server->set_limits(
+            make_limits(this->rules->rules().limits, max_caller_connections()));
         this->placement->set_rules(this->rules);
     }
 }
--- a/lib/gateway/http_values.hpp
+++ b/lib/gateway/http_values.hpp
@@ -21,9 +21,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
 }
 
-[[nodiscard]] inline http::inbound_limits make_limits(const core::caller_limits& from)
+[[nodiscard]] inline http::inbound_limits make_limits(const core::caller_limits& from,
+                                                      std::size_t max_connections)
 {
     http::inbound_limits result;
+    result.max_connections = max_connections;
     result.message.header_bytes = from.header_bytes;
     result.message.body_bytes = from.body_bytes;
     result.header_time = to_millis(from.header_time);
--- a/lib/http/inbound.cpp
+++ b/lib/http/inbound.cpp
@@ -6,8 +6,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <map>
+#include <unistd.h>
 #include <utility>
 
 namespace ragwortcove::http {
@@ -54,6 +56,13 @@
 
 void inbound_server::state::accept(int descriptor)
 {
+    const bool is_full = this->connections.size() >= this->limits.max_connections;
+    if (is_full && !this->make_room()) {
+        ::close(descriptor);
+        if (this->handlers.accept_failed)
+            this->handlers.accept_failed(EMFILE);
+        return;
+    }
     auto made = std::make_shared<inbound_connection>();
     made->id = ++this->last_connection;
     this->become_idle(*made);
--- a/lib/http/inbound_bounds.cpp
+++ b/lib/http/inbound_bounds.cpp
@@ -12,6 +12,19 @@
 static constexpr std::chrono::milliseconds sweep_interval{250};
 static constexpr int status_unavailable = 503;
 
+bool inbound_server::state::make_room()
+{
+    std::shared_ptr<inbound_connection> longest;
+    for (const auto& [id, each] : this->connections) {
+        const bool is_longer = !longest || each->since < longest->since;
+        if (is_longer && is_unused(*each))
+            longest = each;
+    }
+    if (longest)
+        this->close(*longest);
+    return longest != nullptr;
+}
+
 void inbound_server::state::bound_requests(inbound_connection& from)
 {
     if (from.dead || from.phase != connection_phase::reading)
--- a/lib/http/inbound_state.hpp
+++ b/lib/http/inbound_state.hpp
@@ -69,6 +69,8 @@
     explicit state(loop& loop) : on(loop) {}
 
     void accept(int descriptor);
+    /// Closes the connection that has been idle for longest; returns whether there was one.
+    bool make_room();
     void received(inbound_connection& from, std::string_view bytes);
     void ended(inbound_connection& from);
     void check(inbound_connection& from, message_fault fault);
--- a/unittests/http/inbound_test.cpp
+++ b/unittests/http/inbound_test.cpp
@@ -3,7 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace ragwortcove::http::test {
@@ -18,6 +22,7 @@
     std::vector<inbound_exchange> abandoned;
     std::vector<int> rejected;
     std::vector<connection_closing> closings;
+    std::vector<int> accept_failures;
     std::unique_ptr<inbound_server> server;
 
     explicit listening_server(const inbound_limits& limits = {})
@@ -35,6 +40,7 @@
             this->abandoned.push_back(exchange);
         };
         handlers.rejected = [this](int status) { this->rejected.push_back(status); };
+        handlers.accept_failed = [this](int error) { this->accept_failures.push_back(error); };
         handlers.closing = [this](const connection_closing& closing) {
             this->closings.push_back(closing);
         };
@@ -58,6 +64,63 @@
 
 } // namespace
 
+// Guards against callers that keep all descriptors of a process, so that it takes no new caller and
+// reaches no upstream.
+TEST_CASE("a server that holds as many connections as it may")
+{
+    constexpr std::size_t max_connections = 2;
+    inbound_limits limits;
+    limits.max_connections = max_connections;
+    listening_server serving(limits);
+    std::atomic<bool> is_over{false};
+    std::atomic<int> answered{0};
+    std::atomic<int> ended{0};
+    const auto hold = [&](const std::string& target) {
+        return std::make_unique<raw_client>(
+            serving.server->port(), [&, target](raw_connection& connection) {
+                connection.send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+                answered += connection.receive_until("\r\n\r\n").empty() ? 0 : 1;
+                ended += connection.ends_in_order() && !is_over ? 1 : 0;
+            });
+    };
+    std::vector<std::unique_ptr<raw_client>> held;
+    const auto add = [&](const std::string& target) {
+        const std::size_t requests = serving.requests.size();
+        held.push_back(hold(target));
+        REQUIRE(run_until(serving.on, [&] { return serving.requests.size() > requests; }));
+    };
+
+    SUBCASE("closes the one that has been idle for longest, for a new one")
+    {
+        add("/1");
+        add("/2");
+        CHECK(serving.ask("GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                  .starts_with("HTTP/1.1 200"));
+        CHECK(run_until(
+            serving.on, [&] { return ended == 1; }, std::chrono::seconds(2)));
+        CHECK(held[0]->done());
+        CHECK_FALSE(held[1]->done());
+        CHECK(serving.closings.empty());
+    }
+    SUBCASE("refuses a new one while all are in use")
+    {
+        add("/wait/1");
+        add("/wait/2");
+        CHECK(serving.ask("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n").empty());
+        CHECK(serving.requests.size() == max_connections);
+        CHECK(serving.accept_failures == std::vector<int>{EMFILE});
+        for (const inbound_exchange exchange : serving.waiting)
+            serving.server->respond(exchange, 200, {}, "");
+        CHECK(run_until(
+            serving.on, [&] { return answered == 2; }, std::chrono::seconds(2)));
+    }
+    is_over = true;
+    serving.server->close_all();
+    CHECK(run_until(serving.on, [&] {
+        return std::all_of(held.begin(), held.end(), [](const auto& each) { return each->done(); });
+    }));
+}
+
 TEST_CASE("a server takes requests as callers may send them")
 {
     SUBCASE("every header comes through in its own case, known to any library or not")
