[core, adapter] a node of the own interface reads its first configuration also from a platform that answers late

What callers saw: a node that starts alone beside a platform that takes 2 s for each answer was never ready (not within 15 s; by hand and in start_test.py).

The list of all objects was given up after 2 s and asked for anew, and the response to the one before was dropped.

Change: the configuration feed asks for another list after 2 s, as before, and keeps the late one; the first response of any is taken.

--- a/include/ragwortcove/core/configuration_feed.hpp
+++ b/include/ragwortcove/core/configuration_feed.hpp
@@ -10,6 +10,7 @@
 #include "ragwortcove/core/platform_caller.hpp"
 
 #include <optional>
+#include <set>
 
 namespace ragwortcove::core {
 
@@ -44,6 +45,9 @@
     void announce_applied(step_context& context);
     void choose_role(step_context& context);
     void start_list(step_context& context);
+    void on_list_failed(step_context& context);
+    /// Asks for another list when the one that is open is late.
+    void check_list(step_context& context);
 
     configuration& config;
     membership& peers;
@@ -51,6 +55,9 @@
     bool reading = false;
     bool watching = false;
     std::optional<call_id> list_call;
+    time_point list_late_at;
+    /// Earlier lists without a response, for which others have been asked for.
+    std::set<call_id> late_lists;
     time_point next_list_at;
     std::uint32_t list_failures = 0;
     /// Until when a request to a peer is awaited; after that another peer may be asked.
--- a/lib/core/configuration_feed.cpp
+++ b/lib/core/configuration_feed.cpp
@@ -16,6 +16,8 @@
 static constexpr std::size_t push_fanout = 3;
 /// How long a peer may take to respond to a request for changes.
 static constexpr duration request_timeout = 500ms;
+/// Time within which a sound platform answers.
+static constexpr duration list_response_time = 2s;
 static constexpr duration list_retry_base = 250ms;
 static constexpr duration list_retry_max = 5s;
 /// Time between two checks of whether this node should read the platform.
@@ -53,25 +55,37 @@
 void configuration_feed::start_list(step_context& context)
 {
     this->list_call = this->calls.call(call_purpose::configuration, platform_list{}, context);
+    this->list_late_at = context.now + list_response_time;
+}
+
+void configuration_feed::on_list_failed(step_context& context)
+{
+    if (this->list_failures == 0)
+        context.log(decision_kind::platform_lost, {}, "configuration");
+    // Full jitter, so that the nodes do not all retry at once when the platform has recovered.
+    this->next_list_at =
+        context.now + list_retry_base / 2 +
+        full_jitter(context.random, list_retry_base, this->list_failures, list_retry_max);
+    ++this->list_failures;
 }
 
 bool configuration_feed::on_listed(call_id call, const platform_result& result,
                                    step_context& context)
 {
-    if (!this->list_call || *this->list_call != call)
+    const bool is_late = this->late_lists.erase(call) > 0;
+    if (!is_late && this->list_call != call)
         return false;
-    this->list_call.reset();
+    if (!is_late)
+        this->list_call.reset();
     const platform_listed* found = std::get_if<platform_listed>(&result);
     if (found == nullptr) {
-        // Full jitter, so that the nodes do not all retry at once when the platform has recovered.
-        if (this->list_failures == 0)
-            context.log(decision_kind::platform_lost, {}, "configuration");
-        this->next_list_at =
-            context.now + list_retry_base / 2 +
-            full_jitter(context.random, list_retry_base, this->list_failures, list_retry_max);
-        ++this->list_failures;
+        if (!is_late)
+            this->on_list_failed(context);
         return false;
     }
+    // The other lists that are open have no use any more.
+    this->list_call.reset();
+    this->late_lists.clear();
     if (this->list_failures > 0)
         context.log(decision_kind::platform_regained, {}, "configuration");
     this->list_failures = 0;
@@ -203,8 +217,20 @@
     this->next_list_at = context.now;
 }
 
+// A platform may be slower than it should be. Whoever gives a call up each time and makes it anew
+// never gets a response, so a late one stays open.
+void configuration_feed::check_list(step_context& context)
+{
+    if (!this->list_call || context.now < this->list_late_at)
+        return;
+    this->late_lists.insert(*this->list_call);
+    this->list_call.reset();
+    this->on_list_failed(context);
+}
+
 void configuration_feed::tick(step_context& context)
 {
+    this->check_list(context);
     if (this->next_role_check_at <= context.now) {
         this->next_role_check_at = context.now + role_check_period;
         this->choose_role(context);
@@ -219,6 +245,8 @@
     time_point next = this->next_role_check_at;
     if (this->reading && !this->watching && !this->list_call)
         next = std::min(next, this->next_list_at);
+    if (this->list_call)
+        next = std::min(next, this->list_late_at);
     return next;
 }
 
--- a/test/soak/start_test.py
+++ b/test/soak/start_test.py
@@ -85,8 +85,8 @@
         self.process.wait()
 
 
-class Gateway(unittest.TestCase):
-    """With the settings that the deployment's template gives."""
+class StoreCase(unittest.TestCase):
+    """Tests with a stand-in store that all of them share."""
 
     @classmethod
     def setUpClass(cls):
@@ -102,6 +102,16 @@
         cls.store.kill()
         cls.store.wait()
 
+    def slow_the_store_down(self):
+        """From now on it answers after two seconds."""
+        store = upstreams.Store((IP, self.store_port))
+        asyncio.run(store.fault(kind="slow", factor=500))
+        self.addCleanup(lambda: asyncio.run(store.fault(kind="none")))
+
+
+class Gateway(StoreCase):
+    """With the settings that the deployment's template gives."""
+
     def setUp(self):
         self.ports = {name: fleet.free_port() for name in ("front", "ready", "control", "directory")}
 
@@ -128,9 +138,7 @@
         self.assertIn("name=listen_failed key=metrics", daemon.log())
 
     def test_it_starts_although_the_store_answers_after_two_seconds(self):
-        store = upstreams.Store((IP, self.store_port))
-        asyncio.run(store.fault(kind="slow", factor=500))
-        self.addCleanup(lambda: asyncio.run(store.fault(kind="none")))
+        self.slow_the_store_down()
         daemon = self.start()
         self.assertTrue(wait_until(self.is_ready, START_LIMIT_S + 2.0), daemon.log())
 
@@ -173,34 +181,43 @@
                 daemon.end()
 
 
-class OwnInterface(unittest.TestCase):
-    """The daemon of the product's own interface, with the store in its own memory."""
+class OwnInterface(StoreCase):
+    """The daemon of the product's own interface."""
+
+    def setUp(self):
+        self.callers, self.own_store, self.peers = (fleet.free_port() for _ in range(3))
+
+    def start(self, mode, store_port):
+        return Daemon(self, f"[node]\nname = n\nregion = r\nfailure_domain = a\n"
+                            f"callers = {IP}:{self.callers}\npeers = {IP}:{self.peers}\n\n"
+                            f"[platform]\nmode = {mode}\naddress = {IP}:{store_port}\n")
 
     def test_it_waits_for_an_address_that_another_process_holds(self):
-        callers, store, peers = (fleet.free_port() for _ in range(3))
-        settings = (f"[node]\nname = n\nregion = r\nfailure_domain = a\ncallers = {IP}:{callers}\n"
-                    f"peers = {IP}:{peers}\n\n[platform]\nmode = embedded\naddress = {IP}:{store}\n")
-        for port in (callers, peers, store):
+        for port in (self.callers, self.peers, self.own_store):
             holder = hold(socket.SOCK_STREAM, port)
-            daemon = Daemon(self, settings)
+            daemon = self.start("embedded", self.own_store)
             time.sleep(HELD_S)
             self.assertTrue(daemon.runs(), daemon.log())
             holder.close()
-            is_served = wait_until(lambda: answers(store, "/healthz") and answers(callers, "/healthz"),
-                                   START_LIMIT_S)
+            is_served = wait_until(lambda: answers(self.own_store, "/healthz") and
+                                   answers(self.callers, "/healthz"), START_LIMIT_S)
             self.assertTrue(is_served, daemon.log())
             daemon.end()
 
     def test_a_stop_ends_the_wait(self):
-        callers, store, peers = (fleet.free_port() for _ in range(3))
-        holder = hold(socket.SOCK_STREAM, callers)
+        holder = hold(socket.SOCK_STREAM, self.callers)
         self.addCleanup(holder.close)
-        daemon = Daemon(self, f"[node]\nname = n\nregion = r\nfailure_domain = a\ncallers = {IP}:{callers}\n"
-                              f"peers = {IP}:{peers}\n\n[platform]\nmode = embedded\naddress = {IP}:{store}\n")
+        daemon = self.start("embedded", self.own_store)
         time.sleep(HELD_S)
         daemon.process.terminate()
         self.assertEqual(daemon.process.wait(START_LIMIT_S), 0, daemon.log())
 
+    def test_it_starts_although_the_platform_answers_after_two_seconds(self):
+        self.slow_the_store_down()
+        daemon = self.start("http", self.store_port)
+        self.assertTrue(wait_until(lambda: answers(self.callers, "/readyz"), START_LIMIT_S + 2.0),
+                        daemon.log())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/unittests/core/node_test.cpp
+++ b/unittests/core/node_test.cpp
@@ -329,6 +329,55 @@
     }
 }
 
+// Guards against a node that gives up each list just before its response, and never serves.
+TEST_CASE("a node takes its configuration from a platform that answers late")
+{
+    node under_test{single_node::make_settings(), 1};
+    std::vector<call_id> lists;
+    const auto step = [&](const event& happened, duration when) {
+        effect_list effects;
+        under_test.step(happened, at(when), effects);
+        for (const effect& each : effects) {
+            const auto* made = std::get_if<call_platform>(&each);
+            if (made != nullptr && std::holds_alternative<platform_list>(made->request))
+                lists.push_back(made->call);
+        }
+    };
+    const auto answer = [&](std::size_t number, revision newest, duration when) {
+        const feed_snapshot known = example_configuration();
+        step(platform_answered{lists[number], platform_listed{known.store, newest, known.objects}},
+             when);
+    };
+    const auto run = [&](duration from, duration until) {
+        for (duration when = from; when < until; when += 100ms)
+            step(tick{}, when);
+    };
+    step(wall_clock_read{unix_millis{1'000'000}}, 0ms);
+    run(0ms, 3s);
+    REQUIRE(lists.size() == 2);
+
+    SUBCASE("the response to the first call")
+    {
+        answer(0, revision{7}, 3s);
+        CHECK(under_test.status(at(3s)).configuration == revision{7});
+        SUBCASE("and nothing of the later one, which is older by then")
+        {
+            step(platform_answered{lists[1], platform_unreachable{}}, 3100ms);
+            run(3200ms, 9s);
+            CHECK(lists.size() == 2);
+            CHECK(under_test.status(at(9s)).configuration == revision{7});
+        }
+    }
+    SUBCASE("or to the second one, and the failure of the first one changes nothing")
+    {
+        step(platform_answered{lists[0], platform_unreachable{}}, 3s);
+        answer(1, revision{7}, 3100ms);
+        CHECK(under_test.status(at(3100ms)).configuration == revision{7});
+        run(3200ms, 9s);
+        CHECK(lists.size() == 2);
+    }
+}
+
 TEST_CASE("a watch that skips changes is reopened at the revision in effect")
 {
     single_node single;
