--- a/test/soak/check_test.py
+++ b/test/soak/check_test.py
@@ -4,9 +4,12 @@
 import unittest
 
 import callers
+import crowd
+import recovery
 import rollouts
 import upstreams
 import versions
+import vms
 
 CHARGE, READ, DRAFT, CHAT, EXPORT = callers.ASSURED
 
@@ -68,6 +71,33 @@
         self.assertEqual(self.broken(probe(5, 10.0, True), probe(5, 10.5, False, run=2)), [])
 
 
+class Recovery(unittest.TestCase):
+    """All VMs are back at 100 s; a request is sent every 0.1 s."""
+
+    def sent(self, served):
+        return [crowd.Sent("read", 90.0 + number / 10, served(90.0 + number / 10)) for number in range(400)]
+
+    def test_service_that_is_back(self):
+        sent = self.sent(lambda at: at < 99.0 or at > 103.0)
+        self.assertAlmostEqual(recovery.back_after(sent, 100.0), 3.1, delta=0.2)
+        self.assertEqual(recovery.served_share(sent, 112.0), 1.0)
+
+    def test_service_that_is_not_back(self):
+        sent = self.sent(lambda at: at < 99.0)
+        self.assertIsNone(recovery.back_after(sent, 100.0))
+        self.assertEqual(recovery.served_share(sent, 112.0), 0.0)
+
+    def test_less_than_a_quarter_is_broken(self):
+        self.assertEqual(recovery.check_recovery(0.98, 0.25), [])
+        self.assertTrue(recovery.check_recovery(0.98, 0.24))
+
+    def test_a_play_that_served_nothing_before_proves_nothing(self):
+        self.assertTrue(recovery.check_recovery(0.1, 0.9))
+
+    def test_the_template_is_filled_in(self):
+        self.assertEqual(vms.render("a = {{b.c}}\nd = {{e}}", {"b.c": 1}), "a = 1\nd = ")
+
+
 class Checks(unittest.TestCase):
     def broken(self, seen, runs):
         return callers.check([seen], runs)
--- a/test/soak/estate.py
+++ b/test/soak/estate.py
@@ -1,6 +1,7 @@
 """Upstreams with slots, queues and bounded connections, which keep what they had from VMs that lost power."""
 
 import asyncio
+import contextlib
 import time
 
 import wire
@@ -63,6 +64,11 @@
                 "seq": count, "born": self.starts}
 
     async def serve(self, reader, writer):
+        # The end of the play cancels what still runs.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.serve_connection(reader, writer)
+
+    async def serve_connection(self, reader, writer):
         if self.connections >= self.max_connections:
             self.refused["connections"] += 1
             writer.transport.abort()
@@ -134,12 +140,14 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, most // TOKENS_OF_EVENT + 1):
             event = f"id: {number}\ndata: event {number} {'.' * 30}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             # A run whose connection has closed ends, unless nothing of that has arrived.
-            if writer.transport.is_closing() and not self.power.is_off:
+            if not writer.transport.is_closing():
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            elif not self.power.is_off:
                 return False
             await asyncio.sleep(self.pace * STEP_S * TOKENS_OF_EVENT)
-        writer.write(b"0\r\n\r\n")
+        if not writer.transport.is_closing():
+            writer.write(b"0\r\n\r\n")
         return True
 
 
--- a/test/soak/vms.py
+++ b/test/soak/vms.py
@@ -8,7 +8,6 @@
 import time
 from pathlib import Path
 
-import fleet
 import lounge
 
 TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "gateway.ini"
@@ -44,6 +43,7 @@
         self.settings_path = Path(work) / f"{self.name}.ini"
         self.log_path = Path(work) / f"{self.name}.log"
         self.child = None
+        self.launched = 0.0
         self.runs = False
         self.supervisor = None
         # Times at which the process has ended by itself.
@@ -72,6 +72,7 @@
             self.child = await asyncio.create_subprocess_exec(
                 self.program, "--config", str(self.settings_path), stdout=log, stderr=log,
                 preexec_fn=set_limits)
+        self.launched = time.monotonic()
 
     async def supervise(self):
         while True:
