--- a/test/soak/recovery.py
+++ b/test/soak/recovery.py
@@ -11,6 +11,8 @@
 import estate
 import fleet
 import lounge
+import odd_names
+import paged_store
 import upstreams
 import vms
 import wire
@@ -89,6 +91,8 @@
         self.store_process, store_port = await fleet.start_store(self.options.build, self.work)
         self.store_port = store_port
         self.store = upstreams.Store(("127.0.0.1", store_port))
+        self.front = paged_store.PagedStore(store_port, self.options.page_entries, self.options.page_bytes)
+        vms_store_port = await self.front.start()
         self.version = 1
         await self.store.put("config", "main", lounge.make_rules(self.version))
         self.upstreams = []
@@ -108,7 +112,7 @@
                     for domain in range(len(lounge.DOMAINS)) for number in range(lounge.VMS_OF_DOMAIN)]
         seeds = [vm.address("control") for vm in self.vms[::lounge.VMS_OF_DOMAIN]]
         for vm in self.vms:
-            vm.prepare(seeds, f"127.0.0.1:{store_port}", self.options.template)
+            vm.prepare(seeds, f"127.0.0.1:{vms_store_port}", self.options.template)
         await asyncio.gather(*(self.start_late(vm.start) for vm in self.vms))
         if self.options.share:
             self.tasks += [asyncio.create_task(vm.keep_quota(self.options.share)) for vm in self.vms]
@@ -193,6 +197,10 @@
 
     async def strike(self, number):
         """One more change is acknowledged, and all VMs go away at once."""
+        if number == 0:
+            for kind in self.options.odd_names:
+                await odd_names.write_entries(self.store, kind, odd_names.SETS[self.options.odd_set], self.options.odd_bytes)
+            self.note(f"odd names written to {', '.join(self.options.odd_names) or 'no kind'}")
         self.version += 1
         await self.store.put("config", "main", lounge.make_rules(self.version))
         loses_power = self.options.fault == "power"
@@ -272,6 +280,8 @@
         for vm in self.vms:
             for at, code in vm.own_ends:
                 self.broken.append(f"FAULT: {vm.name} ended by itself with {code} at {at - self.began:.2f} s")
+            if vm.most_memory_mb > lounge.MEMORY_MB:
+                self.broken.append(f"FAULT: {vm.name} takes {vm.most_memory_mb} MB, {lounge.MEMORY_MB} allowed")
         back = back_after(self.sent, self.returned)
         self.summary = (f"served {before:.2f} before, {after:.2f} later than {lounge.RECOVER_S:.0f} s after; back "
                         f"after {'never' if back is None else f'{back:.1f} s'}; "
@@ -293,6 +303,7 @@
         for each in self.upstreams:
             for why, count in each.refused.items():
                 refused[each.service, why] = refused.get((each.service, why), 0) + count
+        yield f"pages of lists: {dict(self.front.pages)}; calls that are none: {self.front.refused[:3]}"
         yield f"upstreams refused {refused}, held {sum(each.ghosts for each in self.upstreams)} lost connections"
 
     async def end(self):
@@ -301,6 +312,7 @@
         self.net_holder.close()
         for task in self.tasks:
             task.cancel()
+        self.front.close()
         await self.store_process.kill()
         for each in getattr(self, "upstreams", []):
             each.close()
