[adapter, gateway] a node that waits for a list says how far the list has come

The logs could not tell a list that never ends from one that is refused: a node that is not ready said that it awaits `upstreams`, and nothing else. `start_delayed` now has `lists`, with the pages, the documents and the name that each list has reached, and the counter `store_list_pages` counts pages that another one follows.

--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -33,6 +33,8 @@
     std::function<void()> era_began;
     /// Sends changes that this node has read from the store to the other nodes.
     std::function<void(const document_delta&)> announce;
+    /// A page of a list that another one follows has been read; may be empty.
+    std::function<void(adapter::document_kind)> page_read;
 };
 
 /// Documents in force are only replaced by newer ones, as `document_set` tells.
@@ -75,6 +77,8 @@
     [[nodiscard]] bool is_complete() const;
     /// Kinds that have not been read yet.
     [[nodiscard]] std::vector<adapter::document_kind> missing_kinds() const;
+    /// How far the latest list of a kind has come; zero pages when it needs but one.
+    [[nodiscard]] const adapter::list_progress& list_progress_of(adapter::document_kind kind) const;
     /// Whether the last call to the store succeeded for every kind.
     [[nodiscard]] bool is_store_available() const;
 
@@ -112,6 +116,8 @@
         /// Whether a watch or list is open, or a pause before the next one runs.
         bool polling = false;
         list_calls lists;
+        /// Of the latest list.
+        adapter::list_progress progress;
         adapter::store_call_number watch_call = 0;
         /// When the latest watch was opened, on the loop's clock.
         core::duration watch_opened_at{0};
@@ -131,6 +137,8 @@
     /// Asks for all documents of a kind. While the response is late, it is asked for again, and the
     /// first response is taken.
     void list_store(kind_state& state);
+    /// Handles that a page of a list has been read that another one follows.
+    void on_page(kind_state& state, std::uint64_t number, const adapter::list_progress& progress);
     void on_list(kind_state& state, std::uint64_t number, const adapter::document_list& all,
                  core::duration sent_at);
     /// Handles that a list has failed, or is late.
--- a/include/ragwortcove/gateway/gateway.hpp
+++ b/include/ragwortcove/gateway/gateway.hpp
@@ -118,6 +118,8 @@
     void refresh_readiness();
     /// What this node needs before it is ready, and does not have yet.
     [[nodiscard]] std::string awaited() const;
+    /// How far lists have come whose documents this node lacks, one after the other.
+    [[nodiscard]] std::string open_lists() const;
     /// Logs what this node waits for while it has not been ready.
     void report_delayed_start();
     [[nodiscard]] std::string render_metrics() const;
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -67,7 +67,8 @@
                     "see `error`; with too many open files, look for callers that keep many "
                     "connections, or raise the process's limit of descriptors"},
     log_event_entry{log_event::start_delayed, "start_delayed", log_level::warning,
-                    "this node has not been ready since its start; `awaits` is what it lacks",
+                    "this node has not been ready since its start; `awaits` is what it lacks, "
+                    "`lists` how far the lists of the store have come that have several pages",
                     "for documents see `platform_lost`; the node goes on trying"},
     log_event_entry{log_event::process_failed, "process_failed", log_level::error,
                     "the process ends because of an error that nothing handles",
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -96,6 +96,7 @@
     state.polling = true;
     const std::uint64_t number = ++state.lists.latest;
     const core::duration sent_at = this->event_loop.now();
+    state.progress = {};
     this->store.list(
         state.kind,
         [this, &state, number, sent_at](const adapter::document_list* all,
@@ -105,7 +106,10 @@
             else
                 this->on_no_list(state, number, error, sent_at);
         },
-        max_list_wait);
+        max_list_wait,
+        [this, &state, number](const adapter::list_progress& progress) {
+            this->on_page(state, number, progress);
+        });
     this->event_loop.after(list_response_time, [this, &state, number, sent_at] {
         adapter::store_error late;
         late.is_silent = true;
@@ -113,6 +117,15 @@
     });
 }
 
+void document_feed::on_page(kind_state& state, std::uint64_t number,
+                            const adapter::list_progress& progress)
+{
+    if (this->handlers.page_read)
+        this->handlers.page_read(state.kind);
+    if (number == state.lists.latest)
+        state.progress = progress;
+}
+
 void document_feed::on_list(kind_state& state, std::uint64_t number,
                             const adapter::document_list& all, core::duration sent_at)
 {
@@ -531,6 +544,11 @@
     return missing;
 }
 
+const adapter::list_progress& document_feed::list_progress_of(adapter::document_kind kind) const
+{
+    return this->state_of(kind).progress;
+}
+
 bool document_feed::is_healthy_reader() const
 {
     return this->reading && this->is_complete() && this->is_store_available();
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -177,6 +177,9 @@
     feed_handlers.outage_observed = [this](bool) { this->delay_removals(); };
     feed_handlers.era_began = [this] { this->delay_removals(); };
     feed_handlers.announce = [this](const document_delta& delta) { this->announce(delta); };
+    feed_handlers.page_read = [this](adapter::document_kind kind) {
+        this->metrics.count("store_list_pages", "documents", to_text(kind));
+    };
     this->feed =
         std::make_unique<document_feed>(loop, this->store, run.value, std::move(feed_handlers));
     this->started_at = this->now();
@@ -281,14 +284,29 @@
     return text;
 }
 
+std::string gateway::open_lists() const
+{
+    std::string text;
+    for (const adapter::document_kind kind : this->feed->missing_kinds()) {
+        const adapter::list_progress& progress = this->feed->list_progress_of(kind);
+        if (progress.pages == 0)
+            continue;
+        text += text.empty() ? "" : "; ";
+        text += std::string(to_text(kind)) + ": " + std::to_string(progress.pages) + " pages, " +
+                std::to_string(progress.documents) + " documents, up to " + progress.after;
+    }
+    return text;
+}
+
 void gateway::report_delayed_start()
 {
     const core::time_point at = this->now();
     if (this->has_been_ready || this->draining || at < this->next_delay_report_at)
         return;
     this->next_delay_report_at = at + delay_report_period;
-    daemon::write_log(log_event::start_delayed,
-                      {{"awaits", this->awaited()}, {"for_ms", to_ms_text(at - this->started_at)}});
+    daemon::write_log(log_event::start_delayed, {{"awaits", this->awaited()},
+                                                 {"lists", this->open_lists()},
+                                                 {"for_ms", to_ms_text(at - this->started_at)}});
 }
 
 void gateway::tick()
--- /dev/null
+++ b/unittests/adapter/list_reader_test.cpp
@@ -0,0 +1,58 @@
+#include "platform/list_reader.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <utility>
+
+namespace ragwortcove::adapter {
+
+static constexpr core::store_era era{1};
+
+static document_page page(std::uint64_t at, std::vector<std::string> names,
+                          std::optional<std::string> next_page_after)
+{
+    document_page result;
+    result.part.at = core::revision{at};
+    for (std::string& name : names) {
+        store_document& added = result.part.documents.emplace_back();
+        added.name = std::move(name);
+        added.at = core::revision{at};
+    }
+    result.next_page_after = std::move(next_page_after);
+    return result;
+}
+
+TEST_CASE("the pages of a list are joined")
+{
+    list_reader reader;
+
+    SUBCASE("one page is the list")
+    {
+        const list_step step = reader.add(page(7, {"a"}, std::nullopt), era);
+        CHECK(std::holds_alternative<list_complete>(step));
+        CHECK(reader.list().documents.size() == 1);
+        CHECK(reader.list().at == core::revision{7});
+        CHECK(reader.list().era == era);
+    }
+    SUBCASE("several have the revision of the first, and tell how far they have come")
+    {
+        list_step step = reader.add(page(7, {"a", "b"}, "b"), era);
+        REQUIRE(std::holds_alternative<list_continues>(step));
+        CHECK(reader.progress().pages == 1);
+        CHECK(reader.progress().documents == 2);
+        CHECK(reader.progress().after == "b");
+        step = reader.add(page(9, {"c"}, std::nullopt), era);
+        CHECK(std::holds_alternative<list_complete>(step));
+        CHECK(reader.list().documents.size() == 3);
+        CHECK(reader.list().at == core::revision{7});
+    }
+    SUBCASE("those of two eras are no list")
+    {
+        static_cast<void>(reader.add(page(7, {"a"}, "a"), era));
+        const list_step step = reader.add(page(3, {"b"}, std::nullopt), core::store_era{2});
+        CHECK(std::holds_alternative<list_era_changed>(step));
+    }
+}
+
+} // namespace ragwortcove::adapter
