[http, adapter, standin] a name of any bytes is escaped in the target of a call

Callers saw 503 from every node, for ever, after all VMs had been killed and started: no node was ready again. A list is read in pages, and the next page is asked for by the name at which the last one ended. That name went into the query as it is. `after=a00%20` asks for what follows `a00 `, an earlier name, so the same page came again, without end; `a02&b=` and `a03+` do the same, a space or a line's end makes a call that is no HTTP, and `a04%C3%A9` would leave out what lies between. Nodes that run hear of new entries by watches, which name none, and noticed nothing.

Names in paths had the same fault: the state of a roll-out whose name holds such a byte went to another place.

Kind, name and value are escaped where a target is written, by Boost.URL, so no name can have a meaning there.

The stand-in read what our writer wrote: `%XX` in values and nothing else. It now decodes names in paths and `+` in queries as well, and three ways to escape in this tree are one.

--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -1,6 +1,6 @@
 #include "ragwortcove/http/message.hpp"
 
-#include <libwebsockets.h>
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <algorithm>
 #include <vector>
@@ -17,15 +17,6 @@
     return found->value;
 }
 
-static std::string percent_decoded(std::string_view text)
-{
-    std::string escaped(text);
-    std::vector<char> plain(escaped.size() + 1);
-    if (lws_urldecode(plain.data(), escaped.c_str(), static_cast<int>(plain.size())) < 0)
-        return escaped;
-    return plain.data();
-}
-
 std::optional<std::string> find_query_value(std::string_view query, std::string_view key)
 {
     while (!query.empty()) {
@@ -33,9 +24,9 @@
         const std::string_view pair = query.substr(0, end);
         query.remove_prefix(std::min(end + 1, query.size()));
         const std::size_t equals = std::min(pair.find('='), pair.size());
-        if (percent_decoded(pair.substr(0, equals)) != key)
+        if (query_decoded(pair.substr(0, equals)) != key)
             continue;
-        return percent_decoded(pair.substr(std::min(equals + 1, pair.size())));
+        return query_decoded(pair.substr(std::min(equals + 1, pair.size())));
     }
     return std::nullopt;
 }
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -3,6 +3,7 @@
 #include "hangup_watch.hpp"
 #include "known_headers.hpp"
 #include "loop_state.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <libwebsockets.h>
 #include <openssl/ssl.h>
@@ -86,16 +87,6 @@
     return std::string(names[static_cast<std::size_t>(method)]);
 }
 
-static std::string percent_encoded(std::string_view text)
-{
-    // Each byte takes three at most.
-    std::string encoded(text.size() * 3 + 1, '\0');
-    const std::string plain(text);
-    lws_urlencode(encoded.data(), plain.c_str(), static_cast<int>(encoded.size()));
-    encoded.resize(std::char_traits<char>::length(encoded.c_str()));
-    return encoded;
-}
-
 /// libwebsockets hands out the arguments decoded and apart; this joins them again.
 static std::string read_query(lws* wsi)
 {
--- a/lib/standin/platform_server.cpp
+++ b/lib/standin/platform_server.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/standin/platform_server.hpp"
 
 #include "json_body.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <map>
 #include <set>
@@ -78,6 +79,15 @@
         this->loop.cancel(watch.limit);
 }
 
+/// libwebsockets hands out the path decoded; a name that held a slash then has several segments.
+static std::string encode_path(std::string_view decoded)
+{
+    std::string path;
+    for (const char each : decoded)
+        path += each == '/' ? "/" : http::percent_encoded({&each, 1});
+    return path;
+}
+
 void platform_server::state::handle(http::server_exchange exchange, const http::request& message)
 {
     if (message.path == "/fault" && message.method == "POST") {
@@ -97,8 +107,8 @@
         this->server.respond(exchange, 200, "text/plain", "ok\n");
         return;
     }
-    const std::string target =
-        message.query.empty() ? message.path : message.path + "?" + message.query;
+    const std::string path = encode_path(message.path);
+    const std::string target = message.query.empty() ? path : path + "?" + message.query;
     const auto wanted = adapter::read_store_call({message.method, target, message.body});
     if (!wanted) {
         respond_error(this->server, exchange, 400, "no such call");
--- a/test/soak/check_test.py
+++ b/test/soak/check_test.py
@@ -5,6 +5,7 @@
 
 import callers
 import crowd
+import paged_store
 import recovery
 import rollouts
 import upstreams
@@ -45,6 +46,25 @@
     return versions.Probe("node", run, version, at, at + 0.01, in_force)
 
 
+class PagedStore(unittest.TestCase):
+    def test_a_target_is_read_as_http_libraries_do(self):
+        for text, after in (("a00%2520", "a00%20"), ("a00%20", "a00 "), ("a02&b=", "a02"), ("a03+", "a03 "),
+                            ("a03%2B", "a03+"), ("a01#x", "a01"), ("a04%C3%A9", "a04é")):
+            target = paged_store.read_target(f"/objects/things?after={text}")
+            self.assertEqual(target.query.get("after"), after, text)
+            self.assertTrue(target.is_list)
+        self.assertEqual(paged_store.read_target("/objects/things/a%2Fb?revision=4").segments,
+                         ["objects", "things", "a/b"])
+        self.assertFalse(paged_store.read_target("/objects/things?watch=4").is_list)
+
+    def test_a_page_ends_at_its_entries_or_its_bytes(self):
+        entries = [paged_store.Entry(name.encode(), b"." * 100) for name in "abc"]
+        self.assertEqual(paged_store.cut_page(entries, "", 2, 1000), (entries[:2], True))
+        self.assertEqual(paged_store.cut_page(entries, "b", 2, 1000), (entries[2:], False))
+        self.assertEqual(paged_store.cut_page(entries, "", 500, 150), (entries[:1], True))
+        self.assertEqual(paged_store.cut_page(entries, "", 500, 50), (entries[:1], True))
+
+
 class Versions(unittest.TestCase):
     def broken(self, *probes, **trouble):
         runs = spans(upstreams.Ledger(), *trouble.get("spans", ()))
--- a/test/soak/start_test.py
+++ b/test/soak/start_test.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -19,6 +20,8 @@
 
 import fleet
 import lounge
+import odd_names
+import paged_store
 import upstreams
 import vms
 import wire
@@ -115,15 +118,15 @@
     def setUp(self):
         self.ports = {name: fleet.free_port() for name in ("front", "ready", "control", "directory")}
 
-    def settings(self):
+    def settings(self, store_port=None):
         fields = vms.BOUNDS | {"node": "n", "region": "r", "zone": "a", "ip": IP,
-                               "platform.addr": f"{IP}:{self.store_port}"}
+                               "platform.addr": f"{IP}:{store_port or self.store_port}"}
         fields |= {f"listen.{name}": f"{IP}:{port}" for name, port in self.ports.items()}
         fields["seeds"] = fields["listen.control"]
         return vms.render(vms.TEMPLATE.read_text(), fields)
 
-    def start(self):
-        return Daemon(self, self.settings())
+    def start(self, store_port=None):
+        return Daemon(self, self.settings(store_port))
 
     def is_ready(self):
         return answers(self.ports["ready"], "/readyz")
@@ -142,6 +145,25 @@
         daemon = self.start()
         self.assertTrue(wait_until(self.is_ready, START_LIMIT_S + 2.0), daemon.log())
 
+    def test_it_starts_although_names_in_the_store_must_be_escaped(self):
+        front = self.start_front(max_entries=1)
+        store = upstreams.Store((IP, self.store_port))
+        for kind in ("config", "servers", "rollouts", "evacuations", "ragwortcove-parts", "ragwortcove-nodes"):
+            asyncio.run(odd_names.write_entries(store, kind, odd_names.SETS["all"], 10))
+        daemon = self.start(front.port)
+        self.assertTrue(wait_until(self.is_ready, START_LIMIT_S), daemon.log())
+        self.assertEqual(front.refused, [])
+
+    def start_front(self, **pages):
+        """A front of the store, served by a thread of its own until the test has ended."""
+        front = paged_store.PagedStore(self.store_port, **pages)
+        loop = asyncio.new_event_loop()
+        thread = threading.Thread(target=loop.run_forever, daemon=True)
+        thread.start()
+        asyncio.run_coroutine_threadsafe(front.start(), loop).result(START_LIMIT_S)
+        self.addCleanup(lambda: loop.call_soon_threadsafe(loop.stop))
+        return front
+
     def test_it_waits_for_an_address_that_another_process_holds(self):
         for name, kind in (("front", socket.SOCK_STREAM), ("control", socket.SOCK_DGRAM)):
             with self.subTest(name):
--- a/unittests/adapter/store_call_test.cpp
+++ b/unittests/adapter/store_call_test.cpp
@@ -79,6 +79,43 @@
     }
 }
 
+// Guards against a list that comes again and again: a page that ended at `a00%20` was followed by
+// the one after `a00 `, an earlier name.
+TEST_CASE("a name of any bytes is escaped in the target of a call")
+{
+    struct escaped_name {
+        std::string name;
+        std::string text;
+    };
+    for (const escaped_name& each : {
+             escaped_name{"a00%20", "a00%2520"},
+             escaped_name{"a01%23", "a01%2523"},
+             escaped_name{"a02&b=", "a02%26b%3D"},
+             escaped_name{"a03+", "a03%2B"},
+             escaped_name{"a04%C3%A9", "a04%25C3%25A9"},
+             escaped_name{"a04\xc3\xa9", "a04%C3%A9"},
+             escaped_name{"a05/x?y=#z", "a05%2Fx%3Fy%3D%23z"},
+             escaped_name{"a06 \r\nX: 1", "a06%20%0D%0AX%3A%201"},
+             escaped_name{"i-93e3b823_v1.0~", "i-93e3b823_v1.0~"},
+         }) {
+        CAPTURE(each.name);
+        store_document named = document();
+        named.name = each.name;
+        CHECK(write_store_call(list_documents{"things", each.name}).target ==
+              "/objects/things?after=" + each.text);
+        CHECK(write_store_call(get_document{"things", each.name}).target ==
+              "/objects/things/" + each.text);
+        CHECK(write_store_call(replace_document{"things", named, {}}).target ==
+              "/objects/things/" + each.text);
+        CHECK(write_store_call(report_status{"things", each.name, {}, core::revision{4}}).target ==
+              "/objects/things/" + each.text + "/status?revision=4");
+        CHECK(write_store_call(remove_document{"things", each.name, {}}).target ==
+              "/objects/things/" + each.text);
+        CHECK(write_and_read(list_documents{"things", each.name}).after == each.name);
+        CHECK(write_and_read(get_document{"things", each.name}).name == each.name);
+    }
+}
+
 TEST_CASE("the expected revision may be stated in the document instead of the query")
 {
     store_document conditional = document();
--- a/unittests/adapter/store_client_test.cpp
+++ b/unittests/adapter/store_client_test.cpp
@@ -1,8 +1,13 @@
 #include "../http/loopback.hpp"
 #include "platform/store_client.hpp"
 
+#include <boost/url.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace ragwortcove::adapter {
 
 using namespace std::chrono_literals;
@@ -79,4 +84,62 @@
     REQUIRE(run_until(event_loop, [&] { return ended; }));
 }
 
+/// A store's page of one entry, for a target that is read as an HTTP library does.
+static std::string page_of_one(const std::vector<std::string>& names, std::string_view target)
+{
+    const auto parsed = boost::urls::parse_origin_form({target.data(), target.size()});
+    if (!parsed)
+        return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+    std::string after;
+    for (const auto& each : parsed->params()) {
+        if (each.key == "after")
+            after = each.value;
+    }
+    const auto next = std::upper_bound(names.begin(), names.end(), after);
+    std::string entry;
+    if (next != names.end())
+        entry = R"({"meta":{"name":)" + boost::json::serialize(boost::json::value(*next)) +
+                R"(,"revision":5},"spec":{}})";
+    const bool has_more = next != names.end() && next + 1 != names.end();
+    const std::string body = R"({"entries":[)" + entry + R"(],"has_more":)" +
+                             (has_more ? "true" : "false") + R"(,"current_rev":7})";
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against a start that never ends: a page that ended at a name with %20, & or + was followed
+// by the same page, or by a call that is no HTTP.
+TEST_CASE("a list ends whose pages end at names that a query must escape")
+{
+    std::vector<std::string> names{"a00%20", "a00 ",    "a01%23",    "a01#",
+                                   "a02&b=", "a03+",    "a04%C3%A9", "a04\xc3\xa9",
+                                   "a05/x?", "a06\r\n", "i-1"};
+    std::sort(names.begin(), names.end());
+    std::atomic<std::size_t> pages{0};
+    raw_server store([&](raw_connection& connection) {
+        for (;;) {
+            const std::string request = connection.receive_until("\r\n\r\n");
+            const std::size_t start = request.find(' ') + 1;
+            const std::size_t end = request.find(" HTTP/1.1\r\n");
+            if (end == std::string::npos || ++pages > 2 * names.size())
+                return;
+            connection.send(page_of_one(names, request.substr(start, end - start)));
+        }
+    });
+    http::loop event_loop;
+    http::outbound_client connections{event_loop, 3s};
+    store_client client{event_loop, connections, {{"127.0.0.1", store.port()}, 3s}};
+    std::vector<std::string> listed;
+    bool ended = false;
+    client.list(document_kind::upstreams, [&](const document_list* list, const store_error&) {
+        if (list != nullptr) {
+            for (const store_document& document : list->documents)
+                listed.push_back(document.name);
+        }
+        ended = true;
+    });
+    REQUIRE(run_until(event_loop, [&] { return ended; }));
+    CHECK(listed == names);
+    CHECK(pages.load() == names.size());
+}
+
 } // namespace ragwortcove::adapter
