[adapter, gateway] a list whose pages come again fails, is logged and tried again with a pause

Whatever the reason, a store that gave the same page again was asked on and on, four or more times in the time of one, since a list that is late is asked for anew, and every page was kept. With pages of 1 MB, as the users' pages allow, a node passes its 260 MB within seconds, ends, and starts again: a fault, beside the service that does not come back. No log line said so.

A page that ends where an earlier one of the list has ended now ends the list; so do more than 50,000 documents, several times the largest deployment's. Both are failures of their own, logged by `platform_lost` with their reason, the pages and the name; the store has answered, so no announcement is taken to have lapsed. The order of names is the store's, so only an end that comes again tells.

--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -279,7 +279,9 @@
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
     log_event_entry{log_event::platform_lost, "platform_lost", log_level::warning,
-                    "the platform does not answer; this node goes on with what it has",
+                    "the platform does not answer, or with what cannot be used (`reason`); this "
+                    "node goes on with "
+                    "what it has",
                     "restore the platform; writes of configuration wait until then"},
     log_event_entry{log_event::platform_regained, "platform_regained", log_level::info,
                     "the platform answers again", "none"},
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -395,6 +395,10 @@
 static std::string_view describe_failure(const adapter::store_error& error)
 {
     constexpr int status_ok = 200;
+    if (error.failure == adapter::store_failure::list_repeats)
+        return "a page of the list came again";
+    if (error.failure == adapter::store_failure::list_too_long)
+        return "too many documents";
     if (error.status == status_ok)
         return "unreadable response";
     if (error.status != 0)
@@ -417,6 +421,8 @@
              {"status", std::to_string(error.status)},
              {"reason", describe_failure(error)},
              {"after_ms", to_ms_text(this->event_loop.now() - sent_at)},
+             {"pages", std::to_string(state.progress.pages)},
+             {"page_after", state.progress.after},
              {"revision", std::to_string(state.documents.position().revision.value)}});
     }
     const core::time_point now{this->event_loop.now()};
--- a/test/soak/paged_store.py
+++ b/test/soak/paged_store.py
@@ -79,6 +79,8 @@
         # Pages given of each kind, and calls that no such store takes.
         self.pages = Counter()
         self.refused = []
+        # One task for each connection.
+        self.serving = set()
         # What was read last of each kind.
         self.read = {}
 
@@ -91,7 +93,15 @@
         if self.server:
             self.server.close()
 
+    async def end(self):
+        """Listens no more, and ends what it serves."""
+        self.close()
+        for task in self.serving:
+            task.cancel()
+        await asyncio.gather(*self.serving, return_exceptions=True)
+
     async def serve(self, reader, writer):
+        self.serving.add(asyncio.current_task())
         try:
             while True:
                 message = await wire.read_body(reader, await wire.read_head(reader), True)
@@ -102,10 +112,11 @@
                 await writer.drain()
                 if not message.keeps:
                     return
-        except (wire.Broken, OSError, ConnectionError):
+        except (wire.Broken, OSError, asyncio.CancelledError):
             pass
         finally:
-            writer.close()
+            self.serving.discard(asyncio.current_task())
+            writer.transport.abort()
 
     async def answer(self, message):
         words = message.first.split(" ")
@@ -152,3 +163,19 @@
                 for entry in entries]
         self.read[kind] = KindList(made, part["current_rev"], page.headers)
         return self.read[kind]
+
+
+class EndlessStore(PagedStore):
+    """Answers lists of a kind with the same large page for ever, as where a name asks for an earlier page."""
+
+    def __init__(self, target_port, kind, page_bytes=1 << 20):
+        super().__init__(target_port)
+        self.kind = kind
+        entry = {"meta": {"name": "a", "revision": 5}, "spec": "." * page_bytes}
+        self.page = json.dumps({"entries": [entry], "has_more": True, "current_rev": 5}).encode()
+
+    async def list_page(self, target):
+        if target.segments[1] != self.kind:
+            return await super().list_page(target)
+        self.pages[self.kind] += 1
+        return wire.Message("HTTP/1.1 200 .", {}, self.page)
--- a/test/soak/start_test.py
+++ b/test/soak/start_test.py
@@ -33,6 +33,8 @@
 # The grace time of the settings, and some more.
 STOP_LIMIT_S = 9.0
 IP = "127.0.0.1"
+# Of a list that a node tries again with pauses, in three times HELD_S.
+MOST_PAGES = 100
 
 
 def hold(kind, port):
@@ -79,6 +81,10 @@
     def runs(self):
         return self.process.poll() is None
 
+    def most_memory_mb(self):
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0]) // 1024
+
     def log(self):
         return self.log_path.read_text(errors="replace")
 
@@ -146,7 +152,7 @@
         self.assertTrue(wait_until(self.is_ready, START_LIMIT_S + 2.0), daemon.log())
 
     def test_it_starts_although_names_in_the_store_must_be_escaped(self):
-        front = self.start_front(max_entries=1)
+        front = self.serve(paged_store.PagedStore(self.store_port, max_entries=1))
         store = upstreams.Store((IP, self.store_port))
         for kind in ("config", "servers", "rollouts", "evacuations", "ragwortcove-parts", "ragwortcove-nodes"):
             asyncio.run(odd_names.write_entries(store, kind, odd_names.SETS["all"], 10))
@@ -154,14 +160,29 @@
         self.assertTrue(wait_until(self.is_ready, START_LIMIT_S), daemon.log())
         self.assertEqual(front.refused, [])
 
-    def start_front(self, **pages):
-        """A front of the store, served by a thread of its own until the test has ended."""
-        front = paged_store.PagedStore(self.store_port, **pages)
+    def test_a_list_that_has_no_end_fills_no_memory(self):
+        front = self.serve(paged_store.EndlessStore(self.store_port, "servers"))
+        daemon = self.start(front.port)
+        time.sleep(HELD_S * 3)
+        self.assertTrue(daemon.runs(), daemon.log())
+        self.assertLess(daemon.most_memory_mb(), lounge.MEMORY_MB)
+        self.assertLess(front.pages["servers"], MOST_PAGES)
+        self.assertIn("page of the list came again", daemon.log())
+
+    def serve(self, front):
+        """Has a front of the store served by a thread of its own until the test has ended."""
         loop = asyncio.new_event_loop()
         thread = threading.Thread(target=loop.run_forever, daemon=True)
         thread.start()
+
+        def end():
+            asyncio.run_coroutine_threadsafe(front.end(), loop).result(START_LIMIT_S)
+            loop.call_soon_threadsafe(loop.stop)
+            thread.join()
+            loop.close()
+
         asyncio.run_coroutine_threadsafe(front.start(), loop).result(START_LIMIT_S)
-        self.addCleanup(lambda: loop.call_soon_threadsafe(loop.stop))
+        self.addCleanup(end)
         return front
 
     def test_it_waits_for_an_address_that_another_process_holds(self):
--- a/unittests/adapter/list_reader_test.cpp
+++ b/unittests/adapter/list_reader_test.cpp
@@ -53,6 +53,24 @@
         const list_step step = reader.add(page(3, {"b"}, std::nullopt), core::store_era{2});
         CHECK(std::holds_alternative<list_era_changed>(step));
     }
+    SUBCASE("one that ends where an earlier one has ended is not followed by another")
+    {
+        CHECK(std::holds_alternative<list_continues>(reader.add(page(7, {"a"}, "a"), era)));
+        CHECK(std::holds_alternative<list_continues>(reader.add(page(7, {"b"}, "b"), era)));
+        CHECK(std::holds_alternative<list_repeats>(reader.add(page(7, {"a"}, "a"), era)));
+    }
+    SUBCASE("their order is the store's own")
+    {
+        CHECK(std::holds_alternative<list_continues>(reader.add(page(7, {"b"}, "b"), era)));
+        CHECK(std::holds_alternative<list_continues>(reader.add(page(7, {"B"}, "B"), era)));
+        CHECK(std::holds_alternative<list_complete>(reader.add(page(7, {"a"}, std::nullopt), era)));
+    }
+    SUBCASE("they hold as many documents as a node keeps")
+    {
+        const std::vector<std::string> many(max_list_documents, "a");
+        CHECK(std::holds_alternative<list_continues>(reader.add(page(7, many, "a"), era)));
+        CHECK(std::holds_alternative<list_too_long>(reader.add(page(7, {"b"}, std::nullopt), era)));
+    }
 }
 
 } // namespace ragwortcove::adapter
--- a/unittests/adapter/store_client_test.cpp
+++ b/unittests/adapter/store_client_test.cpp
@@ -142,4 +142,36 @@
     CHECK(pages.load() == names.size());
 }
 
+// Guards against a memory that grows with each page: a store that gave the same page of 1 MB again
+// was asked on and on, and all pages were kept.
+TEST_CASE("a list whose pages do not advance fails, and does not fill the memory")
+{
+    constexpr std::size_t max_pages = 3;
+    const std::string filler(1U << 20U, '.');
+    const std::string body = R"({"entries":[{"meta":{"name":"a","revision":5},"spec":")" + filler +
+                             R"("}],"has_more":true,"current_rev":7})";
+    std::atomic<std::size_t> pages{0};
+    raw_server store([&](raw_connection& connection) {
+        while (pages < 20 && !connection.receive_until("\r\n\r\n").empty()) {
+            ++pages;
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                            "\r\n\r\n" + body);
+        }
+    });
+    http::loop event_loop;
+    http::outbound_client connections{event_loop, 3s};
+    store_client client{event_loop, connections, {{"127.0.0.1", store.port()}, 3s}};
+    bool ended = false;
+    store_error failed;
+    client.list(document_kind::upstreams, [&](const document_list* list, const store_error& error) {
+        CHECK(list == nullptr);
+        failed = error;
+        ended = true;
+    });
+    REQUIRE(run_until(event_loop, [&] { return ended; }));
+    CHECK(failed.failure == store_failure::list_repeats);
+    CHECK(is_answered(failed));
+    CHECK(pages.load() <= max_pages);
+}
+
 } // namespace ragwortcove::adapter
