[adapter] a list goes on after a page that ends with an odd entry

The name after which the next page starts was that of the last entry with a revision. Where a page held none, as one of a single large entry may, the list could not be read, for ever, and a node that started was never ready, although the entry has a name.

--- a/unittests/adapter/odd_entries_test.cpp
+++ b/unittests/adapter/odd_entries_test.cpp
@@ -127,6 +127,37 @@
     CHECK(watched_upstreams({make_entry("i-1"), odd, make_entry("i-2")}) == sound);
 }
 
+// Guards against a list that cannot be read at all: the page of an entry without a revision gave no
+// name to go on from, although the entry has one.
+TEST_CASE("a list goes on after a page that ends with an odd entry")
+{
+    const std::string odd = R"({"meta":{"name":"odd","revision":"none"},"spec":{}})";
+    SUBCASE("that is the only one")
+    {
+        const std::optional<document_page> page = read_page(make_page({odd}, true));
+        REQUIRE(page.has_value());
+        CHECK(page->next_page_after == "odd");
+        CHECK(page->part.documents.empty());
+        CHECK(page->part.unreadable == 1);
+    }
+    SUBCASE("that comes after a sound one")
+    {
+        const auto page = read_page(make_page({make_entry("i-1"), odd}, true));
+        REQUIRE(page.has_value());
+        CHECK(page->next_page_after == "odd");
+    }
+    SUBCASE("that has no name: the list goes on after the one before, which the odd one follows")
+    {
+        const auto page = read_page(make_page({make_entry("i-1"), R"({"spec":{}})"}, true));
+        REQUIRE(page.has_value());
+        CHECK(page->next_page_after == "i-1");
+    }
+    SUBCASE("that has no name and is the only one: there is nothing to go on from")
+    {
+        CHECK_FALSE(read_page(make_page({R"({"spec":{}})"}, true)).has_value());
+    }
+}
+
 TEST_CASE("an unknown field of an upstream's entry is ignored when it can be read")
 {
     const std::string entry = make_entry("i-1", R"(,"extra":)" + nested(29));
