--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -250,7 +250,7 @@
                     "none"},
     log_event_entry{
         log_event::documents_left_out, "documents_left_out", log_level::warning,
-        "entries of the store, `count` of them, have no readable name or revision; they "
+        "entries of the store, `count` of them, have no usable name or revision; they "
         "are left out, the others hold",
         "look at who writes entries of that kind"},
     log_event_entry{log_event::watch_cut, "watch_cut", log_level::info,
--- a/lib/standin/store_model.cpp
+++ b/lib/standin/store_model.cpp
@@ -15,6 +15,8 @@
 static constexpr int status_conflict = 409;
 static constexpr int status_gone = 410;
 static constexpr int status_too_many = 429;
+/// Start of the string that stands for a raw content in its document.
+static constexpr std::string_view raw_prefix = "raw-content-";
 
 store_model::store_model(const store_model_settings& settings, std::uint64_t seed)
     : configured(settings), random(seed), reads(settings.reads_per_second),
@@ -274,7 +276,8 @@
 void store_model::write_raw(const std::string& kind, const std::string& name,
                             std::string_view raw_content)
 {
-    const std::string stand_in = "raw-content-" + std::to_string(this->raw_contents.size());
+    const std::string stand_in =
+        std::string(raw_prefix) + std::to_string(this->raw_contents.size());
     this->raw_contents[stand_in] = raw_content;
     adapter::store_document& written = this->contents.kinds[kind][name];
     written.name = name;
@@ -284,13 +287,18 @@
 
 store_answer store_model::answer_with(std::string body) const
 {
-    for (const auto& [stand_in, raw_content] : this->raw_contents) {
-        const std::string quoted = "\"" + stand_in + "\"";
-        for (std::size_t at = body.find(quoted); at != std::string::npos;
-             at = body.find(quoted, at + raw_content.size()))
-            body.replace(at, quoted.size(), raw_content);
+    const std::string start = "\"" + std::string(raw_prefix);
+    std::string text;
+    std::size_t copied = 0;
+    for (std::size_t at = body.find(start); at != std::string::npos; at = body.find(start, copied)) {
+        const std::size_t end = body.find('"', at + start.size());
+        const auto raw = this->raw_contents.find(body.substr(at + 1, end - at - 1));
+        text.append(body, copied, at - copied);
+        copied = end + 1;
+        text += raw == this->raw_contents.end() ? body.substr(at, copied - at) : raw->second;
     }
-    return {status_ok, std::move(body), std::nullopt};
+    text.append(body, copied);
+    return {status_ok, std::move(text), std::nullopt};
 }
 
 void store_model::compact()
--- a/test/soak/odd_names.py
+++ b/test/soak/odd_names.py
@@ -4,7 +4,7 @@
 ESCAPES = ("a00%20", "a01%23", "a02&b=", "a03+", "a04%C3%A9")
 # Every other character with a meaning of its own, a line's end, and bytes beyond ASCII.
 OTHERS = ("a00 ", "a01#", "a04é", "a05/x", "a06?x=1", "a07%", "a08%zz", "a09;:@,$!*'()", "a10[]{}|\\^`<>\"", "a11~._-", "a12\r\nX: 1", "a13\t", "a14語")
-SETS = {"escapes": ESCAPES, "all": ESCAPES + OTHERS}
+SETS = {"escapes": ESCAPES, "all": ESCAPES + OTHERS, "plain": tuple(f"b{number:02}" for number in range(8))}
 
 
 async def write_entries(store, kind, names, content_bytes):
--- a/test/soak/paged_store.py
+++ b/test/soak/paged_store.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
+import time
 import urllib.parse
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 import wire
@@ -81,8 +82,9 @@
         self.refused = []
         # One task for each connection.
         self.serving = set()
-        # What was read last of each kind.
+        # What was read last of each kind, and when that began.
         self.read = {}
+        self.locks = defaultdict(asyncio.Lock)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -142,9 +144,18 @@
         return wire.Message("HTTP/1.1 200 .", dict(whole.headers), body)
 
     async def read_kind(self, kind):
-        """All entries of a kind, read again only when something has changed in the store."""
+        """All entries of a kind. A reading that began after the call did serves all who wait for it."""
+        arrived = time.monotonic()
+        async with self.locks[kind]:
+            known, began = self.read.get(kind, (None, 0.0))
+            if began < arrived:
+                began = time.monotonic()
+                known = await self.read_anew(kind, known)
+                self.read[kind] = (known, began)
+            return known
+
+    async def read_anew(self, kind, known):
         counts = json.loads((await wire.call(self.target, "GET", "/counts", limit=CALL_LIMIT_S)).body)
-        known = self.read.get(kind)
         if known and known.revision == counts["revision"]:
             return known
         entries, after = [], ""
@@ -161,8 +172,7 @@
         entries.sort(key=lambda entry: entry["meta"]["name"].encode())
         made = [Entry(entry["meta"]["name"].encode(), json.dumps(entry, ensure_ascii=False).encode())
                 for entry in entries]
-        self.read[kind] = KindList(made, part["current_rev"], page.headers)
-        return self.read[kind]
+        return KindList(made, part["current_rev"], page.headers)
 
 
 class EndlessStore(PagedStore):
--- a/unittests/adapter/odd_entries_test.cpp
+++ b/unittests/adapter/odd_entries_test.cpp
@@ -123,6 +123,10 @@
     {
         odd = R"({"meta":{"name":"odd","revision":1.8446744073709552e19},"spec":{}})";
     }
+    SUBCASE("a name as large as a content")
+    {
+        odd = make_entry(std::string(1U << 20U, 'n'));
+    }
     CHECK(listed_upstreams({make_entry("i-1"), odd, make_entry("i-2")}) == sound);
     CHECK(watched_upstreams({make_entry("i-1"), odd, make_entry("i-2")}) == sound);
 }
