[gateway] a list is late when a page is, not when all its pages take long

A list of many pages, each well in time, was asked for anew after 1.5 s, from its first page on, and once more for each 1.5 s that followed: a store that is slow, or has much to give, was made slower by those who wait for it.

Now each page has that time. Evidence: document_feed_start_test, six pages of 400 ms each: 13 calls for lists before ("13 == 10" failed), 10 now, none twice. A list that stops between two pages is asked for anew as before, which has a test of its own.

--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -118,6 +118,8 @@
         list_calls lists;
         /// Of the latest list.
         adapter::list_progress progress;
+        /// When its last page was read, on the loop's clock.
+        core::duration page_read_at{0};
         adapter::store_call_number watch_call = 0;
         /// When the latest watch was opened, on the loop's clock.
         core::duration watch_opened_at{0};
@@ -137,6 +139,8 @@
     /// Asks for all documents of a kind. While the response is late, it is asked for again, and the
     /// first response is taken.
     void list_store(kind_state& state);
+    /// Handles it as late when no page of a list is read within the time for one.
+    void expect_page(kind_state& state, std::uint64_t number, core::duration heard_at);
     /// Handles that a page of a list has been read that another one follows.
     void on_page(kind_state& state, std::uint64_t number, const adapter::list_progress& progress);
     void on_list(kind_state& state, std::uint64_t number, const adapter::document_list& all,
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -110,10 +110,22 @@
         [this, &state, number](const adapter::list_progress& progress) {
             this->on_page(state, number, progress);
         });
-    this->event_loop.after(list_response_time, [this, &state, number, sent_at] {
+    this->expect_page(state, number, sent_at);
+}
+
+// Calls that repeat a list whose pages arrive would only slow a slow store down.
+void document_feed::expect_page(kind_state& state, std::uint64_t number, core::duration heard_at)
+{
+    const core::duration left = heard_at + list_response_time - this->event_loop.now();
+    this->event_loop.after(std::max(left, core::duration{0}), [this, &state, number, heard_at] {
+        const bool is_latest = number == state.lists.latest;
+        if (is_latest && state.page_read_at > heard_at) {
+            this->expect_page(state, number, state.page_read_at);
+            return;
+        }
         adapter::store_error late;
         late.is_silent = true;
-        this->on_no_list(state, number, late, sent_at);
+        this->on_no_list(state, number, late, heard_at);
     });
 }
 
@@ -122,8 +134,10 @@
 {
     if (this->handlers.page_read)
         this->handlers.page_read(state.kind);
-    if (number == state.lists.latest)
-        state.progress = progress;
+    if (number != state.lists.latest)
+        return;
+    state.progress = progress;
+    state.page_read_at = this->event_loop.now();
 }
 
 void document_feed::on_list(kind_state& state, std::uint64_t number,
--- a/unittests/gateway/document_feed_start_test.cpp
+++ b/unittests/gateway/document_feed_start_test.cpp
@@ -12,6 +12,38 @@
 using test::feed_fixture;
 using test::kind_count;
 
+// Guards against a store that is made slower by those who wait for it: a list of many pages was
+// asked for anew every 1.5 s, from its first page on, while its pages were arriving.
+TEST_CASE("a list whose pages arrive one after the other is asked for once")
+{
+    feed_fixture fixture;
+    constexpr std::size_t page_count = 6;
+    for (std::size_t number = 0; number < page_count; ++number)
+        fixture.store.documents["servers"]["i-" + std::to_string(number)] = 4 + number;
+    fixture.store.page_size = 1;
+    fixture.store.list_delay = 400ms;
+    fixture.start();
+    REQUIRE(run_until(
+        fixture.event_loop, [&] { return fixture.feed->is_complete(); }, 4s));
+    CHECK(fixture.feed->all_documents(document_kind::upstreams).documents.size() == page_count);
+    CHECK(fixture.store.lists == page_count + kind_count - 1);
+}
+
+TEST_CASE("a list that stops between two pages is asked for anew")
+{
+    feed_fixture fixture;
+    fixture.store.documents["servers"] = {{"i-1", 4}, {"i-2", 5}};
+    fixture.store.page_size = 1;
+    fixture.store.list_delay = 100ms;
+    fixture.start();
+    fixture.pass(150ms);
+    fixture.store.list_delay = 4s;
+    fixture.pass(100ms);
+    fixture.store.list_delay = 0s;
+    REQUIRE(run_until(
+        fixture.event_loop, [&] { return fixture.feed->is_complete(); }, 3s));
+}
+
 TEST_CASE("a feed reads its first documents from a store that answers late")
 {
     feed_fixture fixture;
