[gateway] a first list without documents is of the store's era

A kind without documents knew no era, so the first change after a start seemed to come from a store that had come back from a copy: each start logged `store_era_began` for three kinds, which says that changes were lost, listed them once more and delayed removals. On call, the line misleads.

--- a/lib/gateway/document_set.cpp
+++ b/lib/gateway/document_set.cpp
@@ -198,6 +198,8 @@
         this->must_settle = false;
     documents_by_name next = this->merge(all, now, result);
     core::store_position newest_listed = this->newest;
+    if (!this->loaded)
+        newest_listed.era = all.era;
     for (const auto& [name, document] : next)
         newest_listed = std::max(newest_listed, document.position());
     result.changes = difference(this->documents, next, all.position());
--- a/unittests/gateway/document_set_test.cpp
+++ b/unittests/gateway/document_set_test.cpp
@@ -122,6 +122,18 @@
     }
 }
 
+// Guards against a warning, and a delay of removals, at each start: a kind without documents knew no
+// era, so the first change seemed to come from a store that had come back from a copy.
+TEST_CASE("a first list without documents is of the store's era")
+{
+    document_set rollouts{document_kind::rollouts};
+    const list_result first = rollouts.apply_list(make_list({{50}, {1}}, {}), start);
+    CHECK_FALSE(first.begins_era);
+    CHECK(rollouts.position().era == core::store_era{1});
+    CHECK_FALSE(rollouts.apply_list(make_list({{52}, {1}}, {}), start).begins_era);
+    CHECK(rollouts.apply_list(make_list({{40}, {2}}, {}), start).begins_era);
+}
+
 TEST_CASE("a node that knows the copy's rules only takes the newer ones of a node that kept them")
 {
     document_set rules(document_kind::rules);
