[adapter, gateway] a list without an end is used as far as it was read

One kind whose list cannot be read to its end kept a node from being ready at all, and a running one from watching: a page that comes again, an empty one that says there is more, one on which no entry has a name. Callers got 503 from all nodes for the sake of entries that nobody may need.

A list that is stuck now gives what was read. A node that knows nothing of the kind starts with that; one that runs takes it for changes, and nothing for removed. Either watches from the list's position, so later changes arrive, and lists again every 5 s. `documents_incomplete` says how far it came, and up to which name.

--- a/include/ragwortcove/daemon/log_event.hpp
+++ b/include/ragwortcove/daemon/log_event.hpp
@@ -95,6 +95,7 @@
     nodes_sought = 414,
     node_entry_unreadable = 415,
     node_entry_call_failed = 416,
+    documents_incomplete = 417,
 
     configuration_applied = 500,
     platform_lost = 501,
--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -111,6 +111,8 @@
         bool catching_up = false;
         /// When the last such call was sent, on the loop's clock.
         core::duration last_fetch_at = -std::chrono::hours{1};
+        /// Whether another list is scheduled, since the last one was incomplete.
+        bool completion_scheduled = false;
         /// Whether a call that repeats a failed audit is scheduled.
         bool audit_scheduled = false;
         /// Whether a watch or list is open, or a pause before the next one runs.
@@ -148,6 +150,10 @@
     /// Handles that a list has failed, or is late.
     void on_no_list(kind_state& state, std::uint64_t number, const adapter::store_error& error,
                     core::duration sent_at);
+    /// Applies what was read of a list that is stuck: nothing else is known of, and nothing is
+    /// taken for removed.
+    void take_list_part(kind_state& state, const adapter::document_list& part,
+                        core::duration sent_at);
     /// Lists a kind anew, in place of an open watch.
     void restart_reading(kind_state& state);
     /// Applies changes from the store; returns false when they are of another era.
--- a/lib/daemon/log_event.cpp
+++ b/lib/daemon/log_event.cpp
@@ -248,11 +248,10 @@
                     "a response of the store from before it came back from a copy came late; it is "
                     "ignored",
                     "none"},
-    log_event_entry{
-        log_event::documents_left_out, "documents_left_out", log_level::warning,
-        "entries of the store, `count` of them, have no usable name or revision; they "
-        "are left out, the others hold",
-        "look at who writes entries of that kind"},
+    log_event_entry{log_event::documents_left_out, "documents_left_out", log_level::warning,
+                    "entries of the store, `count` of them, have no usable name or revision; they "
+                    "are left out, the others hold",
+                    "look at who writes entries of that kind"},
     log_event_entry{log_event::watch_cut, "watch_cut", log_level::info,
                     "the store ended a watch that waited, without a response; the documents are "
                     "listed again",
@@ -275,6 +274,11 @@
                     "the store did not `write`, `list` or `remove` entries of instances that look "
                     "for others; the call is repeated when it is due",
                     "look at the platform when it repeats"},
+    log_event_entry{
+        log_event::documents_incomplete, "documents_incomplete", log_level::warning,
+        "a list of the store has no end that can be reached; `count` documents were "
+        "read, up to `page_after`, and are used; the rest is not known until it changes",
+        "look at the store, and at the entry of that name"},
 
     log_event_entry{log_event::configuration_applied, "configuration_applied", log_level::info,
                     "a configuration revision is in force on this node", "none"},
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -25,6 +25,8 @@
 static constexpr std::uint32_t max_counted_failures = 6;
 /// Status from which on a response tells of a fault of the store.
 static constexpr int first_server_error = 500;
+/// Interval at which a kind is listed again whose list is incomplete.
+static constexpr core::duration incomplete_list_interval = 5s;
 /// Interval at which a kind is listed again that the store does not know.
 static constexpr core::duration unknown_kind_interval = 2s;
 
@@ -163,10 +165,50 @@
     state.lists.failed = number;
     if (is_kind_unknown(state.kind, error))
         this->on_kind_unknown(state);
+    else if (error.part != nullptr)
+        this->take_list_part(state, *error.part, sent_at);
     else
         this->on_list_failed(state, error, sent_at);
 }
 
+// A node that waited for the whole list would not serve, and not watch either. The watch follows
+// the list's position, so it brings all later changes, also those of documents that are not known
+// yet.
+void document_feed::take_list_part(kind_state& state, const adapter::document_list& part,
+                                   core::duration sent_at)
+{
+    this->note_store_available(state);
+    daemon::write_log(log_event::documents_incomplete,
+                      {{"documents", to_text(state.kind)},
+                       {"count", std::to_string(part.documents.size())},
+                       {"pages", std::to_string(state.progress.pages)},
+                       {"page_after", state.progress.after}});
+    bool is_taken = true;
+    if (state.documents.is_loaded()) {
+        adapter::document_changes listed;
+        listed.upto = part.at;
+        listed.era = part.era;
+        listed.unreadable = part.unreadable;
+        for (const adapter::store_document& document : part.documents)
+            listed.changes.push_back({document, false});
+        is_taken = this->take_store_changes(state, listed, sent_at);
+    }
+    else {
+        is_taken = this->take_store_list(state, part, sent_at, false);
+    }
+    if (!is_taken) {
+        this->list_later(state, this->next_retry_delay(state));
+        return;
+    }
+    this->continue_watching(state);
+    if (std::exchange(state.completion_scheduled, true))
+        return;
+    this->event_loop.after(incomplete_list_interval, [this, &state] {
+        state.completion_scheduled = false;
+        this->restart_reading(state);
+    });
+}
+
 void document_feed::restart_reading(kind_state& state)
 {
     if (state.watch_call != 0) {
@@ -409,8 +451,8 @@
 static std::string_view describe_failure(const adapter::store_error& error)
 {
     constexpr int status_ok = 200;
-    if (error.failure == adapter::store_failure::list_repeats)
-        return "a page of the list came again";
+    if (error.failure == adapter::store_failure::list_stuck)
+        return "list without an end";
     if (error.failure == adapter::store_failure::list_too_long)
         return "too many documents";
     if (error.status == status_ok)
--- a/unittests/gateway/document_feed_start_test.cpp
+++ b/unittests/gateway/document_feed_start_test.cpp
@@ -29,6 +29,53 @@
     CHECK(fixture.store.lists == page_count + kind_count - 1);
 }
 
+// Guards against a node that is never ready since one kind's list has no end.
+TEST_CASE("a list without an end is used as far as it was read")
+{
+    feed_fixture fixture;
+    fixture.store.documents["servers"] = {{"i-1", 4}, {"i-2", 5}};
+    fixture.store.endless_kind = "servers";
+    const auto upstream_count = [&] {
+        return fixture.feed->all_documents(document_kind::upstreams).documents.size();
+    };
+
+    SUBCASE("by a node that starts, which hears of all later changes")
+    {
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_complete(); }));
+        CHECK(upstream_count() == 2);
+        REQUIRE(fixture.run_until_true([&] { return fixture.is_watching(); }));
+        fixture.store.put("servers", "i-3");
+        REQUIRE(fixture.run_until_true([&] { return upstream_count() == 3; }));
+        REQUIRE(fixture.run_until_true([&] { return fixture.is_watching(); }));
+        fixture.store.remove("servers", "i-1");
+        REQUIRE(fixture.run_until_true([&] { return upstream_count() == 2; }));
+    }
+    SUBCASE("by a node that runs, which takes nothing for removed")
+    {
+        fixture.store.endless_kind = "";
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.is_watching(); }));
+        fixture.store.endless_kind = "servers";
+        fixture.store.documents["servers"].erase("i-1");
+        fixture.store.documents["servers"]["i-3"] = ++fixture.store.revision;
+        fixture.store.cut_watches();
+        REQUIRE(fixture.run_until_true([&] { return upstream_count() == 3; }));
+    }
+    SUBCASE("and asked for again, with pauses")
+    {
+        fixture.start();
+        REQUIRE(fixture.run_until_true([&] { return fixture.is_watching(); }));
+        const std::size_t lists = fixture.store.lists;
+        fixture.pass(2s);
+        CHECK(fixture.store.lists == lists);
+        fixture.store.endless_kind = "";
+        fixture.store.documents["servers"].erase("i-1");
+        REQUIRE(run_until(
+            fixture.event_loop, [&] { return upstream_count() == 1; }, 5s));
+    }
+}
+
 TEST_CASE("a list that stops between two pages is asked for anew")
 {
     feed_fixture fixture;
--- a/unittests/gateway/document_set_test.cpp
+++ b/unittests/gateway/document_set_test.cpp
@@ -122,8 +122,8 @@
     }
 }
 
-// Guards against a warning, and a delay of removals, at each start: a kind without documents knew no
-// era, so the first change seemed to come from a store that had come back from a copy.
+// Guards against a warning, and a delay of removals, at each start: a kind without documents knew
+// no era, so the first change seemed to come from a store that had come back from a copy.
 TEST_CASE("a first list without documents is of the store's era")
 {
     document_set rollouts{document_kind::rollouts};
--- a/unittests/gateway/feed_fixture.hpp
+++ b/unittests/gateway/feed_fixture.hpp
@@ -32,6 +32,8 @@
     /// Latest change of each kind that no open watch is notified of.
     std::map<std::string, std::string> unannounced;
     std::size_t lists = 0;
+    /// Kind whose lists never say that they have ended; empty for none.
+    std::string endless_kind;
     /// Documents on one page of a list.
     std::size_t page_size = 500;
     /// Time from the next request for a list to its response, which is made at once.
@@ -135,8 +137,8 @@
         for (; next != all.end() && count < this->page_size; ++next, ++count)
             entries += (entries.empty() ? "" : ",") + document(next->first, next->second);
         return R"({"entries":[)" + entries + R"(],"has_more":)" +
-               (next == all.end() ? "false" : "true") + R"(,"current_rev":)" +
-               std::to_string(this->revision) + "}";
+               (next == all.end() && kind != this->endless_kind ? "false" : "true") +
+               R"(,"current_rev":)" + std::to_string(this->revision) + "}";
     }
     /// Changes a document and notifies the open watches of its kind.
     void put(const std::string& kind, const std::string& name)
