[gateway] a name of any bytes stands in a metric's label

Found beside the names in the store: labels hold the names of services and routes as others wrote them, and a quote or a line's end in one made the whole page of metrics unreadable. The text format's three escapes are written now.

Evidence: gateway_metrics_test failed before (the line was not found).

--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -9,9 +9,19 @@
 static constexpr std::array<double, 3> quantiles{0.5, 0.95, 0.99};
 static constexpr std::string_view prefix = "ragwortcove_";
 
+/// Names come from the operator and from upstreams, so a value may hold any byte.
 static std::string make_label(std::string_view key, std::string_view value)
 {
-    return std::string(key) + "=\"" + std::string(value) + "\"";
+    std::string label = std::string(key) + "=\"";
+    for (const char each : value) {
+        if (each == '\\' || each == '"')
+            label += '\\';
+        if (each == '\n')
+            label += "\\n";
+        else
+            label += each;
+    }
+    return label + "\"";
 }
 
 void gateway_metrics::count(std::string_view counter, std::string_view label,
--- a/unittests/gateway/gateway_metrics_test.cpp
+++ b/unittests/gateway/gateway_metrics_test.cpp
@@ -21,4 +21,13 @@
               "# TYPE ragwortcove_ready gauge\nragwortcove_ready 1.000000\n"));
 }
 
+// Guards against a page of metrics that cannot be read for the sake of one name.
+TEST_CASE("a name of any bytes stands in a label")
+{
+    gateway_metrics metrics;
+    metrics.count("requests", "target", "a\"b\\c\nd");
+    CHECK(metrics.render({}).find("ragwortcove_requests_total{target=\"a\\\"b\\\\c\\nd\"} 1\n") !=
+          std::string::npos);
+}
+
 } // namespace ragwortcove::gateway
