[daemon, cli, load] what goes into a path or a query of the own interface is escaped

The same class as the names in the store's calls, in the product's own interface. libwebsockets hands out a path decoded, and the daemon sent it on like that: a service got `/a b` for `/a%20b`, which is no HTTP, and `/c?d` for `/c%3Fd`, another path. The commands wrote the name of a route into paths and queries as it was typed.

Evidence: caller_call_test failed before /a b/c?d#e%/f:g == /a%20b/c%3Fd%23e%25/f:g A slash that was escaped still becomes one, since the server's library has decoded it by then.

--- a/lib/cli/caller.cpp
+++ b/lib/cli/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortcove/core/object_fields.hpp"
 #include "ragwortcove/http/event_stream.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <boost/json.hpp>
 
@@ -46,7 +47,8 @@
 
 bool caller::ask_for_addresses(const core::endpoint& entry, const std::string& route)
 {
-    const auto answer = this->session.get(entry, "/v1/addresses", "route=" + route);
+    const auto answer =
+        this->session.get(entry, "/v1/addresses", "route=" + http::percent_encoded(route));
     const auto body = answer.ok() ? parse_json_object(answer.body) : std::nullopt;
     const auto* listed = body ? body->if_contains("addresses") : nullptr;
     if (listed == nullptr || !listed->is_array())
--- a/lib/daemon/caller_call.cpp
+++ b/lib/daemon/caller_call.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/daemon/caller_call.hpp"
 
 #include "ragwortcove/core/prompt.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <algorithm>
 #include <array>
@@ -112,7 +113,8 @@
         return make_bad_request(404, "path: expected /v1/services/<service>/<path>");
     call.request.route.value = rest.substr(0, slash);
     call.method = message.method;
-    call.target = rest.substr(slash);
+    // libwebsockets hands out the path decoded.
+    call.target = http::path_encoded(rest.substr(slash));
     if (!message.query.empty())
         call.target += "?" + message.query;
     call.content_type = header_or_empty(message, "content-type");
--- a/lib/http/percent_encoding.cpp
+++ b/lib/http/percent_encoding.cpp
@@ -12,6 +12,11 @@
     return urls::encode({text.data(), text.size()}, urls::unreserved_chars);
 }
 
+std::string path_encoded(std::string_view path)
+{
+    return urls::encode({path.data(), path.size()}, urls::pchars + '/');
+}
+
 static std::string decoded(std::string_view text, bool plus_is_space)
 {
     const auto escaped = urls::make_pct_string_view({text.data(), text.size()});
--- a/lib/load/address_book.cpp
+++ b/lib/load/address_book.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcove/load/address_book.hpp"
 
 #include "ragwortcove/core/object_fields.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <boost/json.hpp>
 
@@ -66,7 +67,7 @@
     request.port = entry.port;
     request.message.method = "GET";
     request.message.path = "/v1/addresses";
-    request.message.query = "route=" + route;
+    request.message.query = "route=" + http::percent_encoded(route);
     request.idle_limit = ask_idle_limit;
     http::client_handlers handlers;
     handlers.headed = [&kept](const http::response_head& head) { kept.status = head.status; };
--- a/lib/load/load_call.cpp
+++ b/lib/load/load_call.cpp
@@ -1,5 +1,7 @@
 #include "load_call.hpp"
 
+#include "ragwortcove/http/percent_encoding.hpp"
+
 #include <boost/json.hpp>
 
 namespace ragwortcove::load {
@@ -42,7 +44,8 @@
     request.idle_limit = time_left + idle_slack;
     http::request& message = request.message;
     message.method = kind.kind == request_kind::chat ? "POST" : kind.method;
-    message.path = direct ? kind.path : "/v1/services/" + kind.route + kind.path;
+    message.path =
+        direct ? kind.path : "/v1/services/" + http::percent_encoded(kind.route) + kind.path;
     if (kind.kind == request_kind::chat) {
         message.path = "/v1/chat/completions";
         message.body = make_chat_body(call);
--- a/lib/standin/platform_server.cpp
+++ b/lib/standin/platform_server.cpp
@@ -79,15 +79,6 @@
         this->loop.cancel(watch.limit);
 }
 
-/// libwebsockets hands out the path decoded; a name that held a slash then has several segments.
-static std::string encode_path(std::string_view decoded)
-{
-    std::string path;
-    for (const char each : decoded)
-        path += each == '/' ? "/" : http::percent_encoded({&each, 1});
-    return path;
-}
-
 void platform_server::state::handle(http::server_exchange exchange, const http::request& message)
 {
     if (message.path == "/fault" && message.method == "POST") {
@@ -107,7 +98,8 @@
         this->server.respond(exchange, 200, "text/plain", "ok\n");
         return;
     }
-    const std::string path = encode_path(message.path);
+    // libwebsockets hands out the path decoded.
+    const std::string path = http::path_encoded(message.path);
     const std::string target = message.query.empty() ? path : path + "?" + message.query;
     const auto wanted = adapter::read_store_call({message.method, target, message.body});
     if (!wanted) {
--- a/tools/ragwortcove/call.cpp
+++ b/tools/ragwortcove/call.cpp
@@ -2,6 +2,7 @@
 #include "ragwortcove/cli/caller.hpp"
 #include "ragwortcove/cli/common_options.hpp"
 #include "ragwortcove/core/object_fields.hpp"
+#include "ragwortcove/http/percent_encoding.hpp"
 
 #include <boost/json.hpp>
 
@@ -86,8 +87,8 @@
 static void set_target(cli::caller_request& request, const std::string& target)
 {
     const auto question = target.find('?');
-    request.path = "/v1/services/" + request.route + (target.starts_with('/') ? "" : "/") +
-                   target.substr(0, question);
+    request.path = "/v1/services/" + http::percent_encoded(request.route) +
+                   (target.starts_with('/') ? "" : "/") + target.substr(0, question);
     if (question != std::string::npos)
         request.query = target.substr(question + 1);
 }
--- a/unittests/daemon/caller_call_test.cpp
+++ b/unittests/daemon/caller_call_test.cpp
@@ -42,6 +42,16 @@
     CHECK(service.body == "admit");
 }
 
+// Guards against a service that gets another path than the caller sent, or a request that is none.
+TEST_CASE("a service call's path is passed on with its escapes")
+{
+    // The server has decoded it.
+    const caller_call parsed =
+        parse_caller_call(make_message("GET", "/v1/services/lookup/a b/c?d#e%/f:g"));
+    REQUIRE(std::holds_alternative<service_call>(parsed));
+    CHECK(std::get<service_call>(parsed).target == "/a%20b/c%3Fd%23e%25/f:g");
+}
+
 TEST_CASE("a call that cannot be served gets the right problem")
 {
     SUBCASE("a path that does not exist")
--- a/unittests/http/percent_encoding_test.cpp
+++ b/unittests/http/percent_encoding_test.cpp
@@ -34,6 +34,11 @@
         CHECK(query_decoded("a+b%2b") == "a b+");
         CHECK(percent_decoded("a+b%2b") == "a+b+");
     }
+    SUBCASE("a path keeps its slashes and marks")
+    {
+        CHECK(path_encoded("/a b/c?d#e%/f:@!$&'()*+,;=-._~") ==
+              "/a%20b/c%3Fd%23e%25/f:@!$&'()*+,;=-._~");
+    }
     SUBCASE("a text with an invalid escape stands for itself")
     {
         for (const char* text : {"100%", "%zz", "a%2", "a+%"}) {
