--- a/include/ragwortcove/gateway/document_feed.hpp
+++ b/include/ragwortcove/gateway/document_feed.hpp
@@ -150,6 +150,10 @@
     /// Handles that a list has failed, or is late.
     void on_no_list(kind_state& state, std::uint64_t number, const adapter::store_error& error,
                     core::duration sent_at);
+    /// Handles a list that is stuck. Without its one document of rules no request can be served, so
+    /// that is read by its name.
+    void on_list_stuck(kind_state& state, const adapter::document_list& part,
+                       core::duration sent_at);
     /// Applies what was read of a list that is stuck: nothing else is known of, and nothing is
     /// taken for removed.
     void take_list_part(kind_state& state, const adapter::document_list& part,
--- a/lib/gateway/document_feed.cpp
+++ b/lib/gateway/document_feed.cpp
@@ -166,11 +166,40 @@
     if (is_kind_unknown(state.kind, error))
         this->on_kind_unknown(state);
     else if (error.part != nullptr)
-        this->take_list_part(state, *error.part, sent_at);
+        this->on_list_stuck(state, *error.part, sent_at);
     else
         this->on_list_failed(state, error, sent_at);
 }
 
+void document_feed::on_list_stuck(kind_state& state, const adapter::document_list& part,
+                                  core::duration sent_at)
+{
+    const bool has_rules = std::ranges::any_of(part.documents, [](const auto& each) {
+        return each.name == adapter::rules_document_name();
+    });
+    if (state.kind != adapter::document_kind::rules || has_rules) {
+        this->take_list_part(state, part, sent_at);
+        return;
+    }
+    const adapter::get_document wanted{std::string(adapter::store_name(state.kind)),
+                                       std::string(adapter::rules_document_name())};
+    this->store.send(
+        wanted,
+        [this, &state, part, sent_at](const adapter::store_document* found,
+                                      const adapter::store_error& error) {
+            const bool is_missing = error.failure == adapter::store_failure::missing;
+            if (found == nullptr && !is_missing) {
+                this->on_list_failed(state, error, sent_at);
+                return;
+            }
+            adapter::document_list extended = part;
+            if (found != nullptr)
+                extended.documents.push_back(*found);
+            this->take_list_part(state, extended, sent_at);
+        },
+        max_list_wait);
+}
+
 // A node that waited for the whole list would not serve, and not watch either. The watch follows
 // the list's position, so it brings all later changes, also those of documents that are not known
 // yet.
--- a/unittests/gateway/document_feed_start_test.cpp
+++ b/unittests/gateway/document_feed_start_test.cpp
@@ -76,6 +76,25 @@
     }
 }
 
+// Guards against a node that is ready without any rules, or never, since other writers' entries
+// stand before the rules in a list that is stuck.
+TEST_CASE("the rules behind a list that is stuck are read by their name")
+{
+    feed_fixture fixture;
+    fixture.store.documents["config"] = {{"a00%20", 4}, {"main", 5}};
+    fixture.store.page_size = 1;
+    fixture.store.repeating_kind = "config";
+    fixture.start();
+    REQUIRE(fixture.run_until_true([&] { return fixture.feed->is_complete(); }));
+    CHECK(fixture.feed->revision_of(document_kind::rules).value == 5);
+    CHECK(fixture.store.gets == 1);
+    REQUIRE(fixture.run_until_true([&] { return fixture.is_watching(); }));
+    fixture.store.put("config", "main");
+    REQUIRE(fixture.run_until_true([&] {
+        return fixture.feed->revision_of(document_kind::rules) == fixture.store.revision_now();
+    }));
+}
+
 TEST_CASE("a list that stops between two pages is asked for anew")
 {
     feed_fixture fixture;
--- a/unittests/gateway/feed_fixture.hpp
+++ b/unittests/gateway/feed_fixture.hpp
@@ -32,8 +32,12 @@
     /// Latest change of each kind that no open watch is notified of.
     std::map<std::string, std::string> unannounced;
     std::size_t lists = 0;
+    /// Reads of the one document of rules.
+    std::size_t gets = 0;
     /// Kind whose lists never say that they have ended; empty for none.
     std::string endless_kind;
+    /// Kind whose lists give their first page again and again; empty for none.
+    std::string repeating_kind;
     /// Documents on one page of a list.
     std::size_t page_size = 500;
     /// Time from the next request for a list to its response, which is made at once.
@@ -117,6 +121,11 @@
                                       R"(],"current_rev":)" + std::to_string(this->revision) + "}");
             return;
         }
+        if (path.ends_with("/config/main")) {
+            ++this->gets;
+            this->respond(id, document("main", this->documents["config"].at("main")));
+            return;
+        }
         ++this->lists;
         const std::string list = this->page_of(kind, target);
         if (this->list_delay == core::duration{0})
@@ -128,8 +137,8 @@
     {
         static constexpr std::string_view after_key = "after=";
         const std::size_t key = target.find(after_key);
-        const std::string after =
-            key == std::string::npos ? "" : target.substr(key + after_key.size());
+        const bool is_first = key == std::string::npos || kind == this->repeating_kind;
+        const std::string after = is_first ? "" : target.substr(key + after_key.size());
         const std::map<std::string, std::uint64_t>& all = this->documents[kind];
         std::string entries;
         std::size_t count = 0;
