[adapter] a response's documents are reduced one by one, and a field of another type is not absent

A dropped field counted as absent, so an entry with `slots` or `born` of another type, unreadable before, named an upstream and got requests. A short value of another type stands in its place.

--- a/unittests/adapter/document_reduction_test.cpp
+++ b/unittests/adapter/document_reduction_test.cpp
@@ -75,6 +75,34 @@
     }
 }
 
+TEST_CASE("a response is read with as much of each document as is kept")
+{
+    const std::string entry = R"({"meta":{"name":"a","revision":5},"spec":{"extra":[1,2,3]}})";
+    const auto changes = read_changes(R"({"events":[{"object":)" + entry + R"(}],"current_rev":7})",
+                                      document_kind::upstreams);
+    REQUIRE(changes.has_value());
+    CHECK(changes->changes.front().document.content == json::value(json::object{}));
+    const auto page =
+        read_page(R"({"entries":[)" + entry + R"(],"current_rev":7})", document_kind::upstreams);
+    REQUIRE(page.has_value());
+    CHECK(page->part.documents.front().content == json::value(json::object{}));
+}
+
+// Guards against an upstream that gets requests although its entry cannot be read: a field of
+// another type was dropped, and counted as absent.
+TEST_CASE("a field of another type does not count as absent")
+{
+    for (const char* key : {"slots", "born", "cold_left_ms", "seq", "state", "service"}) {
+        CAPTURE(key);
+        json::object content = make_announcement();
+        content[key] = json::object{};
+        const store_document whole = make_document("i-1", content);
+        const store_document kept = reduced(document_kind::upstreams, whole);
+        CHECK(read_upstream(kept, read_at).has_value() ==
+              read_upstream(whole, read_at).has_value());
+    }
+}
+
 TEST_CASE("what is read of a document is kept")
 {
     SUBCASE("an announcement, without its unknown fields")
