--- a/unittests/adapter/store_client_test.cpp
+++ b/unittests/adapter/store_client_test.cpp
@@ -176,4 +176,47 @@
     CHECK(pages.load() <= max_pages);
 }
 
+TEST_CASE("a list bears a page that the store refuses")
+{
+    const std::string first =
+        R"({"entries":[{"meta":{"name":"a","revision":5},"spec":{}}],"has_more":true,"current_rev":7})";
+    const std::string last =
+        R"({"entries":[{"meta":{"name":"b","revision":5},"spec":{}}],"has_more":false,"current_rev":7})";
+    const auto respond = [](const char* status, const std::string& body) {
+        return "HTTP/1.1 " + std::string(status) +
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    std::vector<std::string> answers;
+    bool is_whole = false;
+    SUBCASE("for now: it is asked for again, and what was read is kept")
+    {
+        answers = {respond("200 OK", first), respond("429 Too Many", ""),
+                   respond("503 Unavailable", ""), respond("200 OK", last)};
+        is_whole = true;
+    }
+    SUBCASE("as one that it does not accept: the list ends there")
+    {
+        answers = {respond("200 OK", first), respond("414 Too Long", "")};
+    }
+    raw_server store([&](raw_connection& connection) {
+        for (const std::string& answer : answers) {
+            static_cast<void>(connection.receive_until("\r\n\r\n"));
+            connection.send(answer);
+        }
+    });
+    http::loop event_loop;
+    http::outbound_client connections{event_loop, 3s};
+    store_client client{event_loop, connections, {{"127.0.0.1", store.port()}, 3s}};
+    bool ended = false;
+    std::size_t count = 0;
+    client.list(document_kind::upstreams, [&](const document_list* list, const store_error& error) {
+        CHECK((list != nullptr) == is_whole);
+        const document_list* const read = is_whole ? list : error.part.get();
+        count = read == nullptr ? 0 : read->documents.size();
+        ended = true;
+    });
+    REQUIRE(run_until(event_loop, [&] { return ended; }));
+    CHECK(count == (is_whole ? 2 : 1));
+}
+
 } // namespace ragwortcove::adapter
