--- a/include/ragwortcove/standin/store_model.hpp
+++ b/include/ragwortcove/standin/store_model.hpp
@@ -99,7 +99,7 @@
     };
 
     /// An answer with the text in place of each raw content.
-    [[nodiscard]] store_answer answer_with(std::string body) const;
+    [[nodiscard]] store_answer answer_with(const std::string& body) const;
     [[nodiscard]] std::optional<store_answer> turn_away(bool is_write, core::time_point now);
     [[nodiscard]] store_reply reply_with(store_answer&& answer);
     [[nodiscard]] store_answer carry_out(const adapter::store_call& call);
--- a/lib/standin/store_model.cpp
+++ b/lib/standin/store_model.cpp
@@ -285,7 +285,7 @@
     static_cast<void>(this->record(kind, written, false));
 }
 
-store_answer store_model::answer_with(std::string body) const
+store_answer store_model::answer_with(const std::string& body) const
 {
     const std::string start = "\"" + std::string(raw_prefix);
     std::string text;
--- a/unittests/adapter/list_reader_test.cpp
+++ b/unittests/adapter/list_reader_test.cpp
@@ -10,7 +10,7 @@
 static constexpr core::store_era era{1};
 
 static document_page page(std::uint64_t at, std::vector<std::string> names,
-                          std::optional<std::string> next_page_after)
+                          const std::optional<std::string>& next_page_after)
 {
     document_page result;
     result.part.at = core::revision{at};
